--- /dev/null
+++ b/src/base/log.cc
@@ -0,0 +1,84 @@
+#include "base/log.h"
+
+#include <easylogging++.h>
+
+#include <array>
+#include <mutex>
+
+#include "base/time.h"
+
+INITIALIZE_EASYLOGGINGPP
+
+namespace chivewing {
+namespace {
+
+constexpr int kLinesPerSecond = 50;
+constexpr std::size_t kParts = static_cast<std::size_t>(LogPart::kHttp) + 1;
+constexpr std::size_t kLevels = static_cast<std::size_t>(LogLevel::kError) + 1;
+constexpr std::array<std::string_view, kParts> kPrefixes = {
+    "main",  "settings", "catalogue", "router",   "placer", "peer",
+    "share", "lease",    "claim",     "platform", "worker", "http"};
+
+struct RateWindow {
+  TimePoint start;
+  int lines = 0;
+  int dropped = 0;
+};
+
+std::mutex window_mutex;
+std::array<std::array<RateWindow, kLevels>, kParts> windows;
+LogLevel least_level = LogLevel::kWarning;
+
+// Returns -1 when the line is over the limit, else how many were dropped since
+// the last line.
+int AdmitLine(LogPart part, LogLevel level) {
+  const std::lock_guard lock(window_mutex);
+  RateWindow& window = windows.at(static_cast<std::size_t>(part))
+                           .at(static_cast<std::size_t>(level));
+  const TimePoint now = BootClock::now();
+  if (now - window.start >= std::chrono::seconds(1)) {
+    window.start = now;
+    window.lines = 0;
+  }
+  if (++window.lines > kLinesPerSecond) {
+    ++window.dropped;
+    return -1;
+  }
+  return std::exchange(window.dropped, 0);
+}
+
+}  // namespace
+
+void StartLog(LogLevel least) {
+  least_level = least;
+  el::Configurations config;
+  config.setToDefault();
+  config.setGlobally(el::ConfigurationType::ToFile, "false");
+  config.setGlobally(el::ConfigurationType::ToStandardOutput, "true");
+  config.setGlobally(el::ConfigurationType::Format, "%datetime %level %msg");
+  el::Loggers::reconfigureAllLoggers(config);
+}
+
+void Log(LogPart part, LogLevel level, std::string_view sentence) {
+  if (level < least_level) return;
+  const int dropped = AdmitLine(part, level);
+  if (dropped < 0) return;
+  std::string line(kPrefixes.at(static_cast<std::size_t>(part)));
+  line.append(": ").append(sentence);
+  if (dropped > 0)
+    line.append(" (").append(std::to_string(dropped)).append(" lines dropped)");
+  switch (level) {
+    case LogLevel::kDebug:
+    case LogLevel::kInfo:
+      LOG(INFO) << line;
+      break;
+    case LogLevel::kWarning:
+      LOG(WARNING) << line;
+      break;
+    case LogLevel::kError:
+      LOG(ERROR) << line;
+      break;
+  }
+}
+
+}  // namespace chivewing
