--- /dev/null
+++ b/src/lease/lease_holder.h
@@ -0,0 +1,146 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "base/id.h"
+#include "base/time.h"
+#include "platform/table.h"
+
+namespace chivewing {
+
+// Commit this and hand the answer to OnCommit. Sent again, with the same write
+// id, while its answer is in doubt.
+struct CommitLease {
+  TableTransaction transaction;
+};
+
+// This host holds the lease with a new epoch.
+struct LeaseTaken {
+  std::uint64_t epoch = 0;
+};
+
+// This host no longer holds the lease of that epoch: cause no more effects.
+struct LeaseLost {
+  std::uint64_t epoch = 0;
+};
+
+using LeaseEffect = std::variant<CommitLease, LeaseTaken, LeaseLost>;
+
+struct LeaseSettings {
+  HostId host;
+  ZoneId zone;
+  std::uint64_t incarnation = 0;
+  Duration lease = std::chrono::seconds(3);
+  // Allowance for clocks that run at unlike speeds; each side keeps it.
+  Duration margin = std::chrono::milliseconds(200);
+  Duration renew_every = std::chrono::seconds(1);
+  // Delay of a taking by each rank of the host, against crowds.
+  Duration stagger = std::chrono::milliseconds(100);
+  Duration first_retry = std::chrono::milliseconds(50);
+  Duration last_retry = std::chrono::seconds(1);
+};
+
+// Mechanisms that tests turn off to show what they prevent.
+struct LeaseFaults {
+  bool count_from_answer = false;  // the lease runs from the answer's arrival
+  bool keep_epoch = false;         // a taking does not raise the epoch
+  bool ignore_time = false;        // IsHeld does not look at the time
+};
+
+// Part of a placer's transaction which makes it take effect only if the lease
+// is still this host's, and which renews the lease.
+struct LeaseGuard {
+  TableCondition condition;
+  TableWrite write;
+};
+
+// Holds, or waits for, the lease row placer/ZONE of the zone's placer.
+class LeaseHolder {
+ public:
+  using Effects = std::vector<LeaseEffect>;
+
+  LeaseHolder(TimePoint now, LeaseSettings settings, LeaseFaults faults = {});
+
+  // The lease row as read from the table; older ones than known are ignored.
+  void OnRow(TimePoint now, const TableRow& row, Effects& out);
+  void OnCommit(TimePoint now, const std::string& write_id,
+                const CommitAnswer& answer, Effects& out);
+  // Position of this host among those that may take the lease; 0 goes first.
+  void set_rank(std::size_t rank) { rank_ = rank; }
+  // Renews and takes; to be called a few times a second.
+  void Tick(TimePoint now, Effects& out);
+
+  // Whether this host may act as placer. To be checked right before each
+  // effect; the effect's not-after time is valid_until().
+  bool IsHeld(TimePoint now) const;
+  std::uint64_t epoch() const { return epoch_; }
+  TimePoint valid_until() const { return valid_until_; }
+
+  // Starts a transaction of the placer that is sent at `now` under `write_id`.
+  // Nothing when the lease is not held or another transaction with the lease
+  // row is under way. Its definite answer must be given to OnCommit.
+  std::optional<LeaseGuard> BeginBatch(TimePoint now,
+                                       const std::string& write_id);
+
+  // Planned stop: gives the lease back, so that another host takes it at once.
+  void Stop(TimePoint now, Effects& out);
+  bool IsStopped() const;
+
+  static std::string RowKey(const ZoneId& zone);
+
+ private:
+  struct Row {
+    std::uint64_t version = 0;
+    HostId host;
+    std::uint64_t incarnation = 0;
+    std::uint64_t epoch = 0;
+    std::uint64_t serial = 0;
+    Duration lease{0};
+  };
+  enum class Kind { kTake, kRenew, kRelease, kBatch };
+  struct Flight {
+    Kind kind = Kind::kTake;
+    TableTransaction transaction;  // empty for a batch: its sender resends it
+    std::string write_id;
+    Row written;
+    TimePoint sent_at;
+    bool in_doubt = false;
+    bool waiting = false;
+    TimePoint retry_at;
+    Duration backoff{0};
+  };
+
+  Row Parse(const TableRow& row) const;
+  std::string Encode(const Row& row) const;
+  bool IsMine(const Row& row) const;
+  void See(TimePoint now, const Row& row);
+  void CheckLapse(TimePoint now, Effects& out);
+  void Lose(Effects& out);
+  bool IsTakingDue(TimePoint now) const;
+  Row Next(const HostId& host, std::uint64_t epoch) const;
+  void Send(TimePoint now, Kind kind, const Row& row, Effects& out);
+  void Resend(TimePoint now, Effects& out);
+  void Settle(TimePoint now, const Flight& flight, std::uint64_t version,
+              TimePoint answered_at, Effects& out);
+  const TableRow* FindLeaseRow(const CommitAnswer& answer) const;
+
+  LeaseSettings settings_;
+  LeaseFaults faults_;
+  Row row_;
+  TimePoint seen_at_;  // when this version was first seen
+  bool known_ = false;
+  bool held_ = false;
+  bool stopping_ = false;
+  std::uint64_t epoch_ = 0;
+  TimePoint valid_until_;
+  TimePoint renewed_at_;
+  std::size_t rank_ = 0;
+  std::optional<Flight> flight_;
+  std::uint64_t next_write_ = 1;
+};
+
+}  // namespace chivewing
--- /dev/null
+++ b/src/membership/host_directory.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/id.h"
+#include "base/time.h"
+
+namespace chivewing {
+
+enum class ListedState { kLive, kLeaving, kGone };
+
+// One entry host as the platform's list shows it.
+struct ListedHost {
+  HostId host;
+  ZoneId zone;
+  std::string address;
+  ListedState state = ListedState::kLive;
+};
+
+// The platform's list of entry hosts. What it says may be `lag` old.
+struct HostList {
+  Duration lag{0};
+  std::vector<ListedHost> hosts;
+};
+
+// What is known of the entry hosts, from settings, the platform's list and the
+// peers themselves.
+class HostDirectory {
+ public:
+  HostDirectory(HostId self, ZoneId zone);
+
+  void AddConfigured(const HostId& host, const ZoneId& zone,
+                     const std::string& address);
+  // `asked_at` is when the list was asked for.
+  void OnList(TimePoint asked_at, const HostList& list);
+  void OnPeerUp(const HostId& host, const ZoneId& zone,
+                std::uint64_t incarnation);
+  void OnPeerDown(const HostId& host);
+  void OnPeerLeaving(const HostId& host);
+
+  // Hosts of the own zone that answer and are not leaving, in id order, this
+  // one included.
+  std::vector<HostId> LiveInZone() const;
+  // Whether the host is gone for certain: the list has said so, and its lag has
+  // passed since, without a sign of life of the host in the list.
+  bool IsGone(TimePoint now, const HostId& host) const;
+  // Position of this host among LiveInZone.
+  std::size_t Rank() const;
+  // Known addresses of hosts that are not gone.
+  std::map<HostId, std::string> Addresses() const;
+
+ private:
+  struct Entry {
+    ZoneId zone;
+    std::string address;
+    bool up = false;
+    bool leaving = false;
+    std::uint64_t incarnation = 0;
+    std::optional<TimePoint> gone_at;  // when the list's word becomes certain
+  };
+
+  HostId self_;
+  ZoneId zone_;
+  std::map<HostId, Entry> hosts_;
+};
+
+}  // namespace chivewing
--- /dev/null
+++ b/src/outcome/claim_book.h
@@ -0,0 +1,184 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "base/id.h"
+#include "base/time.h"
+#include "outcome/claim_effects.h"
+#include "outcome/claim_row.h"
+
+namespace chivewing {
+
+struct ClaimBookSettings {
+  HostId host;
+  std::uint64_t incarnation = 0;
+  // How long the first claim waits for others to share its transaction.
+  Duration group_window = std::chrono::milliseconds(3);
+  std::size_t group_max = 64;                  // rows a transaction
+  std::size_t group_max_bytes = 512UL * 1024;  // of row values
+  std::size_t in_flight_max = 4;               // transactions
+  std::size_t keys_max = 20000;                // not yet recorded
+  std::size_t waiters_max = 16;                // requests behind one key
+  std::size_t recorded_max = 10000;            // outcomes kept in memory
+  std::size_t recorded_max_bytes = 32UL * 1024 * 1024;
+  std::size_t body_max = 256UL * 1024;  // of a recorded answer
+  // A claim that the table did not take in this time is refused.
+  Duration claim_patience = std::chrono::seconds(2);
+  Duration first_retry = std::chrono::milliseconds(20);
+  Duration last_retry = std::chrono::seconds(2);
+};
+
+// Mechanisms that tests turn off to show what they prevent.
+struct ClaimBookFaults {
+  bool forget_doubt = false;     // an answer in doubt counts as not taken
+  bool reclaim_unknown = false;  // open claims of other hosts run again
+};
+
+// Counts for the state dump.
+struct ClaimBookCounters {
+  std::size_t keys = 0;        // claims in memory, recorded ones included
+  std::size_t unrecorded = 0;  // claims whose outcome is not yet in the table
+  std::size_t in_flight = 0;   // transactions
+  std::uint64_t granted = 0;
+  std::uint64_t refused = 0;
+  std::uint64_t answered = 0;
+  std::uint64_t conflicts = 0;
+  std::uint64_t record_failed = 0;  // outcomes that could not be recorded
+};
+
+// Sees to it that of all requests with the same owner and key at most one is
+// dispatched, on whichever entry host they arrive. A claim row is committed
+// before the dispatch, and the outcome is written to it afterwards.
+//
+// A claim whose commit is in doubt has not been dispatched, so its request may
+// be refused as not run at its deadline; the row is then found out about and
+// marked not run in the background.
+class ClaimBook {
+ public:
+  using Effects = std::vector<ClaimEffect>;
+
+  explicit ClaimBook(ClaimBookSettings settings, ClaimBookFaults faults = {});
+
+  // Asks to run `request`. Exactly one of ClaimGranted, ClaimRefused and
+  // ClaimAnswered follows, no later than its deadline if Tick is called.
+  void Claim(TimePoint now, const ClaimRequest& request, Effects& out);
+
+  // The granted request has ended. A not-run outcome frees the key.
+  void RecordOutcome(TimePoint now, const RequestId& request, Outcome outcome,
+                     Effects& out);
+
+  // The answer to a CommitClaims.
+  void OnCommit(TimePoint now, const std::string& write_id,
+                const CommitAnswer& answer, Effects& out);
+
+  // Another host asks about a claim of this one.
+  void OnAsk(TimePoint now, const HostId& from, const AskClaimHolder& ask,
+             Effects& out);
+  void OnReply(TimePoint now, const ClaimReply& reply, Effects& out);
+  void OnPeerUp(const HostId& host, std::uint64_t incarnation);
+  void OnPeerDown(TimePoint now, const HostId& host, Effects& out);
+
+  void Tick(TimePoint now, Effects& out);
+  // When Tick is next due; nothing while there is nothing to do.
+  std::optional<TimePoint> NextWake() const;
+
+  // Whether every outcome is in the table, for a planned stop.
+  bool IsFlushed() const;
+  ClaimBookCounters counters() const;
+
+ private:
+  // A request that waits for the end of its key's claim, of this host or (with
+  // `asker`) of another one.
+  struct Waiter {
+    RequestId request;
+    TimePoint deadline;
+    HostId asker;
+    std::uint64_t ask = 0;
+  };
+  enum class Stage {
+    kQueued,      // to be committed
+    kCommitting,  // in a transaction
+    kGranted,     // its request runs
+    kAsking,      // another host's claim: asked for its end
+    kRecording,   // outcome known, to be written
+    kWriting,     // outcome in a transaction
+    kRecorded,
+  };
+  struct KeyClaim {
+    std::string row_key;
+    OwnerId owner;
+    std::string key;
+    Stage stage = Stage::kQueued;
+    std::uint64_t version = 0;     // of the row as last known
+    std::optional<Waiter> holder;  // who runs when it is committed
+    TimePoint give_up;             // when the holder is refused
+    std::vector<Waiter> waiters;
+    Outcome outcome;
+    RequestId row_request;  // as written in the row
+    HostId asked;
+    std::uint64_t ask = 0;
+  };
+  struct Flight {
+    TableTransaction transaction;
+    std::vector<std::string> keys;  // row keys
+    bool in_doubt = false;
+    bool waiting = false;  // for `retry_at`, no answer outstanding
+    TimePoint retry_at;
+    Duration backoff{0};
+  };
+
+  void Enqueue(TimePoint now, KeyClaim& claim);
+  void Dispatch(TimePoint now, Effects& out);
+  bool IsGroupDue(TimePoint now) const;
+  Flight BuildFlight(TimePoint now);
+  void AddToFlight(Flight& flight, KeyClaim& claim, std::string value);
+  void Resend(TimePoint now, Effects& out);
+  void DelayFlight(TimePoint now, Flight& flight);
+  void SettleCommitted(TimePoint now, const Flight& flight,
+                       std::uint64_t revision, Effects& out);
+  void SettleConflict(TimePoint now, const Flight& flight,
+                      const CommitAnswer& answer, Effects& out);
+  void SettleKey(TimePoint now, KeyClaim& claim, const TableRow& row,
+                 Effects& out);
+  void OnForeignRow(TimePoint now, KeyClaim& claim, const TableRow& row,
+                    Effects& out);
+  void OnCommittedClaim(TimePoint now, KeyClaim& claim, Effects& out);
+  void OnRecorded(TimePoint now, KeyClaim& claim, Effects& out);
+  bool DropUnavailable(TimePoint now, Flight& flight);
+  void Grant(KeyClaim& claim, Effects& out);
+  void AskHolder(TimePoint now, KeyClaim& claim, const ClaimRow& row,
+                 Effects& out);
+  bool Promote(TimePoint now, KeyClaim& claim);
+  void AnswerAll(KeyClaim& claim, Effects& out);
+  void RefuseAll(KeyClaim& claim, ResultCode code, Effects& out);
+  void AnswerOne(const Waiter& waiter, const Outcome& outcome, Effects& out);
+  void RefuseOne(const Waiter& waiter, ResultCode code, Effects& out);
+  void ExpireWaiters(TimePoint now, Effects& out);
+  void ExpireHolder(TimePoint now, KeyClaim& claim, Effects& out);
+  void Forget(const std::string& row_key);
+  void TrimRecorded();
+
+  ClaimBookSettings settings_;
+  ClaimBookFaults faults_;
+  std::unordered_map<std::string, KeyClaim> claims_;    // by row key
+  std::unordered_map<RequestId, std::string> granted_;  // row key by request
+  std::deque<std::string> queued_;     // row keys of claims to commit
+  std::deque<std::string> recording_;  // row keys of outcomes to write
+  std::deque<std::string> recorded_;   // oldest first
+  std::size_t recorded_bytes_ = 0;
+  std::map<std::string, Flight> flights_;                // by write id
+  std::unordered_map<std::uint64_t, std::string> asks_;  // row key by ask
+  std::unordered_map<HostId, std::uint64_t> peers_;      // up, with incarnation
+  std::optional<TimePoint> group_since_;
+  std::uint64_t next_write_ = 1;
+  std::uint64_t next_ask_ = 1;
+  ClaimBookCounters counters_;
+};
+
+}  // namespace chivewing
--- /dev/null
+++ b/src/peer/codec.cc
@@ -0,0 +1,271 @@
+#include "peer/codec.h"
+
+#include <msgpack.hpp>
+#include <optional>
+#include <type_traits>
+#include <utility>
+
+namespace chivewing {
+namespace {
+
+constexpr std::size_t kMaxDepth = 6;
+constexpr std::size_t kMaxStringBytes = 16UL * 1024 * 1024;
+constexpr std::size_t kEnvelopeFields = 2;
+
+// The fields of each message, in the order of their encoding. `visit` takes
+// them one by one; it packs or unpacks.
+template <typename Visitor>
+void Fields(Visitor& visit, Hello& m) {
+  visit(m.host, m.zone, m.incarnation, m.key, m.protocol);
+}
+template <typename Visitor>
+void Fields(Visitor& visit, Heartbeat& m) {
+  visit(m.sequence);
+}
+template <typename Visitor>
+void Fields(Visitor& visit, HeartbeatEcho& m) {
+  visit(m.sequence);
+}
+template <typename Visitor>
+void Fields(Visitor& visit, EntryLoad& m) {
+  visit(m.entry, m.free_slots, m.queued);
+}
+template <typename Visitor>
+void Fields(Visitor& visit, Forward& m) {
+  visit(m.hop, m.request, m.entry, m.idempotency_key, m.body, m.remaining,
+        m.hops, m.claimed, m.ticket);
+}
+template <typename Visitor>
+void Fields(Visitor& visit, ForwardAnswer& m) {
+  visit(m.hop, m.code, m.body, m.load);
+}
+template <typename Visitor>
+void Fields(Visitor& visit, LoadReport& m) {
+  visit(m.loads);
+}
+template <typename Visitor>
+void Fields(Visitor& visit, TableRow& m) {
+  std::string value = m.value.value_or("");
+  bool removed = !m.value.has_value();
+  visit(m.key, value, removed, m.version, m.write_id);
+  m.value = removed ? std::nullopt : std::optional(std::move(value));
+}
+template <typename Visitor>
+void Fields(Visitor& visit, RowsPush& m) {
+  visit(m.rows);
+}
+template <typename Visitor>
+void Fields(Visitor& visit, RowsAsk& m) {
+  visit(m.since, m.prefixes);
+}
+template <typename Visitor>
+void Fields(Visitor& visit, ClaimAsk& m) {
+  visit(m.ask, m.owner, m.key, m.remaining);
+}
+template <typename Visitor>
+void Fields(Visitor& visit, ClaimAnswer& m) {
+  visit(m.ask, m.state, m.status, m.body, m.code);
+}
+template <typename Visitor>
+void Fields(Visitor& visit, Leaving& m) {
+  visit(m.incarnation);
+}
+
+// Counts the fields of a structure, so that its array can be opened.
+struct Counter {
+  std::uint32_t count = 0;
+  template <typename... Types>
+  void operator()(Types&... /*fields*/) {
+    count = sizeof...(Types);
+  }
+};
+
+class Writer {
+ public:
+  explicit Writer(msgpack::sbuffer& buffer) : packer_(buffer) {}
+
+  void Open(std::size_t fields) {
+    packer_.pack_array(static_cast<std::uint32_t>(fields));
+  }
+  void Put(const std::uint64_t value) { packer_.pack(value); }
+  void Put(bool value) { packer_.pack(value); }
+  void Put(std::string& value) { packer_.pack(value); }
+  void Put(ResultCode value) { packer_.pack(static_cast<int>(value)); }
+  void Put(ClaimState value) { packer_.pack(static_cast<int>(value)); }
+  void Put(std::chrono::milliseconds value) { packer_.pack(value.count()); }
+  template <typename Tag>
+  void Put(Id<Tag>& value) {
+    packer_.pack(value.value());
+  }
+  template <typename Element>
+  void Put(std::vector<Element>& list) {
+    Open(list.size());
+    for (Element& element : list) Put(element);
+  }
+  template <typename Struct>
+  std::enable_if_t<std::is_class_v<Struct>> Put(Struct& structure) {
+    Counter counter;
+    Fields(counter, structure);
+    Open(counter.count);
+    Fields(*this, structure);
+  }
+  template <typename... Types>
+  void operator()(Types&... fields) {
+    (Put(fields), ...);
+  }
+
+ private:
+  msgpack::packer<msgpack::sbuffer> packer_;
+};
+
+// Reads typed fields out of a parsed msgpack tree. Each Take returns false when
+// the object is not of the wanted type.
+class Reader {
+ public:
+  explicit Reader(const msgpack::object_array& list) : list_(list) {}
+
+  // Whether all fields were there, none was left over, and each had its type.
+  bool whole() const { return good_ && next_ == list_.size; }
+
+  template <typename... Types>
+  void operator()(Types&... fields) {
+    (TakeNext(fields), ...);
+  }
+
+  static bool Take(const msgpack::object& from, std::uint64_t& to) {
+    if (from.type != msgpack::type::POSITIVE_INTEGER) return false;
+    to = from.via.u64;
+    return true;
+  }
+  static bool Take(const msgpack::object& from, bool& to) {
+    if (from.type != msgpack::type::BOOLEAN) return false;
+    to = from.via.boolean;
+    return true;
+  }
+  static bool Take(const msgpack::object& from, std::string& to) {
+    if (from.type != msgpack::type::STR) return false;
+    to.assign(from.via.str.ptr, from.via.str.size);
+    return true;
+  }
+  static bool Take(const msgpack::object& from, ResultCode& to) {
+    std::uint64_t number = 0;
+    if (!Take(from, number)) return false;
+    for (const ResultCodeRow& row : ResultCodes()) {
+      if (static_cast<std::uint64_t>(row.code) != number) continue;
+      to = row.code;
+      return true;
+    }
+    return false;
+  }
+  static bool Take(const msgpack::object& from, ClaimState& to) {
+    std::uint64_t number = 0;
+    if (!Take(from, number)) return false;
+    if (number > static_cast<std::uint64_t>(ClaimState::kUnknown)) return false;
+    to = static_cast<ClaimState>(number);
+    return true;
+  }
+  static bool Take(const msgpack::object& from, std::chrono::milliseconds& to) {
+    constexpr std::uint64_t kLongest = 1ULL << 40;  // 34 years
+    std::uint64_t count = 0;
+    if (from.type == msgpack::type::NEGATIVE_INTEGER) {
+      to = std::chrono::milliseconds(0);
+      return true;
+    }
+    if (!Take(from, count) || count > kLongest) return false;
+    to = std::chrono::milliseconds(count);
+    return true;
+  }
+  template <typename Tag>
+  static bool Take(const msgpack::object& from, Id<Tag>& to) {
+    std::string value;
+    if (!Take(from, value)) return false;
+    to = Id<Tag>(std::move(value));
+    return true;
+  }
+  template <typename Element>
+  static bool Take(const msgpack::object& from, std::vector<Element>& to) {
+    if (from.type != msgpack::type::ARRAY) return false;
+    to.resize(from.via.array.size);
+    for (std::size_t i = 0; i < to.size(); ++i) {
+      if (!Take(from.via.array.ptr[i], to[i])) return false;
+    }
+    return true;
+  }
+  template <typename Struct>
+  static std::enable_if_t<std::is_class_v<Struct>, bool> Take(
+      const msgpack::object& from, Struct& to) {
+    if (from.type != msgpack::type::ARRAY) return false;
+    Reader reader(from.via.array);
+    Fields(reader, to);
+    return reader.whole();
+  }
+
+ private:
+  template <typename Type>
+  void TakeNext(Type& to) {
+    good_ = good_ && next_ < list_.size && Take(list_.ptr[next_], to);
+    ++next_;
+  }
+
+  const msgpack::object_array& list_;
+  std::size_t next_ = 0;
+  bool good_ = true;
+};
+
+Error BadFrame(const char* detail) {
+  return Error{ResultCode::kBadFrame, detail};
+}
+
+template <std::size_t... Types>
+bool TakeMessage(std::size_t type, const msgpack::object& payload,
+                 PeerMessage& message, std::index_sequence<Types...> /*all*/) {
+  bool good = false;
+  const auto try_type = [&](auto index) {
+    if (type != index) return;
+    good = Reader::Take(payload, message.emplace<index>());
+  };
+  (try_type(std::integral_constant<std::size_t, Types>{}), ...);
+  return good;
+}
+
+Result<PeerMessage> ReadEnvelope(const msgpack::object& root) {
+  if (root.type != msgpack::type::ARRAY) return BadFrame("not an array");
+  const msgpack::object_array& envelope = root.via.array;
+  if (envelope.size != kEnvelopeFields) return BadFrame("not type and payload");
+  std::uint64_t type = 0;
+  if (!Reader::Take(envelope.ptr[0], type)) return BadFrame("no type");
+  PeerMessage message;
+  constexpr auto kTypes = std::variant_size_v<PeerMessage>;
+  const bool good = TakeMessage(type, envelope.ptr[1], message,
+                                std::make_index_sequence<kTypes>{});
+  if (!good) return BadFrame("unknown type or malformed payload");
+  return message;
+}
+
+}  // namespace
+
+std::string Encode(const PeerMessage& message) {
+  PeerMessage copy = message;
+  msgpack::sbuffer buffer;
+  Writer writer(buffer);
+  writer.Open(kEnvelopeFields);
+  writer.Put(static_cast<std::uint64_t>(copy.index()));
+  std::visit([&writer](auto& each) { writer.Put(each); }, copy);
+  return {buffer.data(), buffer.size()};
+}
+
+Result<PeerMessage> Decode(std::string_view bytes) {
+  const msgpack::unpack_limit limit(kMaxListElements, 0, kMaxStringBytes, 0, 0,
+                                    kMaxDepth);
+  try {
+    std::size_t offset = 0;
+    const msgpack::object_handle handle = msgpack::unpack(
+        bytes.data(), bytes.size(), offset, nullptr, nullptr, limit);
+    if (offset != bytes.size()) return BadFrame("bytes after the message");
+    return ReadEnvelope(handle.get());
+  } catch (const std::exception&) {
+    return BadFrame("not msgpack within the limits");
+  }
+}
+
+}  // namespace chivewing
--- /dev/null
+++ b/src/peer/messages.h
@@ -0,0 +1,105 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "base/id.h"
+#include "base/result_code.h"
+#include "platform/table.h"
+
+// Messages between entry hosts. docs/PROTOCOLS.md lists the fields in the order
+// in which they are encoded.
+namespace chivewing {
+
+// First frame each way on a connection.
+struct Hello {
+  HostId host;
+  ZoneId zone;
+  std::uint64_t incarnation = 0;  // higher for each new process of the host
+  std::string key;                // shared key of the operators
+  std::uint64_t protocol = 0;
+};
+
+// Asks the other end to show that it still reads this connection.
+struct Heartbeat {
+  std::uint64_t sequence = 0;
+};
+
+struct HeartbeatEcho {
+  std::uint64_t sequence = 0;
+};
+
+// Load of one catalogue entry at the sending host.
+struct EntryLoad {
+  EntryName entry;
+  std::uint64_t free_slots = 0;
+  std::uint64_t queued = 0;
+};
+
+// A caller's request that another entry host shall dispatch.
+struct Forward {
+  std::uint64_t hop = 0;  // names the forward between these two hosts
+  RequestId request;
+  EntryName entry;
+  std::string idempotency_key;
+  std::string body;
+  std::chrono::milliseconds remaining{0};  // until the request's deadline
+  std::uint64_t hops = 0;                  // forwards so far, this one included
+  bool claimed = false;  // the sender holds the claim of this request
+  bool ticket = false;   // the key is a ticket which the receiver issued
+};
+
+struct ForwardAnswer {
+  std::uint64_t hop = 0;
+  ResultCode code = ResultCode::kInternal;
+  std::string body;
+  EntryLoad load;
+};
+
+struct LoadReport {
+  std::vector<EntryLoad> loads;
+};
+
+// Rows which the sender has just committed or was asked for.
+struct RowsPush {
+  std::vector<TableRow> rows;
+};
+
+// Asks for rows with a version over `since` and one of the key prefixes.
+struct RowsAsk {
+  std::uint64_t since = 0;
+  std::vector<std::string> prefixes;
+};
+
+// Asks the host that holds an open claim for the outcome of its request.
+struct ClaimAsk {
+  std::uint64_t ask = 0;
+  OwnerId owner;
+  std::string key;
+  std::chrono::milliseconds remaining{0};
+};
+
+enum class ClaimState { kOpen, kDone, kNotRun, kUnknown };
+
+// What is known of a claim. kOpen: the asked host knows no outcome.
+struct ClaimAnswer {
+  std::uint64_t ask = 0;
+  ClaimState state = ClaimState::kOpen;
+  std::uint64_t status = 0;  // HTTP status of the instance's answer
+  std::string body;
+  ResultCode code = ResultCode::kInternal;
+};
+
+// The sender is stopping as planned: give it nothing new.
+struct Leaving {
+  std::uint64_t incarnation = 0;
+};
+
+using PeerMessage =
+    std::variant<Hello, Heartbeat, HeartbeatEcho, Forward, ForwardAnswer,
+                 LoadReport, RowsPush, RowsAsk, ClaimAsk, ClaimAnswer, Leaving>;
+
+}  // namespace chivewing
