Peer mesh: authenticated connections between entry hosts

Entry hosts need messages within milliseconds and a judgement on each other that a silent connection alone cannot spoil. Each host dials each peer and sends only on the connection it dialled, so there is no tie to break between two dialled at once; one connection per pair was ruled out for that reason. A connection that was silent is closed and a fresh one tried; only its failure reports the peer as down. A higher incarnation replaces the older process.

--- a/src/peer/codec.cc
+++ b/src/peer/codec.cc
@@ -165,13 +165,13 @@
     return true;
   }
   static bool Take(const msgpack::object& from, std::chrono::milliseconds& to) {
-    constexpr std::uint64_t kLongest = 1ULL << 40;  // 34 years
+    constexpr std::uint64_t longest = 1ULL << 40;  // 34 years
     std::uint64_t count = 0;
     if (from.type == msgpack::type::NEGATIVE_INTEGER) {
       to = std::chrono::milliseconds(0);
       return true;
     }
-    if (!Take(from, count) || count > kLongest) return false;
+    if (!Take(from, count) || count > longest) return false;
     to = std::chrono::milliseconds(count);
     return true;
   }
@@ -235,9 +235,9 @@
   std::uint64_t type = 0;
   if (!Reader::Take(envelope.ptr[0], type)) return BadFrame("no type");
   PeerMessage message;
-  constexpr auto kTypes = std::variant_size_v<PeerMessage>;
+  constexpr auto types = std::variant_size_v<PeerMessage>;
   const bool good = TakeMessage(type, envelope.ptr[1], message,
-                                std::make_index_sequence<kTypes>{});
+                                std::make_index_sequence<types>{});
   if (!good) return BadFrame("unknown type or malformed payload");
   return message;
 }
--- /dev/null
+++ b/src/peer/mesh_loop.cc
@@ -0,0 +1,518 @@
+#include "peer/mesh_loop.h"
+
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <utility>
+
+#include "base/log.h"
+#include "peer/codec.h"
+
+namespace chivewing {
+namespace {
+
+constexpr std::uint64_t kListenerId = 1;
+constexpr std::uint64_t kWakeId = 2;
+constexpr std::uint64_t kFirstConnectionId = 3;
+constexpr std::uint64_t kProtocol = 1;
+constexpr std::size_t kMaxHelloBytes = 4096;
+constexpr std::size_t kWriteAheadBytes = 256UL * 1024;
+constexpr std::size_t kMaxEchoBytes = 64UL * 1024;
+constexpr int kEventsAtOnce = 64;
+constexpr int kLongestWaitMs = 1000;
+// Peers send heartbeats, so an accepted connection is kept a while longer than
+// a dialled one: the peer judges first.
+constexpr int kAcceptedSilenceFactor = 2;
+
+// Takes the same time wherever the first difference is.
+bool IsSameKey(const std::string& a, const std::string& b) {
+  std::size_t difference = a.size() ^ b.size();
+  for (std::size_t i = 0; i < a.size(); ++i) {
+    const char other = b.empty() ? '\0' : b[i % b.size()];
+    difference |= static_cast<unsigned char>(a[i] ^ other);
+  }
+  return difference == 0;
+}
+
+void AddToEpoll(const UniqueFd& epoll, const UniqueFd& fd, std::uint64_t id,
+                std::uint32_t events) {
+  epoll_event event{};
+  event.events = events;
+  event.data.u64 = id;
+  epoll_ctl(epoll.get(), EPOLL_CTL_ADD, fd.get(), &event);
+}
+
+}  // namespace
+
+MeshLoop::MeshLoop(PeerMeshSettings settings, PeerEventHandler handler,
+                   UniqueFd listener)
+    : settings_(std::move(settings)),
+      handler_(std::move(handler)),
+      listener_(std::move(listener)),
+      epoll_(epoll_create1(EPOLL_CLOEXEC)),
+      wake_(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)),
+      outboxes_(settings_.max_queued_bytes),
+      next_connection_(kFirstConnectionId),
+      changes_(settings_.peers) {
+  AddToEpoll(epoll_, listener_, kListenerId, EPOLLIN);
+  AddToEpoll(epoll_, wake_, kWakeId, EPOLLIN);
+  thread_ = std::jthread([this](const std::stop_token& stop) {
+    while (!stop.stop_requested()) Run();
+  });
+}
+
+MeshLoop::~MeshLoop() {
+  thread_.request_stop();
+  Wake();
+  thread_.join();
+}
+
+PeerMeshCounters MeshLoop::counters() const {
+  const std::lock_guard lock(mutex_);
+  PeerMeshCounters copy = counters_;
+  copy.refused_full = outboxes_.refused_full();
+  return copy;
+}
+
+bool MeshLoop::Send(const HostId& to, const PeerMessage& message) {
+  const std::string payload = Encode(message);
+  if (payload.size() > settings_.max_frame_bytes) return false;
+  const bool queued = outboxes_.Push(to, MakeFrame(payload));
+  if (queued) Wake();
+  return queued;
+}
+
+std::size_t MeshLoop::Broadcast(const PeerMessage& message) {
+  const std::string payload = Encode(message);
+  if (payload.size() > settings_.max_frame_bytes) return 0;
+  const std::size_t queued = outboxes_.PushAll(MakeFrame(payload));
+  if (queued > 0) Wake();
+  return queued;
+}
+
+void MeshLoop::ChangePeer(const PeerAddress& peer) {
+  {
+    const std::lock_guard lock(mutex_);
+    changes_.push_back(peer);
+  }
+  Wake();
+}
+
+void MeshLoop::SetCut(std::function<bool(const HostId&)> cut) {
+  const std::lock_guard lock(mutex_);
+  cut_ = std::move(cut);
+}
+
+void MeshLoop::Wake() {
+  const std::uint64_t one = 1;
+  const ssize_t ignored = write(wake_.get(), &one, sizeof(one));
+  static_cast<void>(ignored);  // a full counter wakes the loop as well
+}
+
+void MeshLoop::Count(std::uint64_t PeerMeshCounters::*counter,
+                     std::uint64_t by) {
+  const std::lock_guard lock(mutex_);
+  counters_.*counter += by;
+}
+
+bool MeshLoop::IsCut(const HostId& host) const {
+  std::function<bool(const HostId&)> cut;
+  {
+    const std::lock_guard lock(mutex_);
+    cut = cut_;
+  }
+  return cut && cut(host);
+}
+
+void MeshLoop::Run() {
+  ApplyChanges();
+  RunTimers(BootClock::now());
+  FlushOutboxes(BootClock::now());
+  Wait();
+}
+
+void MeshLoop::Wait() {
+  std::array<epoll_event, kEventsAtOnce> events;
+  const int count = epoll_wait(epoll_.get(), events.data(), kEventsAtOnce,
+                               PatienceMs(BootClock::now()));
+  const TimePoint now = BootClock::now();
+  for (int i = 0; i < count; ++i) {
+    const epoll_event& event = events.at(static_cast<std::size_t>(i));
+    if (event.data.u64 == kListenerId) {
+      AcceptAll(now);
+    } else if (event.data.u64 == kWakeId) {
+      std::uint64_t wakes = 0;
+      const ssize_t ignored = read(wake_.get(), &wakes, sizeof(wakes));
+      static_cast<void>(ignored);
+    } else {
+      OnReady(now, event.data.u64, event.events);
+    }
+  }
+}
+
+void MeshLoop::ApplyChanges() {
+  std::vector<PeerAddress> changes;
+  {
+    const std::lock_guard lock(mutex_);
+    changes.swap(changes_);
+  }
+  for (const PeerAddress& change : changes) {
+    if (change.host == settings_.host) continue;
+    const auto found = peers_.find(change.host);
+    const bool known = found != peers_.end();
+    if (known && found->second.address == change.address) continue;
+    if (known) Forget(change.host);
+    if (change.address.empty()) continue;
+    Peer& peer = peers_[change.host];
+    peer.address = change.address;
+    peer.dial_at = BootClock::now();
+  }
+}
+
+void MeshLoop::Forget(const HostId& host) {
+  Peer& peer = peers_.at(host);
+  const ConnectionId id = std::exchange(peer.connection, 0);
+  if (peer.announced) AnnounceDown(host, peer);
+  outboxes_.Close(host);
+  peers_.erase(host);
+  if (id != 0) Close(BootClock::now(), id);
+}
+
+std::optional<TimePoint> MeshLoop::SilentAt(
+    const PeerConnection& connection) const {
+  if (connection.stage != Stage::kOpen) {
+    return connection.opened_at + settings_.hello_timeout;
+  }
+  const int factor = connection.dialled ? 1 : kAcceptedSilenceFactor;
+  return connection.read_at + settings_.silence_timeout * factor;
+}
+
+void MeshLoop::RunTimers(TimePoint now) {
+  std::vector<ConnectionId> silent;
+  for (const auto& [id, connection] : connections_) {
+    if (now >= *SilentAt(connection)) silent.push_back(id);
+  }
+  for (const ConnectionId id : silent) {
+    Count(&PeerMeshCounters::silent);
+    Close(now, id);
+  }
+  for (auto& [host, peer] : peers_) {
+    if (peer.connection == 0) {
+      if (now >= peer.dial_at) Dial(now, host, peer);
+      continue;
+    }
+    PeerConnection& connection = connections_.at(peer.connection);
+    if (connection.stage != Stage::kOpen || now < peer.heartbeat_at) continue;
+    peer.heartbeat_at = now + settings_.heartbeat_interval;
+    QueueFrame(connection, Heartbeat{++peer.sequence});
+    WatchOutput(peer.connection, connection);
+  }
+}
+
+int MeshLoop::PatienceMs(TimePoint now) const {
+  TimePoint due = now + std::chrono::milliseconds(kLongestWaitMs);
+  for (const auto& [id, connection] : connections_) {
+    due = std::min(due, *SilentAt(connection));
+  }
+  for (const auto& [host, peer] : peers_) {
+    if (peer.connection == 0) {
+      due = std::min(due, peer.dial_at);
+    } else if (connections_.at(peer.connection).stage == Stage::kOpen) {
+      due = std::min(due, peer.heartbeat_at);
+    }
+  }
+  const auto wait =
+      std::chrono::ceil<std::chrono::milliseconds>(due - now).count();
+  return static_cast<int>(std::max<std::int64_t>(wait, 0));
+}
+
+void MeshLoop::Dial(TimePoint now, const HostId& host, Peer& peer) {
+  Result<UniqueFd> fd = ConnectTo(peer.address);
+  if (!fd) {
+    OnDialledClosed(now, host, Stage::kConnecting);
+    return;
+  }
+  PeerConnection connection(std::move(fd).value(), true, kMaxHelloBytes, now);
+  connection.host = host;
+  peer.connection = Register(std::move(connection));
+}
+
+void MeshLoop::AcceptAll(TimePoint now) {
+  for (int i = 0; i < kEventsAtOnce; ++i) {
+    UniqueFd fd = AcceptFrom(listener_);
+    if (fd.get() < 0) return;
+    if (accepted_ >= settings_.max_accepted) {
+      Count(&PeerMeshCounters::closed);
+      continue;
+    }
+    ++accepted_;
+    Count(&PeerMeshCounters::accepted);
+    Register(PeerConnection(std::move(fd), false, kMaxHelloBytes, now));
+  }
+}
+
+MeshLoop::ConnectionId MeshLoop::Register(PeerConnection connection) {
+  const ConnectionId id = next_connection_++;
+  AddToEpoll(epoll_, connection.fd, id, EPOLLIN | EPOLLOUT);
+  connections_.emplace(id, std::move(connection));
+  return id;
+}
+
+void MeshLoop::OnReady(TimePoint now, ConnectionId id, std::uint32_t events) {
+  const auto found = connections_.find(id);
+  if (found == connections_.end()) return;
+  const bool writable = (events & (EPOLLOUT | EPOLLERR | EPOLLHUP)) != 0;
+  if (writable && !OnWritable(now, found->second)) {
+    Close(now, id);
+    return;
+  }
+  const bool readable = (events & (EPOLLIN | EPOLLERR | EPOLLHUP)) != 0;
+  if (readable && !OnReadable(now, id)) {
+    Close(now, id);
+    return;
+  }
+  Flush(now, id);
+}
+
+bool MeshLoop::OnWritable(TimePoint now, PeerConnection& connection) {
+  if (connection.stage != Stage::kConnecting) return true;
+  if (!IsConnected(connection.fd)) return false;
+  connection.stage = Stage::kGreeting;
+  connection.read_at = now;
+  QueueFrame(connection,
+             Hello{settings_.host, settings_.zone, settings_.incarnation,
+                   settings_.key, kProtocol});
+  return true;
+}
+
+bool MeshLoop::OnReadable(TimePoint now, ConnectionId id) {
+  PeerConnection& connection = connections_.at(id);
+  std::size_t count = 0;
+  const bool open = connection.Read(count);
+  Count(&PeerMeshCounters::bytes_received, count);
+  if (count > 0 && !IsCut(connection.host)) connection.read_at = now;
+  while (true) {
+    const Result<std::optional<std::string>> frame = connection.frames.Next();
+    if (!frame) {
+      Count(&PeerMeshCounters::bad_frames);
+      return false;
+    }
+    if (!frame.value()) return open;
+    Count(&PeerMeshCounters::frames_received);
+    if (!OnFrame(now, id, *frame.value())) return false;
+  }
+}
+
+bool MeshLoop::OnFrame(TimePoint now, ConnectionId id,
+                       const std::string& payload) {
+  PeerConnection& connection = connections_.at(id);
+  if (IsCut(connection.host)) return true;
+  Result<PeerMessage> message = Decode(payload);
+  if (!message) {
+    Count(&PeerMeshCounters::bad_frames);
+    LogWarning(LogPart::kPeer, "bad frame from " + connection.host.value() +
+                                   ": " + message.error().detail);
+    return false;
+  }
+  if (connection.stage == Stage::kOpen) {
+    return OnMessage(connection, std::move(message).value());
+  }
+  const Hello* hello = std::get_if<Hello>(&message.value());
+  if (hello == nullptr) {
+    Count(&PeerMeshCounters::unauthorised);
+    return false;
+  }
+  if (IsCut(hello->host)) return true;
+  return OnHello(now, id, *hello);
+}
+
+bool MeshLoop::IsAuthorised(const PeerConnection& connection,
+                            const Hello& hello) const {
+  if (!IsSameKey(settings_.key, hello.key)) return false;
+  if (hello.protocol != kProtocol || hello.host.empty()) return false;
+  if (hello.host == settings_.host) return false;
+  return !connection.dialled || hello.host == connection.host;
+}
+
+bool MeshLoop::OnHello(TimePoint now, ConnectionId id, const Hello& hello) {
+  PeerConnection& connection = connections_.at(id);
+  if (!IsAuthorised(connection, hello)) {
+    Count(&PeerMeshCounters::unauthorised);
+    LogWarning(LogPart::kPeer,
+               "connection refused, wrong key, host or protocol");
+    return false;
+  }
+  connection.stage = Stage::kOpen;
+  connection.host = hello.host;
+  connection.incarnation = hello.incarnation;
+  connection.frames.set_max_payload(settings_.max_frame_bytes);
+  if (!connection.dialled) return OnAcceptedHello(now, id, hello);
+  OnDialledHello(now, id, hello);
+  return true;
+}
+
+void MeshLoop::OnDialledHello(TimePoint now, ConnectionId id,
+                              const Hello& hello) {
+  Peer& peer = peers_.at(connections_.at(id).host);
+  const bool replaced = peer.announced && peer.incarnation != hello.incarnation;
+  if (replaced) AnnounceDown(hello.host, peer);
+  peer.backoff = Duration(0);
+  peer.heartbeat_at = now;
+  peer.zone = hello.zone;
+  peer.incarnation = hello.incarnation;
+  outboxes_.Open(hello.host);
+  if (std::exchange(peer.announced, true)) return;
+  LogInfo(LogPart::kPeer, "host " + hello.host.value() +
+                              " is up, incarnation " +
+                              std::to_string(hello.incarnation));
+  handler_(PeerUp{hello.host, hello.zone, hello.incarnation});
+}
+
+bool MeshLoop::OnAcceptedHello(TimePoint now, ConnectionId id,
+                               const Hello& hello) {
+  if (!SupersedeAccepted(id, hello)) return false;
+  QueueFrame(connections_.at(id),
+             Hello{settings_.host, settings_.zone, settings_.incarnation,
+                   settings_.key, kProtocol});
+  // A new process greets: the connection dialled to the old one is dead.
+  const auto found = peers_.find(hello.host);
+  if (found == peers_.end()) return true;
+  const Peer& peer = found->second;
+  if (peer.announced && peer.incarnation < hello.incarnation &&
+      peer.connection != 0) {
+    Close(now, peer.connection);
+  }
+  return true;
+}
+
+// Closes older accepted connections of the same host; false when one of a newer
+// process is there.
+bool MeshLoop::SupersedeAccepted(ConnectionId id, const Hello& hello) {
+  std::vector<ConnectionId> older;
+  for (const auto& [other, connection] : connections_) {
+    if (other == id || connection.dialled) continue;
+    if (connection.host != hello.host) continue;
+    if (connection.incarnation > hello.incarnation) return false;
+    older.push_back(other);
+  }
+  for (const ConnectionId other : older) Close(BootClock::now(), other);
+  return true;
+}
+
+bool MeshLoop::OnMessage(PeerConnection& connection, PeerMessage message) {
+  const bool is_echo = std::holds_alternative<HeartbeatEcho>(message);
+  const bool out_of_place =
+      connection.dialled != is_echo || std::holds_alternative<Hello>(message);
+  if (out_of_place) {
+    Count(&PeerMeshCounters::bad_frames);
+    return false;
+  }
+  if (is_echo) return true;
+  if (const auto* heartbeat = std::get_if<Heartbeat>(&message)) {
+    QueueFrame(connection, HeartbeatEcho{heartbeat->sequence});
+    return connection.unsent() <= kMaxEchoBytes;
+  }
+  handler_(PeerMessageReceived{connection.host, connection.incarnation,
+                               std::move(message)});
+  return true;
+}
+
+void MeshLoop::QueueFrame(PeerConnection& connection,
+                          const PeerMessage& message) {
+  if (IsCut(connection.host)) return;
+  connection.output.append(MakeFrame(Encode(message)));
+  Count(&PeerMeshCounters::frames_sent);
+}
+
+void MeshLoop::FlushOutboxes(TimePoint now) {
+  std::vector<ConnectionId> open;
+  for (const auto& [host, peer] : peers_) {
+    if (peer.connection == 0) continue;
+    if (connections_.at(peer.connection).stage != Stage::kOpen) continue;
+    open.push_back(peer.connection);
+  }
+  for (const ConnectionId id : open) Flush(now, id);
+}
+
+void MeshLoop::Flush(TimePoint now, ConnectionId id) {
+  const auto found = connections_.find(id);
+  if (found == connections_.end()) return;
+  PeerConnection& connection = found->second;
+  if (connection.stage == Stage::kConnecting) return;
+  const bool fills = connection.dialled && connection.stage == Stage::kOpen;
+  std::size_t count = 0;
+  bool good = connection.Write(count);
+  while (good && fills && connection.unsent() == 0) {
+    std::string frames;
+    const std::size_t taken =
+        outboxes_.Take(connection.host, kWriteAheadBytes, frames);
+    if (taken == 0) break;
+    if (IsCut(connection.host)) continue;
+    connection.output = std::move(frames);
+    Count(&PeerMeshCounters::frames_sent, taken);
+    good = connection.Write(count);
+  }
+  Count(&PeerMeshCounters::bytes_sent, count);
+  if (!good) {
+    Close(now, id);
+    return;
+  }
+  WatchOutput(id, connection);
+}
+
+void MeshLoop::WatchOutput(ConnectionId id, PeerConnection& connection) {
+  const bool wanted = connection.unsent() > 0;
+  if (wanted == connection.watches_output) return;
+  epoll_event event{};
+  event.events = wanted ? EPOLLIN | EPOLLOUT : EPOLLIN;
+  event.data.u64 = id;
+  epoll_ctl(epoll_.get(), EPOLL_CTL_MOD, connection.fd.get(), &event);
+  connection.watches_output = wanted;
+}
+
+void MeshLoop::Close(TimePoint now, ConnectionId id) {
+  const auto found = connections_.find(id);
+  if (found == connections_.end()) return;
+  const bool dialled = found->second.dialled;
+  const HostId host = found->second.host;
+  const Stage stage = found->second.stage;
+  connections_.erase(found);
+  Count(&PeerMeshCounters::closed);
+  if (dialled) {
+    OnDialledClosed(now, host, stage);
+    return;
+  }
+  --accepted_;
+  Count(&PeerMeshCounters::accepted, static_cast<std::uint64_t>(-1));
+}
+
+// An open connection that broke says nothing of the peer: a fresh one is tried
+// at once, and only its failure makes the peer count as down.
+void MeshLoop::OnDialledClosed(TimePoint now, const HostId& host, Stage stage) {
+  const auto found = peers_.find(host);
+  if (found == peers_.end()) return;
+  Peer& peer = found->second;
+  peer.connection = 0;
+  outboxes_.Close(host);
+  if (stage == Stage::kOpen) {
+    peer.dial_at = now;
+    return;
+  }
+  if (peer.announced) AnnounceDown(host, peer);
+  const Duration first = settings_.first_redial;
+  const Duration last = settings_.last_redial;
+  peer.backoff = std::clamp<Duration>(peer.backoff * 2, first, last);
+  peer.dial_at = now + peer.backoff;
+}
+
+void MeshLoop::AnnounceDown(const HostId& host, Peer& peer) {
+  peer.announced = false;
+  LogWarning(LogPart::kPeer, "host " + host.value() + " does not answer");
+  handler_(PeerDown{host, peer.incarnation});
+}
+
+}  // namespace chivewing
--- /dev/null
+++ b/src/peer/mesh_loop.h
@@ -0,0 +1,110 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "base/id.h"
+#include "base/time.h"
+#include "peer/mesh_types.h"
+#include "peer/peer_connection.h"
+#include "peer/peer_outboxes.h"
+#include "peer/socket.h"
+
+namespace chivewing {
+
+// The thread of a PeerMesh: an epoll loop over the listener, the connections
+// and a wake-up. Public functions may be called from any thread.
+class MeshLoop {
+ public:
+  MeshLoop(PeerMeshSettings settings, PeerEventHandler handler,
+           UniqueFd listener);
+  ~MeshLoop();
+  MeshLoop(const MeshLoop&) = delete;
+  MeshLoop& operator=(const MeshLoop&) = delete;
+
+  std::uint16_t port() const { return BoundPort(listener_); }
+  PeerMeshCounters counters() const;
+  bool Send(const HostId& to, const PeerMessage& message);
+  std::size_t Broadcast(const PeerMessage& message);
+  // Makes the loop dial the peer, or with an empty address forget it.
+  void ChangePeer(const PeerAddress& peer);
+  void SetCut(std::function<bool(const HostId&)> cut);
+
+ private:
+  using ConnectionId = std::uint64_t;
+  using Stage = PeerConnection::Stage;
+
+  // What the loop knows of a peer that it dials.
+  struct Peer {
+    std::string address;
+    ConnectionId connection = 0;  // 0: none
+    bool announced = false;       // as up
+    ZoneId zone;
+    std::uint64_t incarnation = 0;
+    TimePoint dial_at;
+    Duration backoff{0};
+    TimePoint heartbeat_at;
+    std::uint64_t sequence = 0;
+  };
+
+  void Run();
+  void Wait();
+  void ApplyChanges();
+  void Forget(const HostId& host);
+  void RunTimers(TimePoint now);
+  int PatienceMs(TimePoint now) const;
+  std::optional<TimePoint> SilentAt(const PeerConnection& connection) const;
+
+  void Dial(TimePoint now, const HostId& host, Peer& peer);
+  void AcceptAll(TimePoint now);
+  ConnectionId Register(PeerConnection connection);
+  void OnReady(TimePoint now, ConnectionId id, std::uint32_t events);
+  bool OnWritable(TimePoint now, PeerConnection& connection);
+  bool OnReadable(TimePoint now, ConnectionId id);
+  bool OnFrame(TimePoint now, ConnectionId id, const std::string& payload);
+  bool OnHello(TimePoint now, ConnectionId id, const Hello& hello);
+  void OnDialledHello(TimePoint now, ConnectionId id, const Hello& hello);
+  bool OnAcceptedHello(TimePoint now, ConnectionId id, const Hello& hello);
+  bool OnMessage(PeerConnection& connection, PeerMessage message);
+  bool IsAuthorised(const PeerConnection& connection, const Hello& hello) const;
+  bool SupersedeAccepted(ConnectionId id, const Hello& hello);
+
+  void Close(TimePoint now, ConnectionId id);
+  void OnDialledClosed(TimePoint now, const HostId& host, Stage stage);
+  void AnnounceDown(const HostId& host, Peer& peer);
+  void QueueFrame(PeerConnection& connection, const PeerMessage& message);
+  void Flush(TimePoint now, ConnectionId id);
+  void WatchOutput(ConnectionId id, PeerConnection& connection);
+  void FlushOutboxes(TimePoint now);
+  bool IsCut(const HostId& host) const;
+  void Count(std::uint64_t PeerMeshCounters::*counter, std::uint64_t by = 1);
+  void Wake();
+
+  const PeerMeshSettings settings_;
+  const PeerEventHandler handler_;
+  UniqueFd listener_;
+  UniqueFd epoll_;
+  UniqueFd wake_;
+  PeerOutboxes outboxes_;
+
+  // Of the loop's thread alone.
+  std::map<ConnectionId, PeerConnection> connections_;
+  std::map<HostId, Peer> peers_;
+  ConnectionId next_connection_;
+  std::size_t accepted_ = 0;
+
+  mutable std::mutex mutex_;  // guards what follows
+  PeerMeshCounters counters_;
+  std::function<bool(const HostId&)> cut_;
+  std::vector<PeerAddress> changes_;
+
+  std::jthread thread_;  // last: ends before the members it uses
+};
+
+}  // namespace chivewing
--- a/src/peer/peer_mesh.h
+++ b/src/peer/peer_mesh.h
@@ -11,72 +11,12 @@
 #include "base/id.h"
 #include "base/result.h"
 #include "base/time.h"
+#include "peer/mesh_types.h"
 #include "peer/messages.h"
 
 namespace chivewing {
 
-// An IPv4 address and port, as "10.0.0.1:7000".
-struct PeerAddress {
-  HostId host;
-  std::string address;
-};
-
-struct PeerMeshSettings {
-  HostId host;
-  ZoneId zone;
-  // Must be higher than that of every earlier process of this host.
-  std::uint64_t incarnation = 0;
-  std::string key;
-  std::string listen_address;  // port 0: any free port
-  std::vector<PeerAddress> peers;
-  std::chrono::milliseconds heartbeat_interval{500};
-  // A connection on which nothing was read for this long is closed.
-  std::chrono::milliseconds silence_timeout{2000};
-  // Longest time from connecting to the other end's Hello.
-  std::chrono::milliseconds hello_timeout{1000};
-  std::chrono::milliseconds first_redial{50};
-  std::chrono::milliseconds last_redial{2000};
-  std::size_t max_frame_bytes = 4UL * 1024 * 1024;
-  std::size_t max_queued_bytes = 16UL * 1024 * 1024;  // per peer
-  std::size_t max_accepted = 256;                     // connections
-};
-
-// A message that a peer sent.
-struct PeerMessageReceived {
-  HostId from;
-  std::uint64_t incarnation = 0;  // of the sending process
-  PeerMessage message;
-};
-
-// A process of the peer answers. Said again, after a PeerDown, when a fresh
-// process has taken the place of the one known before.
-struct PeerUp {
-  HostId host;
-  ZoneId zone;
-  std::uint64_t incarnation = 0;
-};
-
-// The peer does not answer on a fresh connection either. It may still run.
-struct PeerDown {
-  HostId host;
-  std::uint64_t incarnation = 0;
-};
-
-using PeerEvent = std::variant<PeerMessageReceived, PeerUp, PeerDown>;
-
-// Counts since the start, for the state dump.
-struct PeerMeshCounters {
-  std::uint64_t bytes_sent = 0;
-  std::uint64_t bytes_received = 0;
-  std::uint64_t frames_sent = 0;
-  std::uint64_t frames_received = 0;
-  std::uint64_t bad_frames = 0;    // malformed, oversized, or out of place
-  std::uint64_t unauthorised = 0;  // wrong key, or first frame not Hello
-  std::uint64_t silent = 0;        // connections closed for silence
-  std::uint64_t closed = 0;        // connections closed, for any reason
-  std::uint64_t refused_full = 0;  // messages refused by a full queue
-  std::uint64_t accepted = 0;      // connections that are open now
-};
+class MeshLoop;
 
 // Connections to the other entry hosts. Each host dials each peer and sends on
 // the connection which it dialled; on those accepted it only reads, and echoes
@@ -84,11 +24,9 @@
 // must not block.
 class PeerMesh {
  public:
-  using Handler = std::function<void(PeerEvent)>;
-
   // Binds and starts. kAddressInUse while another process has the address.
   static Result<std::unique_ptr<PeerMesh>> Start(PeerMeshSettings settings,
-                                                 Handler handler);
+                                                 PeerEventHandler handler);
   ~PeerMesh();  // closes all connections and joins the thread
   PeerMesh(const PeerMesh&) = delete;
   PeerMesh& operator=(const PeerMesh&) = delete;
@@ -97,7 +35,8 @@
   std::uint16_t port() const;
   PeerMeshCounters counters() const;
 
-  // Queues a message; false when the peer is not up or its queue is full. A
+  // Queues a message; false when the peer is not up, its queue is full, or the
+  // message is over one frame. A
   // message that was queued may still be lost with its connection.
   bool Send(const HostId& to, const PeerMessage& message);
   // Sends to every peer that is up; returns to how many it was queued.
@@ -112,9 +51,8 @@
   void SetCut(std::function<bool(const HostId&)> cut);
 
  private:
-  class Loop;
-  explicit PeerMesh(std::unique_ptr<Loop> loop);
-  std::unique_ptr<Loop> loop_;
+  explicit PeerMesh(std::unique_ptr<MeshLoop> loop);
+  std::unique_ptr<MeshLoop> loop_;
 };
 
 }  // namespace chivewing
--- /dev/null
+++ b/src/peer/peer_outboxes.cc
@@ -0,0 +1,63 @@
+#include "peer/peer_outboxes.h"
+
+namespace chivewing {
+
+void PeerOutboxes::Open(const HostId& host) {
+  const std::lock_guard lock(mutex_);
+  open_.try_emplace(host);
+}
+
+void PeerOutboxes::Close(const HostId& host) {
+  const std::lock_guard lock(mutex_);
+  open_.erase(host);
+}
+
+bool PeerOutboxes::Push(const HostId& host, const std::string& frame) {
+  const std::lock_guard lock(mutex_);
+  const auto found = open_.find(host);
+  return found != open_.end() && PushTo(found->second, frame);
+}
+
+std::size_t PeerOutboxes::PushAll(const std::string& frame) {
+  const std::lock_guard lock(mutex_);
+  std::size_t queued = 0;
+  for (auto& [host, outbox] : open_) {
+    if (PushTo(outbox, frame)) ++queued;
+  }
+  return queued;
+}
+
+std::size_t PeerOutboxes::Take(const HostId& host, std::size_t max_bytes,
+                               std::string& to) {
+  const std::lock_guard lock(mutex_);
+  const auto found = open_.find(host);
+  if (found == open_.end()) return 0;
+  Outbox& outbox = found->second;
+  std::size_t taken = 0;
+  std::size_t bytes = 0;
+  while (!outbox.frames.empty() && bytes < max_bytes) {
+    bytes += outbox.frames.front().size();
+    to.append(outbox.frames.front());
+    outbox.frames.pop_front();
+    ++taken;
+  }
+  outbox.bytes -= bytes;
+  return taken;
+}
+
+std::uint64_t PeerOutboxes::refused_full() const {
+  const std::lock_guard lock(mutex_);
+  return refused_full_;
+}
+
+bool PeerOutboxes::PushTo(Outbox& outbox, const std::string& frame) {
+  if (outbox.bytes + frame.size() > max_bytes_) {
+    ++refused_full_;
+    return false;
+  }
+  outbox.bytes += frame.size();
+  outbox.frames.push_back(frame);
+  return true;
+}
+
+}  // namespace chivewing
--- /dev/null
+++ b/tests/peer/codec_test.cc
@@ -0,0 +1,140 @@
+#include "peer/codec.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "peer/frame_buffer.h"
+
+namespace chivewing {
+namespace {
+
+rc::Gen<std::uint64_t> Number() { return rc::gen::arbitrary<std::uint64_t>(); }
+rc::Gen<std::string> Text() { return rc::gen::arbitrary<std::string>(); }
+std::uint64_t AnyNumber() { return *Number(); }
+std::string AnyText() { return *Text(); }
+std::chrono::milliseconds AnyTime() {
+  return std::chrono::milliseconds(*rc::gen::inRange(0, 1000000));
+}
+ResultCode AnyCode() {
+  return ResultCodes()[*rc::gen::inRange<std::size_t>(0, ResultCodes().size())]
+      .code;
+}
+EntryLoad AnyLoad() { return {EntryName(AnyText()), AnyNumber(), AnyNumber()}; }
+TableRow AnyRow() {
+  TableRow row{AnyText(), std::nullopt, AnyNumber(), AnyText()};
+  if (*rc::gen::arbitrary<bool>()) row.value = AnyText();
+  return row;
+}
+
+PeerMessage AnyMessage() {
+  constexpr int last = static_cast<int>(std::variant_size_v<PeerMessage>) - 1;
+  switch (*rc::gen::inRange(0, last + 1)) {
+    case 0:
+      return Hello{HostId(AnyText()), ZoneId(AnyText()), AnyNumber(), AnyText(),
+                   AnyNumber()};
+    case 1:
+      return Heartbeat{AnyNumber()};
+    case 2:
+      return HeartbeatEcho{AnyNumber()};
+    case 3:
+      return Forward{AnyNumber(),
+                     RequestId(AnyText()),
+                     EntryName(AnyText()),
+                     AnyText(),
+                     AnyText(),
+                     AnyTime(),
+                     AnyNumber(),
+                     true,
+                     false};
+    case 4:
+      return ForwardAnswer{AnyNumber(), AnyCode(), AnyText(), AnyLoad()};
+    case 5:
+      return LoadReport{{AnyLoad(), AnyLoad()}};
+    case 6:
+      return RowsPush{{AnyRow(), AnyRow(), AnyRow()}};
+    case 7:
+      return RowsAsk{AnyNumber(), {AnyText(), AnyText()}};
+    case 8:
+      return ClaimAsk{AnyNumber(), OwnerId(AnyText()), AnyText(), AnyTime()};
+    case 9:
+      return ClaimAnswer{AnyNumber(), ClaimState::kDone, AnyNumber(), AnyText(),
+                         AnyCode()};
+    default:
+      return Leaving{AnyNumber()};
+  }
+}
+
+RC_GTEST_PROP(Codec, RoundTrip, ()) {
+  const PeerMessage message = AnyMessage();
+  const std::string bytes = Encode(message);
+  const Result<PeerMessage> back = Decode(bytes);
+  RC_ASSERT(back.has_value());
+  RC_ASSERT(back.value().index() == message.index());
+  RC_ASSERT(Encode(back.value()) == bytes);
+}
+
+bool IsBad(const std::string& bytes) {
+  const Result<PeerMessage> result = Decode(bytes);
+  return !result && result.error().code == ResultCode::kBadFrame;
+}
+
+// Flipped bytes give a message or kBadFrame; cut and overlong ones never pass.
+RC_GTEST_PROP(Codec, DamagedBytesDoNoHarm, ()) {
+  std::string bytes = Encode(AnyMessage());
+  const auto cut = *rc::gen::inRange<std::size_t>(0, bytes.size());
+  RC_ASSERT(IsBad(bytes.substr(0, cut)));
+  RC_ASSERT(IsBad(bytes + '\0'));
+  for (int flips = *rc::gen::inRange(1, 6); flips > 0; --flips) {
+    const auto at = *rc::gen::inRange<std::size_t>(0, bytes.size());
+    bytes[at] = static_cast<char>(*rc::gen::inRange(0, 256));
+  }
+  RC_ASSERT(Decode(bytes).has_value() || IsBad(bytes));
+}
+
+RC_GTEST_PROP(FrameBuffer, PutsPiecesTogether, ()) {
+  const auto payloads =
+      *rc::gen::container<std::vector<std::string>>(rc::gen::nonEmpty(Text()));
+  std::string stream;
+  for (const std::string& payload : payloads) stream += MakeFrame(payload);
+  FrameBuffer buffer(1000);
+  std::vector<std::string> got;
+  while (!stream.empty()) {
+    const auto piece = *rc::gen::inRange<std::size_t>(1, stream.size() + 1);
+    buffer.Append(stream.substr(0, piece));
+    stream.erase(0, piece);
+    for (auto next = buffer.Next(); next.value(); next = buffer.Next()) {
+      got.push_back(*next.value());
+    }
+  }
+  RC_ASSERT(got == payloads);
+  RC_ASSERT(buffer.size() == 0U);
+}
+
+struct BadBytes {
+  const char* name;
+  std::string bytes;
+};
+
+class BadBytesTest : public testing::TestWithParam<BadBytes> {};
+
+TEST_P(BadBytesTest, IsBadFrame) {
+  EXPECT_EQ(Decode(GetParam().bytes).error().code, ResultCode::kBadFrame);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Codec, BadBytesTest,
+    testing::Values(
+        BadBytes{"empty", ""}, BadBytes{"nil", "\xc0"},
+        BadBytes{"not_a_pair", std::string("\x91\x01", 2)},
+        BadBytes{"unknown_type", std::string("\x92\x7f\x90", 3)},
+        BadBytes{"too_few_fields", std::string("\x92\x01\x90", 3)},
+        BadBytes{"too_many_fields", std::string("\x92\x01\x92\x01\x01", 5)},
+        BadBytes{"wrong_field_type", std::string("\x92\x01\x91\xa1x", 5)},
+        BadBytes{"negative", std::string("\x92\x01\x91\xff", 4)},
+        BadBytes{"huge_array", std::string("\xdd\xff\xff\xff\xff", 5)},
+        BadBytes{"huge_string", std::string("\xdb\xff\xff\xff\xff", 5)},
+        BadBytes{"deep", std::string(100000, '\x91')}),
+    [](const auto& each) { return each.param.name; });
+
+}  // namespace
+}  // namespace chivewing
--- /dev/null
+++ b/tests/peer/peer_mesh_test.cc
@@ -0,0 +1,258 @@
+#include "peer/peer_mesh.h"
+
+#include <gtest/gtest.h>
+#include <sys/socket.h>
+
+#include <condition_variable>
+#include <deque>
+#include <mutex>
+
+#include "peer/codec.h"
+#include "peer/frame_buffer.h"
+#include "peer/peer_outboxes.h"
+#include "peer/socket.h"
+
+namespace chivewing {
+namespace {
+
+using std::chrono::milliseconds;
+constexpr auto kPatience = std::chrono::seconds(20);  // only when a test fails
+const char* const kKey = "shared key";
+
+// Events of a mesh, waited for by the test's thread.
+class EventLog {
+ public:
+  void Add(PeerEvent event) {
+    const std::lock_guard lock(mutex_);
+    events_.push_back(std::move(event));
+    ready_.notify_all();
+  }
+
+  // Waits for the next event of the type, skipping others.
+  template <typename Event>
+  std::optional<Event> Next() {
+    std::unique_lock lock(mutex_);
+    const auto deadline = std::chrono::steady_clock::now() + kPatience;
+    while (true) {
+      while (!events_.empty()) {
+        const PeerEvent event = std::move(events_.front());
+        events_.pop_front();
+        if (const auto* wanted = std::get_if<Event>(&event)) return *wanted;
+      }
+      if (ready_.wait_until(lock, deadline) == std::cv_status::timeout)
+        return std::nullopt;
+    }
+  }
+
+ private:
+  std::mutex mutex_;
+  std::condition_variable ready_;
+  std::deque<PeerEvent> events_;
+};
+
+PeerMeshSettings Settings(const std::string& host, std::uint64_t incarnation,
+                          std::uint16_t port = 0) {
+  PeerMeshSettings settings;
+  settings.host = HostId(host);
+  settings.zone = ZoneId("z1");
+  settings.incarnation = incarnation;
+  settings.key = kKey;
+  settings.listen_address = "127.0.0.1:" + std::to_string(port);
+  settings.heartbeat_interval = milliseconds(50);
+  settings.silence_timeout = milliseconds(300);
+  settings.hello_timeout = milliseconds(300);
+  return settings;
+}
+
+std::string Local(std::uint16_t port) {
+  return "127.0.0.1:" + std::to_string(port);
+}
+
+// A mesh with its events.
+struct Node {
+  explicit Node(PeerMeshSettings settings)
+      : mesh(
+            std::move(PeerMesh::Start(std::move(settings), [this](PeerEvent e) {
+                        log.Add(std::move(e));
+                      }).value())) {}
+  EventLog log;
+  std::unique_ptr<PeerMesh> mesh;
+};
+
+void Join(Node& node, const std::string& host, const Node& other) {
+  node.mesh->AddPeer({HostId(host), Local(other.mesh->port())});
+}
+
+// Counters grow on another thread: waits until the condition holds.
+bool Eventually(const std::function<bool()>& condition) {
+  const auto deadline = std::chrono::steady_clock::now() + kPatience;
+  while (!condition()) {
+    if (std::chrono::steady_clock::now() > deadline) return false;
+    std::this_thread::sleep_for(milliseconds(5));
+  }
+  return true;
+}
+
+class PeerMeshTest : public testing::Test {
+ protected:
+  PeerMeshTest() : a_(Settings("a", 1)), b_(Settings("b", 1)) {
+    Join(a_, "b", b_);
+    Join(b_, "a", a_);
+  }
+  void AwaitUp() {
+    ASSERT_TRUE(a_.log.Next<PeerUp>());
+    ASSERT_TRUE(b_.log.Next<PeerUp>());
+  }
+  Node a_;
+  Node b_;
+};
+
+TEST_F(PeerMeshTest, MessagesArriveWholeAndInOrder) {
+  AwaitUp();
+  const std::string body(300000, 'x');
+  for (std::uint64_t hop = 0; hop < 20; ++hop) {
+    Forward forward;
+    forward.hop = hop;
+    forward.body = body;
+    ASSERT_TRUE(a_.mesh->Send(HostId("b"), forward));
+  }
+  for (std::uint64_t hop = 0; hop < 20; ++hop) {
+    const auto event = b_.log.Next<PeerMessageReceived>();
+    ASSERT_TRUE(event);
+    EXPECT_EQ(event->from, HostId("a"));
+    EXPECT_EQ(event->incarnation, 1);
+    const auto& forward = std::get<Forward>(event->message);
+    EXPECT_EQ(forward.hop, hop);
+    EXPECT_EQ(forward.body, body);
+  }
+}
+
+TEST_F(PeerMeshTest, CutHostCountsAsDownAndComesBack) {
+  AwaitUp();
+  a_.mesh->SetCut([](const HostId& host) { return host == HostId("b"); });
+  const auto down = a_.log.Next<PeerDown>();
+  ASSERT_TRUE(down);
+  EXPECT_EQ(down->host, HostId("b"));
+  ASSERT_TRUE(b_.log.Next<PeerDown>());
+  EXPECT_FALSE(a_.mesh->Send(HostId("b"), RowsAsk{}));
+  EXPECT_GE(a_.mesh->counters().silent, 1U);
+  a_.mesh->SetCut({});
+  AwaitUp();
+}
+
+TEST_F(PeerMeshTest, RefusesWhatDoesNotFitTheQueueOrAFrame) {
+  AwaitUp();
+  const HostId b("b");
+  Forward forward;
+  forward.body = std::string(5UL << 20, 'x');  // over one frame
+  EXPECT_FALSE(a_.mesh->Send(b, forward));
+  EXPECT_FALSE(a_.mesh->Send(HostId("nobody"), RowsAsk{}));
+  EXPECT_EQ(a_.mesh->Broadcast(RowsAsk{7, {}}), 1U);
+  const auto event = b_.log.Next<PeerMessageReceived>();
+  ASSERT_TRUE(event);
+  EXPECT_EQ(std::get<RowsAsk>(event->message).since, 7);
+}
+
+TEST(PeerOutboxesTest, BoundsTheBytesOfEachPeer) {
+  PeerOutboxes outboxes(10);
+  const HostId host("b");
+  EXPECT_FALSE(outboxes.Push(host, "early"));
+  outboxes.Open(host);
+  EXPECT_TRUE(outboxes.Push(host, "123456"));
+  EXPECT_FALSE(outboxes.Push(host, "12345"));
+  EXPECT_EQ(outboxes.refused_full(), 1U);
+  std::string taken;
+  EXPECT_EQ(outboxes.Take(host, 100, taken), 1U);
+  EXPECT_EQ(taken, "123456");
+  EXPECT_TRUE(outboxes.Push(host, "1234567890"));
+}
+
+TEST(PeerMeshReplaceTest, FreshProcessOfHostReplacesTheOldOne) {
+  Node a(Settings("a", 1));
+  auto old = std::make_unique<Node>(Settings("b", 1));
+  const std::uint16_t port = old->mesh->port();
+  Join(a, "b", *old);
+  ASSERT_EQ(a.log.Next<PeerUp>()->incarnation, 1);
+  EXPECT_EQ(PeerMesh::Start(Settings("b", 2, port), {}).error().code,
+            ResultCode::kAddressInUse);
+  old.reset();
+  Node fresh(Settings("b", 2, port));
+  const auto down = a.log.Next<PeerDown>();
+  ASSERT_TRUE(down);
+  EXPECT_EQ(down->incarnation, 1);
+  const auto up = a.log.Next<PeerUp>();
+  ASSERT_TRUE(up);
+  EXPECT_EQ(up->incarnation, 2);
+}
+
+std::string HelloFrame(const std::string& key) {
+  return MakeFrame(Encode(Hello{HostId("x"), ZoneId("z1"), 9, key, 1}));
+}
+
+struct HostileCase {
+  std::string name;
+  std::string bytes;
+  std::uint64_t PeerMeshCounters::*counter;
+};
+
+class HostilePeerTest : public testing::TestWithParam<HostileCase> {};
+
+// Sends raw bytes to a mesh and waits until it closes the connection.
+void SendRaw(std::uint16_t port, const std::string& bytes) {
+  const UniqueFd fd = std::move(ConnectTo(Local(port)).value());
+  timeval patience{20, 0};
+  setsockopt(fd.get(), SOL_SOCKET, SO_RCVTIMEO, &patience, sizeof(patience));
+  std::size_t sent = 0;
+  std::array<char, 4096> sink;
+  ASSERT_TRUE(Eventually([&] {
+    const ssize_t count =
+        send(fd.get(), bytes.data() + sent, bytes.size() - sent, MSG_NOSIGNAL);
+    if (count > 0) sent += static_cast<std::size_t>(count);
+    const ssize_t got = recv(fd.get(), sink.data(), sink.size(), 0);
+    return got == 0 || (got < 0 && errno == ECONNRESET);
+  }));
+}
+
+TEST_P(HostilePeerTest, ClosesThatConnectionOnlyAndIsCounted) {
+  Node a(Settings("a", 1));
+  Node b(Settings("b", 1));
+  Join(a, "b", b);
+  Join(b, "a", a);
+  ASSERT_TRUE(a.log.Next<PeerUp>());
+  ASSERT_TRUE(b.log.Next<PeerUp>());
+  SendRaw(a.mesh->port(), GetParam().bytes);
+  EXPECT_TRUE(
+      Eventually([&] { return a.mesh->counters().*GetParam().counter == 1; }));
+  ASSERT_TRUE(b.mesh->Send(HostId("a"), RowsAsk{7, {}}));
+  const auto event = a.log.Next<PeerMessageReceived>();
+  ASSERT_TRUE(event);
+  EXPECT_EQ(std::get<RowsAsk>(event->message).since, 7);
+}
+
+std::string Huge() { return std::string("\x7f\xff\xff\xff", 4) + "x"; }
+
+INSTANTIATE_TEST_SUITE_P(
+    Frames, HostilePeerTest,
+    testing::Values(
+        HostileCase{"wrong_key", HelloFrame("other key"),
+                    &PeerMeshCounters::unauthorised},
+        HostileCase{"prefix_of_key", HelloFrame("shared"),
+                    &PeerMeshCounters::unauthorised},
+        HostileCase{"no_hello", MakeFrame(Encode(Heartbeat{1})),
+                    &PeerMeshCounters::unauthorised},
+        HostileCase{"garbage", MakeFrame("GET / HTTP/1.1\r\n"),
+                    &PeerMeshCounters::bad_frames},
+        HostileCase{"oversized", Huge(), &PeerMeshCounters::bad_frames},
+        HostileCase{"truncated", HelloFrame(kKey).substr(0, 9),
+                    &PeerMeshCounters::silent},
+        HostileCase{"nothing", "", &PeerMeshCounters::silent},
+        HostileCase{"garbage_after_hello", HelloFrame(kKey) + MakeFrame("\xc1"),
+                    &PeerMeshCounters::bad_frames},
+        HostileCase{"oversized_after_hello", HelloFrame(kKey) + Huge(),
+                    &PeerMeshCounters::bad_frames},
+        HostileCase{"second_hello", HelloFrame(kKey) + HelloFrame(kKey),
+                    &PeerMeshCounters::bad_frames}),
+    [](const auto& each) { return each.param.name; });
+
+}  // namespace
+}  // namespace chivewing
