Claim book, ticket book, share keeper and lease holder

The deciding code of outcomes, shares and the placer lease, each a plain class driven by events and by Tick. All three send a transaction in doubt again under its write id until the answer is definite; platform/commit_flight.h holds that common part. The proof that a host is gone needs a list asked for at least its lag after the share row was seen: a list that is merely older than its lag may speak of an earlier process of a host that has come back. Claim bodies may be any bytes, so they are written to the row one character a byte.

--- a/src/lease/lease_holder.h
+++ b/src/lease/lease_holder.h
@@ -8,6 +8,8 @@
 
 #include "base/id.h"
 #include "base/time.h"
+#include "lease/lease_row.h"
+#include "platform/commit_flight.h"
 #include "platform/table.h"
 
 namespace chivewing {
@@ -82,7 +84,8 @@
 
   // Starts a transaction of the placer that is sent at `now` under `write_id`.
   // Nothing when the lease is not held or another transaction with the lease
-  // row is under way. Its definite answer must be given to OnCommit.
+  // row is under way. Its sender resends it while in doubt and gives the
+  // definite answer to OnCommit: committed, conflict, or certainly not taken.
   std::optional<LeaseGuard> BeginBatch(TimePoint now,
                                        const std::string& write_id);
 
@@ -93,46 +96,29 @@
   static std::string RowKey(const ZoneId& zone);
 
  private:
-  struct Row {
-    std::uint64_t version = 0;
-    HostId host;
-    std::uint64_t incarnation = 0;
-    std::uint64_t epoch = 0;
-    std::uint64_t serial = 0;
-    Duration lease{0};
-  };
   enum class Kind { kTake, kRenew, kRelease, kBatch };
-  struct Flight {
+  struct Flight : CommitFlight {
     Kind kind = Kind::kTake;
-    TableTransaction transaction;  // empty for a batch: its sender resends it
-    std::string write_id;
-    Row written;
-    TimePoint sent_at;
-    bool in_doubt = false;
-    bool waiting = false;
-    TimePoint retry_at;
-    Duration backoff{0};
+    LeaseRow written;
+    TimePoint sent_at;  // first
   };
 
-  Row Parse(const TableRow& row) const;
-  std::string Encode(const Row& row) const;
-  bool IsMine(const Row& row) const;
-  void See(TimePoint now, const Row& row);
+  bool IsMine() const;
+  bool IsTakingDue(TimePoint now) const;
   void CheckLapse(TimePoint now, Effects& out);
   void Lose(Effects& out);
-  bool IsTakingDue(TimePoint now) const;
-  Row Next(const HostId& host, std::uint64_t epoch) const;
-  void Send(TimePoint now, Kind kind, const Row& row, Effects& out);
-  void Resend(TimePoint now, Effects& out);
-  void Settle(TimePoint now, const Flight& flight, std::uint64_t version,
-              TimePoint answered_at, Effects& out);
-  const TableRow* FindLeaseRow(const CommitAnswer& answer) const;
+  LeaseRow NextRow(const HostId& host, std::uint64_t epoch) const;
+  void Send(TimePoint now, Kind kind, const LeaseRow& row, Effects& out);
+  std::string NewWriteId();
+  void See(TimePoint now, const TableRow& row, Effects& out);
+  void OnCommitted(TimePoint now, const Flight& flight, std::uint64_t version,
+                   Effects& out);
 
   LeaseSettings settings_;
   LeaseFaults faults_;
-  Row row_;
+  LeaseRow row_;  // newest known; holder empty when absent or released
+  std::uint64_t version_ = 0;
   TimePoint seen_at_;  // when this version was first seen
-  bool known_ = false;
   bool held_ = false;
   bool stopping_ = false;
   std::uint64_t epoch_ = 0;
--- a/src/membership/host_directory.h
+++ b/src/membership/host_directory.h
@@ -45,9 +45,12 @@
   // Hosts of the own zone that answer and are not leaving, in id order, this
   // one included.
   std::vector<HostId> LiveInZone() const;
-  // Whether the host is gone for certain: the list has said so, and its lag has
-  // passed since, without a sign of life of the host in the list.
-  bool IsGone(TimePoint now, const HostId& host) const;
+  // Whether the platform's list proves that the process of the host which was
+  // alive at `since` is gone: a list that says so was asked for at least its
+  // lag after that time. A host may come back as a new process meanwhile.
+  bool IsGoneSince(const HostId& host, TimePoint since) const;
+  // Whether the newest list says that the host is gone, however old that is.
+  bool IsListedGone(const HostId& host) const;
   // Position of this host among LiveInZone.
   std::size_t Rank() const;
   // Known addresses of hosts that are not gone.
@@ -60,7 +63,8 @@
     bool up = false;
     bool leaving = false;
     std::uint64_t incarnation = 0;
-    std::optional<TimePoint> gone_at;  // when the list's word becomes certain
+    // What the newest list that said gone is sure to be newer than.
+    std::optional<TimePoint> gone_after;
   };
 
   HostId self_;
--- a/src/membership/share_keeper.h
+++ b/src/membership/share_keeper.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -11,6 +12,7 @@
 #include "base/id.h"
 #include "base/time.h"
 #include "membership/host_directory.h"
+#include "platform/commit_flight.h"
 #include "platform/table.h"
 
 namespace chivewing {
@@ -54,6 +56,8 @@
   Duration overdue = std::chrono::seconds(5);
   // How long a host keeps to itself shares taken over its plan.
   Duration overdue_hold = std::chrono::seconds(60);
+  // Number of requests that run on an instance, to give idle ones away first.
+  std::function<std::size_t(const InstanceId&)> running;
   Duration first_retry = std::chrono::milliseconds(50);
   Duration last_retry = std::chrono::seconds(2);
 };
@@ -62,7 +66,7 @@
 struct ShareKeeperFaults {
   bool take_from_silent = false;   // takes shares of hosts that do not answer
   bool release_undrained = false;  // releases while requests still run
-  bool forget_doubt = false;       // an answer in doubt counts as not taken
+  bool ignore_list_age = false;    // takes on the list's word, however old
 };
 
 // Counts for the state dump.
@@ -87,8 +91,8 @@
                        ShareKeeperFaults faults = {});
 
   // The zone's instances that may serve, from the task rows.
-  void AddInstance(const InstanceId& instance, const EntryName& entry);
-  void RemoveInstance(TimePoint now, const InstanceId& instance, Effects& out);
+  void AddInstance(TimePoint now, const InstanceId& id, const EntryName& entry);
+  void RemoveInstance(TimePoint now, const InstanceId& id, Effects& out);
 
   // A row share/ZONE/INSTANCE, also when absent (version 0). Older rows than
   // known are ignored. Nothing is taken before SetRowsKnown: the share rows
@@ -100,7 +104,7 @@
   const HostDirectory& directory() const { return directory_; }
 
   // Nothing of this host runs on a draining instance any more.
-  void OnDrained(TimePoint now, const InstanceId& instance, Effects& out);
+  void OnDrained(TimePoint now, const InstanceId& id, Effects& out);
   void OnCommit(TimePoint now, const std::string& write_id,
                 const CommitAnswer& answer, Effects& out);
 
@@ -113,11 +117,11 @@
   bool IsStopped() const;
 
   // Epoch of the held share, if this host may send the instance new work.
-  std::optional<std::uint64_t> UsableEpoch(const InstanceId& instance) const;
+  std::optional<std::uint64_t> UsableEpoch(const InstanceId& id) const;
   ShareKeeperCounters counters() const;
 
   // The row key of an instance's share.
-  static std::string RowKey(const ZoneId& zone, const InstanceId& instance);
+  static std::string RowKey(const ZoneId& zone, const InstanceId& id);
 
  private:
   enum class Use {
@@ -133,38 +137,53 @@
     HostId holder;  // empty: free
     std::uint64_t incarnation = 0;
     std::uint64_t epoch = 0;
+    TimePoint seen_at;  // when this version of the row was first seen
     Use use = Use::kNone;
     bool in_flight = false;
-    bool take_in_doubt = false;  // slots in doubt when the take commits
-    std::optional<TimePoint> free_since;
+    bool slots_in_doubt = false;          // once a take has committed
     std::optional<TimePoint> kept_until;  // taken over plan
   };
-  struct Flight {
-    TableTransaction transaction;
+  struct Flight : CommitFlight {
     std::vector<InstanceId> instances;
     bool take = false;
-    bool in_doubt = false;
-    bool waiting = false;
-    TimePoint retry_at;
-    Duration backoff{0};
   };
-  struct Plan;
+  // How the instances of one entry are spread, and are to be.
+  struct Plan {
+    std::vector<InstanceId> takeable;  // by any live host, in id order
+    std::vector<InstanceId> used;      // by this host, those kept apart
+    std::size_t mine = 0;              // used or being taken
+    std::size_t quota = 0;             // of this host
+    std::size_t wanted_before = 0;     // by hosts that choose before this one
+    std::size_t wanted_by_others = 0;
+  };
 
   bool IsMine(const Instance& instance) const;
-  bool IsTakeable(TimePoint now, const Instance& instance) const;
   bool IsOwnEarlierProcess(const Instance& instance) const;
-  void ApplyRow(TimePoint now, const InstanceId& id, Instance& instance,
-                const TableRow& row, Effects& out);
-  std::vector<InstanceId> ChooseTakes(TimePoint now);
-  void ChooseReleases(TimePoint now, Effects& out);
-  void TakeAll(TimePoint now, const std::vector<InstanceId>& ids, Effects& out);
-  void ReleaseDrained(TimePoint now, Effects& out);
-  void StartDrain(const InstanceId& id, Instance& instance, Effects& out);
-  void SendFlight(TimePoint now, Flight flight, Effects& out);
+  bool IsTakeable(const Instance& instance) const;
+  std::map<EntryName, Plan> MakePlans(TimePoint now) const;
+  void SetQuotas(const EntryName& entry,
+                 const std::map<HostId, std::size_t>& held, Plan& plan) const;
+  void TakeByPlan(TimePoint now, const Plan& plan,
+                  std::vector<InstanceId>& takes);
+  void ReleaseByPlan(TimePoint now, const EntryName& entry, const Plan& plan,
+                     Effects& out);
+  void TakeBackOwn(std::vector<InstanceId>& takes);
+  void SendTakes(TimePoint now, const std::vector<InstanceId>& ids,
+                 Effects& out);
+  void SendReleases(TimePoint now, Effects& out);
+  void SendGroups(const std::vector<InstanceId>& ids, bool take, Effects& out);
+  TableWrite MakeWrite(const InstanceId& id, const Instance& instance,
+                       bool take) const;
   void Resend(TimePoint now, Effects& out);
-  void Settle(TimePoint now, const Flight& flight, const CommitAnswer& answer,
-              Effects& out);
+  void ApplyRow(TimePoint now, const InstanceId& id, const TableRow& row,
+                Effects& out);
+  void OnTaken(TimePoint now, const InstanceId& id, std::uint64_t version,
+               Effects& out);
+  void OnReleased(TimePoint now, const InstanceId& id, std::uint64_t version);
   void Gain(const InstanceId& id, Instance& instance, Effects& out);
+  void StartDrain(const InstanceId& id, Instance& instance, Effects& out);
+  void DropAbsent();
+  std::string NewWriteId();
 
   ShareKeeperSettings settings_;
   ShareKeeperFaults faults_;
--- a/src/outcome/claim_book.h
+++ b/src/outcome/claim_book.h
@@ -4,6 +4,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <queue>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -12,6 +13,7 @@
 #include "base/time.h"
 #include "outcome/claim_effects.h"
 #include "outcome/claim_row.h"
+#include "platform/commit_flight.h"
 
 namespace chivewing {
 
@@ -27,7 +29,8 @@
   std::size_t waiters_max = 16;                // requests behind one key
   std::size_t recorded_max = 10000;            // outcomes kept in memory
   std::size_t recorded_max_bytes = 32UL * 1024 * 1024;
-  std::size_t body_max = 256UL * 1024;  // of a recorded answer
+  std::size_t recording_max_bytes = 64UL * 1024 * 1024;  // not yet recorded
+  std::size_t body_max = 256UL * 1024;                   // of a recorded answer
   // A claim that the table did not take in this time is refused.
   Duration claim_patience = std::chrono::seconds(2);
   Duration first_retry = std::chrono::milliseconds(20);
@@ -36,8 +39,9 @@
 
 // Mechanisms that tests turn off to show what they prevent.
 struct ClaimBookFaults {
-  bool forget_doubt = false;     // an answer in doubt counts as not taken
-  bool reclaim_unknown = false;  // open claims of other hosts run again
+  bool forget_doubt = false;    // a lost answer counts as not taken
+  bool grant_in_doubt = false;  // a lost answer counts as taken
+  bool reclaim_open = false;    // open claims of other hosts are overwritten
 };
 
 // Counts for the state dump.
@@ -65,7 +69,8 @@
 
   explicit ClaimBook(ClaimBookSettings settings, ClaimBookFaults faults = {});
 
-  // Asks to run `request`. Exactly one of ClaimGranted, ClaimRefused and
+  // Asks to run `request`, whose id must differ from all others that are under
+  // way in this process. Exactly one of ClaimGranted, ClaimRefused and
   // ClaimAnswered follows, no later than its deadline if Tick is called.
   void Claim(TimePoint now, const ClaimRequest& request, Effects& out);
 
@@ -121,48 +126,61 @@
     std::vector<Waiter> waiters;
     Outcome outcome;
     RequestId row_request;  // as written in the row
+    std::size_t bytes = 0;  // of the outcome's body, as counted
     HostId asked;
     std::uint64_t ask = 0;
   };
-  struct Flight {
-    TableTransaction transaction;
+  struct Flight : CommitFlight {
     std::vector<std::string> keys;  // row keys
-    bool in_doubt = false;
-    bool waiting = false;  // for `retry_at`, no answer outstanding
-    TimePoint retry_at;
-    Duration backoff{0};
+  };
+  struct Alarm {
+    TimePoint at;
+    std::string row_key;
+    friend bool operator>(const Alarm& a, const Alarm& b) {
+      return a.at > b.at;
+    }
   };
 
+  void AddRequest(TimePoint now, KeyClaim& claim, const Waiter& waiter,
+                  Effects& out);
+  void AddWaiter(KeyClaim& claim, const Waiter& waiter, Effects& out);
+  void SetHolder(TimePoint now, KeyClaim& claim, const Waiter& waiter);
   void Enqueue(TimePoint now, KeyClaim& claim);
+  void EnqueueOutcome(TimePoint now, KeyClaim& claim);
   void Dispatch(TimePoint now, Effects& out);
   bool IsGroupDue(TimePoint now) const;
-  Flight BuildFlight(TimePoint now);
-  void AddToFlight(Flight& flight, KeyClaim& claim, std::string value);
+  Flight BuildFlight();
+  void FillFlight(Flight& flight, std::deque<std::string>& from, Stage wanted,
+                  Stage next, std::size_t& bytes);
+  std::string RowValue(const KeyClaim& claim) const;
   void Resend(TimePoint now, Effects& out);
-  void DelayFlight(TimePoint now, Flight& flight);
+  bool DropUnavailable(const Flight& flight, Effects& out);
   void SettleCommitted(TimePoint now, const Flight& flight,
-                       std::uint64_t revision, Effects& out);
+                       std::uint64_t version, Effects& out);
   void SettleConflict(TimePoint now, const Flight& flight,
                       const CommitAnswer& answer, Effects& out);
-  void SettleKey(TimePoint now, KeyClaim& claim, const TableRow& row,
-                 Effects& out);
+  void SettleOther(TimePoint now, KeyClaim& claim, const TableRow* row,
+                   Effects& out);
   void OnForeignRow(TimePoint now, KeyClaim& claim, const TableRow& row,
                     Effects& out);
-  void OnCommittedClaim(TimePoint now, KeyClaim& claim, Effects& out);
-  void OnRecorded(TimePoint now, KeyClaim& claim, Effects& out);
-  bool DropUnavailable(TimePoint now, Flight& flight);
+  void OnClaimCommitted(TimePoint now, KeyClaim& claim, Effects& out);
+  void OnOutcomeRecorded(TimePoint now, KeyClaim& claim, Effects& out);
   void Grant(KeyClaim& claim, Effects& out);
-  void AskHolder(TimePoint now, KeyClaim& claim, const ClaimRow& row,
+  void AskHolder(KeyClaim& claim, const ClaimRow& row, TimePoint now,
                  Effects& out);
-  bool Promote(TimePoint now, KeyClaim& claim);
+  bool PromoteWaiter(TimePoint now, KeyClaim& claim);
+  void KeepRecorded(KeyClaim& claim);
+  void LeaveRecorded(KeyClaim& claim);
   void AnswerAll(KeyClaim& claim, Effects& out);
+  // Refuses everybody and forgets the claim: `claim` is gone afterwards.
   void RefuseAll(KeyClaim& claim, ResultCode code, Effects& out);
   void AnswerOne(const Waiter& waiter, const Outcome& outcome, Effects& out);
   void RefuseOne(const Waiter& waiter, ResultCode code, Effects& out);
-  void ExpireWaiters(TimePoint now, Effects& out);
+  void Expire(TimePoint now, Effects& out);
+  void ExpireWaiters(TimePoint now, KeyClaim& claim, Effects& out);
   void ExpireHolder(TimePoint now, KeyClaim& claim, Effects& out);
-  void Forget(const std::string& row_key);
-  void TrimRecorded();
+  void SetAlarm(TimePoint at, const KeyClaim& claim);
+  void Forget(const KeyClaim& claim);
 
   ClaimBookSettings settings_;
   ClaimBookFaults faults_;
@@ -170,11 +188,14 @@
   std::unordered_map<RequestId, std::string> granted_;  // row key by request
   std::deque<std::string> queued_;     // row keys of claims to commit
   std::deque<std::string> recording_;  // row keys of outcomes to write
-  std::deque<std::string> recorded_;   // oldest first
+  std::deque<std::string> recorded_;   // may name keys twice; oldest first
+  std::size_t recorded_count_ = 0;
   std::size_t recorded_bytes_ = 0;
+  std::size_t recording_bytes_ = 0;
   std::map<std::string, Flight> flights_;                // by write id
   std::unordered_map<std::uint64_t, std::string> asks_;  // row key by ask
   std::unordered_map<HostId, std::uint64_t> peers_;      // up, with incarnation
+  std::priority_queue<Alarm, std::vector<Alarm>, std::greater<>> alarms_;
   std::optional<TimePoint> group_since_;
   std::uint64_t next_write_ = 1;
   std::uint64_t next_ask_ = 1;
--- a/src/outcome/ticket_book.h
+++ b/src/outcome/ticket_book.h
@@ -80,12 +80,12 @@
     std::uint64_t number = 0;
   };
 
-  void RedeemOwn(TimePoint now, std::uint64_t number, const Waiter& waiter,
-                 Effects& out);
+  void RedeemOwn(std::uint64_t number, const Waiter& waiter, Effects& out);
   bool PromoteWaiter(TimePoint now, std::uint64_t number, Redeemed& entry,
                      Effects& out);
+  void Expire(TimePoint now, Redeemed& entry, Effects& out);
   void RaiseFloor(TimePoint now);
-  void DropBelowFloor();
+  void RaiseFloorTo(std::uint64_t floor);
 
   TicketBookSettings settings_;
   std::uint64_t next_ = 1;
