Settings and catalogue entries read from declared fields

Settings and entries are both JSON with comments, and both must report every fault at once with its line and key. One library, schema, does this for both: a parser that keeps lines and sees duplicate keys (nlohmann's own parser silently keeps the last of two), and a table of fields that the reader, the writer and later the docs follow. Hand-written readers per key were ruled out, since docs and code would drift.

--- /dev/null
+++ b/src/catalogue/catalogue.cc
@@ -0,0 +1,86 @@
+#include "catalogue/catalogue.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace chivewing {
+namespace {
+
+std::string SubjectKey(SubjectKind kind, const std::string& id) {
+  return std::to_string(static_cast<int>(kind)) + "/" + id;
+}
+
+}  // namespace
+
+Result<ApplyOutcome> Catalogue::Apply(std::string_view key,
+                                      const std::optional<std::string>& value,
+                                      std::uint64_t version) {
+  const std::optional<EntryName> name = NameOfCatalogueKey(key);
+  if (!name) return ApplyOutcome::kNotCatalogue;
+  const CatalogueRecord* present = FindRecord(*name);
+  if (present != nullptr && present->version >= version) {
+    return ApplyOutcome::kStale;
+  }
+  CatalogueRecord record;
+  record.name = *name;
+  record.version = version;
+  if (value) {
+    Result<CatalogueRecord> read = ReadRecord(*name, *value, version);
+    if (!read) return read.error();
+    record = std::move(read.value());
+  }
+  Put(std::move(record));
+  return ApplyOutcome::kApplied;
+}
+
+const CatalogueEntry* Catalogue::Find(const EntryName& name) const {
+  const CatalogueRecord* record = FindRecord(name);
+  if (record == nullptr || !record->entry) return nullptr;
+  return &*record->entry;
+}
+
+const CatalogueRecord* Catalogue::FindRecord(const EntryName& name) const {
+  const auto found = records_.find(name);
+  return found == records_.end() ? nullptr : &found->second;
+}
+
+void Catalogue::ForEach(
+    const std::function<void(const CatalogueRecord&)>& visit) const {
+  for (const auto& [name, record] : records_) {
+    if (record.entry) visit(record);
+  }
+}
+
+const CatalogueEntry* Catalogue::FindQuota(const OwnerId& owner) const {
+  const CatalogueEntry* entry = Find(EntryName(owner.value()));
+  if (entry == nullptr || entry->work_class != WorkClass::kOwner) {
+    return nullptr;
+  }
+  return entry;
+}
+
+bool Catalogue::IsOutOfUse(SubjectKind kind, const std::string& id) const {
+  return out_of_use_.contains(SubjectKey(kind, id));
+}
+
+void Catalogue::Put(CatalogueRecord record) {
+  version_ = std::max(version_, record.version);
+  CatalogueRecord& place = records_[record.name];
+  CountSubject(place, -1);
+  if (place.entry) --size_;
+  place = std::move(record);
+  CountSubject(place, 1);
+  if (place.entry) ++size_;
+}
+
+void Catalogue::CountSubject(const CatalogueRecord& record, int change) {
+  if (!record.entry) return;
+  if (record.entry->work_class != WorkClass::kOutOfUse) return;
+  const EntrySubject& subject = record.entry->subject;
+  const auto place =
+      out_of_use_.try_emplace(SubjectKey(subject.kind, subject.id), 0).first;
+  place->second += change;
+  if (place->second == 0) out_of_use_.erase(place);
+}
+
+}  // namespace chivewing
--- /dev/null
+++ b/src/catalogue/entry_check.cc
@@ -0,0 +1,91 @@
+#include "catalogue/entry_check.h"
+
+#include <string_view>
+
+namespace chivewing {
+namespace {
+
+constexpr int kSmallestGang = 2;
+
+// One entry under check. A rule is left out when a key it needs could not be
+// read.
+class EntryCheck {
+ public:
+  EntryCheck(const CatalogueEntry& entry, const std::string& prefix,
+             FaultCollector& faults)
+      : entry_(entry), prefix_(prefix), faults_(faults) {}
+
+  void CheckServed() {
+    const EntryLimits& limits = entry_.limits;
+    const bool is_service = entry_.work_class == WorkClass::kService;
+    Require(!is_service || limits.slots > 0, "limits.slots", "",
+            "must be at least 1 for a service");
+    Require(limits.connections >= limits.slots, "limits.connections",
+            "limits.slots", "must be at least limits.slots");
+    Require(entry_.policy.request_timeout <= entry_.policy.deadline,
+            "policy.request_timeout_ms", "policy.deadline_ms",
+            "must be at most policy.deadline_ms");
+  }
+
+  void CheckJob() {
+    const EntryPolicy& policy = entry_.policy;
+    Require(policy.finish_by.empty() || policy.expected_run.count() > 0,
+            "policy.finish_by", "policy.expected_run_s",
+            "needs policy.expected_run_s, from which the latest start is "
+            "worked out");
+  }
+
+  void CheckGang() {
+    Require(entry_.limits.gang_size >= kSmallestGang, "limits.gang_size", "",
+            "must be at least 2 for a gang");
+    Require(entry_.limits.gang_size <= entry_.limits.tasks, "limits.gang_size",
+            "limits.tasks", "must be at most limits.tasks");
+  }
+
+  // A quota is found by its owner's name, so that an owner has only one.
+  void CheckOwner() {
+    Require(entry_.name.value() == entry_.owner.value(), "name", "owner",
+            "must be the owner's name for class owner");
+  }
+
+  void CheckSubject() {
+    Require(!entry_.subject.id.empty(), "subject.id", "",
+            "must be given for class out_of_use");
+  }
+
+ private:
+  void Require(bool holds, std::string_view key, std::string_view other_key,
+               std::string what) {
+    const std::string full_key = prefix_ + std::string(key);
+    if (holds) return;
+    if (faults_.HasAny({full_key, prefix_ + std::string(other_key)})) return;
+    faults_.AddLocated(full_key, std::move(what));
+  }
+
+  const CatalogueEntry& entry_;
+  const std::string& prefix_;
+  FaultCollector& faults_;
+};
+
+}  // namespace
+
+void CheckEntry(const CatalogueEntry& entry, const std::string& prefix,
+                FaultCollector& faults) {
+  EntryCheck check(entry, prefix, faults);
+  switch (entry.work_class) {
+    case WorkClass::kService:
+    case WorkClass::kSingleton:
+      return check.CheckServed();
+    case WorkClass::kGang:
+      check.CheckGang();
+      return check.CheckJob();
+    case WorkClass::kBatch:
+      return check.CheckJob();
+    case WorkClass::kOwner:
+      return check.CheckOwner();
+    case WorkClass::kOutOfUse:
+      return check.CheckSubject();
+  }
+}
+
+}  // namespace chivewing
--- /dev/null
+++ b/src/catalogue/entry_check.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <string>
+
+#include "catalogue/catalogue_entry.h"
+#include "schema/fault.h"
+
+namespace chivewing {
+
+// Adds a fault for each pair of values of an entry that do not go together.
+void CheckEntry(const CatalogueEntry& entry, const std::string& prefix,
+                FaultCollector& faults);
+
+}  // namespace chivewing
--- /dev/null
+++ b/src/catalogue/entry_fields.cc
@@ -0,0 +1,338 @@
+#include "catalogue/entry_fields.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <cstddef>
+
+namespace chivewing {
+namespace {
+
+constexpr std::array<std::string_view, 2> kCutOff = {"hold", "lapse"};
+constexpr std::array<std::string_view, 3> kSubjects = {"worker", "target",
+                                                       "owner"};
+constexpr double kThousand = 1000;
+constexpr double kHourMs = 3'600'000;
+constexpr double kWeekSeconds = 604'800;
+
+template <typename Choice>
+FieldValue ChoiceValue(std::span<const std::string_view> words, Choice choice) {
+  return std::string(words[static_cast<std::size_t>(choice)]);
+}
+
+template <typename Choice>
+void SetChoice(std::span<const std::string_view> words, const FieldValue& value,
+               Choice& choice) {
+  const std::string& word = std::get<std::string>(value);
+  const auto found = std::find(words.begin(), words.end(), word);
+  choice = static_cast<Choice>(found - words.begin());
+}
+
+}  // namespace
+
+// The conversions that field_binding.h asks for.
+static FieldValue ToFieldValue(WorkClass value) {
+  return ChoiceValue(WorkClassNames(), value);
+}
+static FieldValue ToFieldValue(CutOffPolicy value) {
+  return ChoiceValue(kCutOff, value);
+}
+static FieldValue ToFieldValue(SubjectKind value) {
+  return ChoiceValue(kSubjects, value);
+}
+static void FromFieldValue(const FieldValue& value, WorkClass& member) {
+  SetChoice(WorkClassNames(), value, member);
+}
+static void FromFieldValue(const FieldValue& value, CutOffPolicy& member) {
+  SetChoice(kCutOff, value, member);
+}
+static void FromFieldValue(const FieldValue& value, SubjectKind& member) {
+  SetChoice(kSubjects, value, member);
+}
+
+namespace {
+
+using Classes = std::vector<WorkClass>;
+
+struct EntryField {
+  FieldSpec spec;
+  FieldBinding<CatalogueEntry> binding;
+  Classes classes;
+};
+
+const Classes kEvery = {WorkClass::kService, WorkClass::kSingleton,
+                        WorkClass::kBatch,   WorkClass::kGang,
+                        WorkClass::kOwner,   WorkClass::kOutOfUse};
+const Classes kWork = {WorkClass::kService, WorkClass::kSingleton,
+                       WorkClass::kBatch, WorkClass::kGang};
+const Classes kSized = {WorkClass::kService, WorkClass::kSingleton,
+                        WorkClass::kBatch, WorkClass::kGang, WorkClass::kOwner};
+const Classes kServed = {WorkClass::kService, WorkClass::kSingleton};
+const Classes kJobs = {WorkClass::kBatch, WorkClass::kGang};
+
+FieldSpec Spec(std::string_view name, FieldKind kind,
+               std::string_view meaning) {
+  FieldSpec spec;
+  spec.name = name;
+  spec.kind = kind;
+  spec.meaning = meaning;
+  return spec;
+}
+
+FieldSpec Required(std::string_view name, FieldKind kind,
+                   std::string_view meaning) {
+  FieldSpec spec = Spec(name, kind, meaning);
+  spec.required = true;
+  return spec;
+}
+
+FieldSpec Choice(std::string_view name,
+                 std::span<const std::string_view> choices,
+                 std::string_view meaning) {
+  FieldSpec spec = Spec(name, FieldKind::kChoice, meaning);
+  spec.choices = choices;
+  return spec;
+}
+
+FieldSpec Count(std::string_view name, std::string_view unit, double least,
+                double most, std::string_view meaning) {
+  FieldSpec spec = Spec(name, FieldKind::kCount, meaning);
+  spec.unit = unit;
+  spec.least = least;
+  spec.most = most;
+  return spec;
+}
+
+FieldSpec ProcessorsSpec() {
+  FieldSpec spec =
+      Spec("limits.processors", FieldKind::kNumber,
+           "processors of one task or instance, in steps of 0.001; for an "
+           "owner, of all its tasks in each zone");
+  spec.least = 0.001;
+  spec.most = 1'000'000;
+  return spec;
+}
+
+FieldSpec ClassSpec() {
+  FieldSpec spec = Choice("class", WorkClassNames(), "class of work");
+  spec.required = true;
+  return spec;
+}
+
+FieldBinding<CatalogueEntry> BindProcessors() {
+  return {[](const CatalogueEntry& entry) -> FieldValue {
+            return static_cast<double>(entry.limits.processors_milli) /
+                   kThousand;
+          },
+          [](CatalogueEntry& entry, const FieldValue& value) {
+            entry.limits.processors_milli =
+                std::llround(std::get<double>(value) * kThousand);
+          }};
+}
+
+template <typename Member>
+FieldBinding<CatalogueEntry> BindLimit(Member EntryLimits::*member) {
+  return Bind(&CatalogueEntry::limits, member);
+}
+
+template <typename Member>
+FieldBinding<CatalogueEntry> BindPolicy(Member EntryPolicy::*member) {
+  return Bind(&CatalogueEntry::policy, member);
+}
+
+std::vector<EntryField> HeadFields() {
+  return {
+      {Required("name", FieldKind::kName, "name of the entry"),
+       Bind(&CatalogueEntry::name), kEvery},
+      {Required("owner", FieldKind::kName, "owner of the work"),
+       Bind(&CatalogueEntry::owner), kEvery},
+      {ClassSpec(), Bind(&CatalogueEntry::work_class), kEvery},
+      {Spec("note", FieldKind::kNote,
+            "for people: what it is for, whom to ask, why it is as it is"),
+       Bind(&CatalogueEntry::note), kEvery},
+  };
+}
+
+std::vector<EntryField> SizeFields() {
+  return {
+      {ProcessorsSpec(), BindProcessors(), kSized},
+      {Count("limits.memory_mb", "MB", 1, 1e9,
+             "memory of one task or instance; for an owner, of all its tasks "
+             "in each zone"),
+       BindLimit(&EntryLimits::memory_mb), kSized},
+      {Count("limits.accelerators", "", 0, 1e6,
+             "accelerators of one task or instance; for an owner, of all its "
+             "tasks in each zone"),
+       BindLimit(&EntryLimits::accelerators), kSized},
+      {Count("limits.tasks", "tasks", 1, 1e6,
+             "tasks of one job; for an owner, of all its jobs in each zone"),
+       BindLimit(&EntryLimits::tasks),
+       {WorkClass::kBatch, WorkClass::kGang, WorkClass::kOwner}},
+      {Count("limits.gang_size", "tasks", 0, 10000,
+             "tasks of a job that start at once; at least 2"),
+       BindLimit(&EntryLimits::gang_size),
+       {WorkClass::kGang}},
+  };
+}
+
+std::vector<EntryField> ServingFields() {
+  return {
+      {Count("limits.instances", "instances", 0, 10000,
+             "instances in each zone"),
+       BindLimit(&EntryLimits::instances),
+       {WorkClass::kService}},
+      {Count("limits.slots", "requests", 0, 10000,
+             "requests that one instance runs at once; 0 (singleton only) "
+             "takes no requests"),
+       BindLimit(&EntryLimits::slots), kServed},
+      {Count("limits.connections", "connections", 1, 100000,
+             "open connections to one instance; at least limits.slots"),
+       BindLimit(&EntryLimits::connections), kServed},
+      {Count("limits.queue", "requests", 0, 1e6,
+             "requests that wait at one entry host; more are refused"),
+       BindLimit(&EntryLimits::queue), kServed},
+      {Count("limits.body_kb", "KB", 1, 65536, "largest body of a request"),
+       BindLimit(&EntryLimits::body_kb), kServed},
+      {Count("policy.deadline_ms", "ms", 1, kHourMs,
+             "time of a request from arrival to answer, where the caller "
+             "states none"),
+       BindPolicy(&EntryPolicy::deadline), kServed},
+      {Count("policy.request_timeout_ms", "ms", 1, kHourMs,
+             "longest wait for one answer of an instance; at most "
+             "policy.deadline_ms"),
+       BindPolicy(&EntryPolicy::request_timeout), kServed},
+      {Spec("policy.idempotent", FieldKind::kFlag,
+            "whether a request may run more than once; false: it is claimed "
+            "first and runs at most once"),
+       BindPolicy(&EntryPolicy::idempotent), kServed},
+      {Count("policy.retry_budget_percent", "%", 0, 100,
+             "retries allowed per hundred requests"),
+       BindPolicy(&EntryPolicy::retry_budget_percent), kServed},
+  };
+}
+
+std::vector<EntryField> PlacementFields() {
+  return {
+      {Count("policy.priority", "", 0, 1000, "higher goes first"),
+       BindPolicy(&EntryPolicy::priority), kWork},
+      {Spec("policy.zones", FieldKind::kNameList,
+            "availability zones where it may run; empty: all"),
+       BindPolicy(&EntryPolicy::zones), kWork},
+      {Spec("policy.urgent", FieldKind::kFlag,
+            "whether it may take room from work of lower priority"),
+       BindPolicy(&EntryPolicy::urgent), kWork},
+      {Spec("policy.spread_racks", FieldKind::kFlag,
+            "whether instances are spread over racks"),
+       BindPolicy(&EntryPolicy::spread_racks),
+       {WorkClass::kService}},
+      {Spec("policy.checkpoint", FieldKind::kFlag,
+            "whether its tasks can be checkpointed and resumed"),
+       BindPolicy(&EntryPolicy::checkpoint), kJobs},
+      {Count("policy.expected_run_s", "s", 0, kWeekSeconds,
+             "expected run time of one task; 0: not known"),
+       BindPolicy(&EntryPolicy::expected_run), kJobs},
+      {Spec("policy.finish_by", FieldKind::kTimeOfDay,
+            "hour in UTC by which a job must be done; needs "
+            "policy.expected_run_s"),
+       BindPolicy(&EntryPolicy::finish_by), kJobs},
+      {Choice("policy.when_cut_off", kCutOff,
+              "when its zone is cut off from the platform: `hold` keeps it "
+              "running there, `lapse` lets it end so that another zone starts "
+              "it"),
+       BindPolicy(&EntryPolicy::when_cut_off),
+       {WorkClass::kSingleton}},
+      {Count("policy.lapse_after_s", "s", 1, kWeekSeconds,
+             "time after which a cut-off singleton lapses"),
+       BindPolicy(&EntryPolicy::lapse_after),
+       {WorkClass::kSingleton}},
+  };
+}
+
+std::vector<EntryField> SubjectFields() {
+  return {
+      {Choice("subject.kind", kSubjects, "what is put out of use"),
+       Bind(&CatalogueEntry::subject, &EntrySubject::kind),
+       {WorkClass::kOutOfUse}},
+      {Spec("subject.id", FieldKind::kName,
+            "id of the worker, target or owner; must be given"),
+       Bind(&CatalogueEntry::subject, &EntrySubject::id),
+       {WorkClass::kOutOfUse}},
+  };
+}
+
+// The parts of all fields as lists of equal length.
+struct EntryFieldLists {
+  std::vector<FieldSpec> specs;
+  std::vector<FieldBinding<CatalogueEntry>> bindings;
+  std::vector<Classes> classes;
+};
+
+void Append(const std::vector<EntryField>& fields, EntryFieldLists& lists) {
+  for (const EntryField& field : fields) {
+    lists.specs.push_back(field.spec);
+    lists.bindings.push_back(field.binding);
+    lists.classes.push_back(field.classes);
+  }
+}
+
+EntryFieldLists MakeLists() {
+  EntryFieldLists lists;
+  Append(HeadFields(), lists);
+  Append(SizeFields(), lists);
+  Append(ServingFields(), lists);
+  Append(PlacementFields(), lists);
+  Append(SubjectFields(), lists);
+  return lists;
+}
+
+const EntryFieldLists& Lists() {
+  static const EntryFieldLists lists = MakeLists();
+  return lists;
+}
+
+}  // namespace
+
+std::span<const FieldSpec> EntrySpecs() { return Lists().specs; }
+
+std::span<const FieldBinding<CatalogueEntry>> EntryBindings() {
+  return Lists().bindings;
+}
+
+std::span<const std::vector<WorkClass>> EntryClasses() {
+  return Lists().classes;
+}
+
+bool Applies(std::size_t field, WorkClass work_class) {
+  const Classes& classes = EntryClasses()[field];
+  return std::find(classes.begin(), classes.end(), work_class) != classes.end();
+}
+
+std::string EntryTable() {
+  const CatalogueEntry defaults;
+  std::vector<FieldValue> values;
+  for (const FieldBinding<CatalogueEntry>& binding : EntryBindings()) {
+    values.push_back(binding.get(defaults));
+  }
+  return MarkdownTable(EntrySpecs(), values);
+}
+
+std::string EntryClassTable() {
+  std::string table = "| key |";
+  std::string rule = "\n| --- |";
+  for (const std::string_view name : WorkClassNames()) {
+    table += " " + std::string(name) + " |";
+    rule += " --- |";
+  }
+  table += rule + "\n";
+  for (std::size_t i = 0; i < EntrySpecs().size(); ++i) {
+    table += "| `" + std::string(EntrySpecs()[i].name) + "` |";
+    for (std::size_t each = 0; each < WorkClassNames().size(); ++each) {
+      const bool applies = Applies(i, static_cast<WorkClass>(each));
+      table += applies ? " yes |" : " |";
+    }
+    table += "\n";
+  }
+  return table;
+}
+
+}  // namespace chivewing
--- /dev/null
+++ b/src/catalogue/entry_reader.cc
@@ -0,0 +1,52 @@
+#include "catalogue/entry_reader.h"
+
+#include <cstddef>
+#include <vector>
+
+#include "catalogue/entry_check.h"
+#include "catalogue/entry_fields.h"
+#include "schema/field_reader.h"
+#include "schema/json_parser.h"
+
+namespace chivewing {
+namespace {
+
+void CheckApplies(const CatalogueEntry& entry, const std::vector<bool>& given,
+                  const std::string& prefix, FaultCollector& faults) {
+  for (std::size_t i = 0; i < given.size(); ++i) {
+    if (!given[i] || Applies(i, entry.work_class)) continue;
+    faults.AddLocated(
+        prefix + std::string(EntrySpecs()[i].name),
+        "does not apply to class " + std::string(Name(entry.work_class)));
+  }
+}
+
+}  // namespace
+
+CatalogueEntry ReadEntryNode(const JsonNode& object, const std::string& prefix,
+                             FaultCollector& faults) {
+  CatalogueEntry entry;
+  std::vector<bool> given(EntrySpecs().size(), false);
+  const auto assign = [&](std::size_t index, const FieldValue& value) {
+    given[index] = true;
+    EntryBindings()[index].set(entry, value);
+  };
+  ReadFields(EntrySpecs(), object, prefix, assign, faults);
+  // Without a class nothing is known of the keys that apply.
+  if (faults.HasAny({prefix + "class"})) return entry;
+  CheckApplies(entry, given, prefix, faults);
+  CheckEntry(entry, prefix, faults);
+  return entry;
+}
+
+Checked<CatalogueEntry> ReadEntry(std::string_view text,
+                                  const std::string& file) {
+  const Checked<JsonNode> root = ParseJson(text, file);
+  if (!root) return root.error();
+  FaultCollector faults(file);
+  CatalogueEntry entry = ReadEntryNode(root.value(), "", faults);
+  if (!faults.empty()) return faults.Take();
+  return entry;
+}
+
+}  // namespace chivewing
--- /dev/null
+++ b/src/schema/fault.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <initializer_list>
+#include <map>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "base/result.h"
+
+namespace chivewing {
+
+// One thing that is wrong in a document.
+struct Fault {
+  std::string file;
+  int line = 0;     // 0 when not known
+  std::string key;  // dotted path, such as "platform.timeout_ms"; may be empty
+  std::string what;
+};
+
+using Faults = std::vector<Fault>;
+
+// A value read from a document, or every fault found in it.
+template <typename T>
+using Checked =
+    boost::outcome_v2::basic_result<T, Faults,
+                                    boost::outcome_v2::policy::terminate>;
+
+// One line: "FILE:LINE: KEY: what is wrong".
+std::string Describe(const Fault& fault);
+
+// All faults as one error, joined by "; ".
+Error ToError(ResultCode code, const Faults& faults);
+
+// Collects the faults of one document.
+class FaultCollector {
+ public:
+  explicit FaultCollector(std::string file) : file_(std::move(file)) {}
+
+  void Add(int line, std::string key, std::string what);
+
+  // Notes the line of a key, for faults found after reading.
+  void Locate(const std::string& key, int line) { lines_[key] = line; }
+
+  // Adds a fault on the line noted for its key.
+  void AddLocated(const std::string& key, std::string what);
+
+  // Whether one of the keys already has a fault, so that rules between keys do
+  // not report what only follows from it.
+  bool HasAny(std::initializer_list<std::string_view> keys) const;
+
+  bool empty() const { return faults_.empty(); }
+  const std::string& file() const { return file_; }
+  Faults Take() { return std::move(faults_); }
+
+ private:
+  std::string file_;
+  Faults faults_;
+  std::map<std::string, int> lines_;
+};
+
+}  // namespace chivewing
--- /dev/null
+++ b/src/schema/field_reader.cc
@@ -0,0 +1,270 @@
+#include "schema/field_reader.h"
+
+#include <arpa/inet.h>
+
+#include <algorithm>
+#include <cctype>
+#include <charconv>
+#include <optional>
+#include <utility>
+
+namespace chivewing {
+namespace {
+
+constexpr std::size_t kLongestText = 200;
+constexpr std::size_t kLongestNote = 2000;
+constexpr std::size_t kLongestName = 64;
+constexpr int kHighestPort = 65535;
+
+// The value, or the sentence that says what is wrong with it.
+struct ReadOutcome {
+  std::optional<FieldValue> value;
+  std::string what;
+};
+
+ReadOutcome Wrong(std::string what) { return {std::nullopt, std::move(what)}; }
+
+ReadOutcome WrongKind(const FieldSpec& spec, const JsonNode& node) {
+  return Wrong("must be of type " + std::string(Name(spec.kind)) + ", not " +
+               std::string(Name(node.kind)));
+}
+
+bool IsNumeric(const JsonNode& node) {
+  return node.kind == JsonKind::kInteger || node.kind == JsonKind::kNumber;
+}
+
+ReadOutcome ReadNumeric(const FieldSpec& spec, const JsonNode& node) {
+  if (!IsNumeric(node)) return WrongKind(spec, node);
+  if (!(node.number >= spec.least && node.number <= spec.most)) {
+    std::string what = "must be " + RangeText(spec);
+    if (!spec.unit.empty()) what += " " + std::string(spec.unit);
+    return Wrong(std::move(what));
+  }
+  if (spec.kind == FieldKind::kNumber) return {node.number, ""};
+  if (node.kind != JsonKind::kInteger) return WrongKind(spec, node);
+  return {node.integer, ""};
+}
+
+ReadOutcome ReadSized(const FieldSpec& spec, const JsonNode& node) {
+  const bool is_note = spec.kind == FieldKind::kNote;
+  const std::size_t most = is_note ? kLongestNote : kLongestText;
+  const std::size_t least = is_note ? 0 : 1;
+  if (node.text.size() < least || node.text.size() > most) {
+    return Wrong("must have " + std::to_string(least) + " to " +
+                 std::to_string(most) + " characters");
+  }
+  return {node.text, ""};
+}
+
+ReadOutcome ReadChoice(const FieldSpec& spec, const JsonNode& node) {
+  const auto found =
+      std::find(spec.choices.begin(), spec.choices.end(), node.text);
+  if (found != spec.choices.end()) return {node.text, ""};
+  return Wrong("must be one of " + RangeText(spec));
+}
+
+ReadOutcome ReadString(const FieldSpec& spec, const JsonNode& node) {
+  if (node.kind != JsonKind::kText) return WrongKind(spec, node);
+  switch (spec.kind) {
+    case FieldKind::kName:
+      if (IsName(node.text)) return {node.text, ""};
+      return Wrong(
+          "must be a name: 1 to 64 letters, digits, '-', '_' or '.', the "
+          "first a letter or digit");
+    case FieldKind::kChoice:
+      return ReadChoice(spec, node);
+    case FieldKind::kAddress:
+      if (IsAddress(node.text)) return {node.text, ""};
+      return Wrong("must be an IP number and port, such as 127.0.0.1:8080");
+    case FieldKind::kTimeOfDay:
+      if (node.text.empty() || IsTimeOfDay(node.text)) return {node.text, ""};
+      return Wrong("must be a time of day in UTC as \"HH:MM\", or \"\"");
+    default:
+      return ReadSized(spec, node);
+  }
+}
+
+ReadOutcome ReadList(const FieldSpec& spec, const JsonNode& node) {
+  if (node.kind != JsonKind::kList) return WrongKind(spec, node);
+  FieldSpec item_spec = spec;
+  item_spec.kind = spec.kind == FieldKind::kNameList ? FieldKind::kName
+                                                     : FieldKind::kAddress;
+  std::vector<std::string> values;
+  for (const JsonNode& item : node.items) {
+    ReadOutcome read = ReadString(item_spec, item);
+    if (!read.value) return read;
+    if (std::find(values.begin(), values.end(), item.text) != values.end()) {
+      return Wrong("lists " + item.text + " twice");
+    }
+    values.push_back(item.text);
+  }
+  if (spec.required && values.empty()) return Wrong("must not be empty");
+  return {std::move(values), ""};
+}
+
+ReadOutcome ReadObjectList(const FieldSpec& spec, const JsonNode& node) {
+  if (node.kind != JsonKind::kList) return WrongKind(spec, node);
+  for (const JsonNode& item : node.items) {
+    if (item.kind != JsonKind::kObject) return WrongKind(spec, item);
+  }
+  return {};
+}
+
+ReadOutcome ReadValue(const FieldSpec& spec, const JsonNode& node) {
+  switch (spec.kind) {
+    case FieldKind::kFlag:
+      if (node.kind == JsonKind::kFlag) return {node.flag, ""};
+      return WrongKind(spec, node);
+    case FieldKind::kCount:
+    case FieldKind::kNumber:
+      return ReadNumeric(spec, node);
+    case FieldKind::kNameList:
+    case FieldKind::kAddressList:
+      return ReadList(spec, node);
+    case FieldKind::kObjectList:
+      return ReadObjectList(spec, node);
+    default:
+      return ReadString(spec, node);
+  }
+}
+
+// Walks one document; remembers which fields were given.
+class Walk {
+ public:
+  Walk(std::span<const FieldSpec> specs, const std::string& prefix,
+       const FieldAssign& assign, FaultCollector& faults)
+      : specs_(specs),
+        prefix_(prefix),
+        assign_(assign),
+        faults_(faults),
+        given_(specs.size(), false) {}
+
+  void ReadObject(const JsonNode& object, const std::string& path) {
+    for (const JsonNode& member : object.items) {
+      ReadMember(member, path + member.key);
+    }
+  }
+
+  void ReportMissing(int line) {
+    for (std::size_t i = 0; i < specs_.size(); ++i) {
+      if (specs_[i].required && !given_[i]) {
+        faults_.Add(line, prefix_ + std::string(specs_[i].name), "is missing");
+      }
+    }
+  }
+
+ private:
+  void ReadMember(const JsonNode& member, const std::string& name) {
+    for (std::size_t i = 0; i < specs_.size(); ++i) {
+      if (specs_[i].name == name) return ReadField(i, member);
+    }
+    if (!IsGroup(name)) {
+      faults_.Add(member.line, prefix_ + name, "unknown key");
+    } else if (member.kind != JsonKind::kObject) {
+      faults_.Add(member.line, prefix_ + name,
+                  "must be an object, not " + std::string(Name(member.kind)));
+      MarkGroupGiven(name);
+    } else {
+      ReadObject(member, name + ".");
+    }
+  }
+
+  void ReadField(std::size_t index, const JsonNode& member) {
+    given_[index] = true;
+    const FieldSpec& spec = specs_[index];
+    const std::string key = prefix_ + std::string(spec.name);
+    faults_.Locate(key, member.line);
+    ReadOutcome read = ReadValue(spec, member);
+    if (!read.what.empty()) {
+      faults_.AddLocated(key, read.what);
+    } else if (read.value) {
+      assign_(index, std::move(*read.value));
+    }
+  }
+
+  // What a broken group may have held is not reported as missing.
+  void MarkGroupGiven(const std::string& name) {
+    for (std::size_t i = 0; i < specs_.size(); ++i) {
+      if (specs_[i].name.starts_with(name + ".")) given_[i] = true;
+    }
+  }
+
+  // Whether some field's name continues the given one.
+  bool IsGroup(const std::string& name) const {
+    const std::string start = name + ".";
+    return std::any_of(specs_.begin(), specs_.end(),
+                       [&start](const FieldSpec& spec) {
+                         return spec.name.starts_with(start);
+                       });
+  }
+
+  std::span<const FieldSpec> specs_;
+  const std::string& prefix_;
+  const FieldAssign& assign_;
+  FaultCollector& faults_;
+  std::vector<bool> given_;
+};
+
+bool IsPort(std::string_view text) {
+  int port = -1;
+  const char* end = text.data() + text.size();
+  const auto read = std::from_chars(text.data(), end, port);
+  return read.ec == std::errc() && read.ptr == end && port >= 0 &&
+         port <= kHighestPort;
+}
+
+bool IsNameCharacter(char c) {
+  return std::isalnum(static_cast<unsigned char>(c)) != 0 || c == '-' ||
+         c == '_' || c == '.';
+}
+
+int TwoDigits(const std::string& text, std::size_t at) {
+  const char tens = text[at];
+  const char ones = text[at + 1];
+  if (std::isdigit(static_cast<unsigned char>(tens)) == 0) return -1;
+  if (std::isdigit(static_cast<unsigned char>(ones)) == 0) return -1;
+  return (tens - '0') * 10 + (ones - '0');
+}
+
+}  // namespace
+
+void ReadFields(std::span<const FieldSpec> specs, const JsonNode& object,
+                const std::string& prefix, const FieldAssign& assign,
+                FaultCollector& faults) {
+  if (object.kind != JsonKind::kObject) {
+    faults.Add(object.line, prefix,
+               "must be an object, not " + std::string(Name(object.kind)));
+    return;
+  }
+  Walk walk(specs, prefix, assign, faults);
+  walk.ReadObject(object, "");
+  walk.ReportMissing(object.line);
+}
+
+bool IsAddress(const std::string& text) {
+  const std::size_t colon = text.rfind(':');
+  if (colon == std::string::npos) return false;
+  if (!IsPort(std::string_view(text).substr(colon + 1))) return false;
+  const std::string host = text.substr(0, colon);
+  in_addr v4{};
+  if (inet_pton(AF_INET, host.c_str(), &v4) == 1) return true;
+  if (host.size() < 2 || host.front() != '[' || host.back() != ']')
+    return false;
+  in6_addr v6{};
+  return inet_pton(AF_INET6, host.substr(1, host.size() - 2).c_str(), &v6) == 1;
+}
+
+bool IsName(const std::string& text) {
+  if (text.empty() || text.size() > kLongestName) return false;
+  if (std::isalnum(static_cast<unsigned char>(text.front())) == 0) return false;
+  return std::all_of(text.begin(), text.end(), IsNameCharacter);
+}
+
+bool IsTimeOfDay(const std::string& text) {
+  if (text.size() != 5 || text[2] != ':') return false;
+  const int hours = TwoDigits(text, 0);
+  const int minutes = TwoDigits(text, 3);
+  return hours >= 0 && hours < 24 && minutes >= 0 && minutes < 60;
+}
+
+}  // namespace chivewing
--- /dev/null
+++ b/src/schema/json_parser.cc
@@ -0,0 +1,186 @@
+#include "schema/json_parser.h"
+
+#include <cstddef>
+#include <iterator>
+#include <limits>
+#include <nlohmann/json.hpp>
+#include <utility>
+#include <vector>
+
+namespace chivewing {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::size_t kDeepestNesting = 16;
+
+// Reads characters and counts lines in a place that outlives the copies which
+// the parser makes of the iterator.
+class LineCountingIterator {
+ public:
+  // Names that the standard library asks of an iterator.
+  // NOLINTBEGIN(readability-identifier-naming)
+  using iterator_category = std::input_iterator_tag;
+  using value_type = char;
+  using difference_type = std::ptrdiff_t;
+  using pointer = const char*;
+  using reference = const char&;
+  // NOLINTEND(readability-identifier-naming)
+
+  LineCountingIterator(const char* position, int* line)
+      : position_(position), line_(line) {}
+
+  reference operator*() const { return *position_; }
+  LineCountingIterator& operator++() {
+    if (*position_ == '\n') ++*line_;
+    ++position_;
+    return *this;
+  }
+  LineCountingIterator operator++(int) {
+    const LineCountingIterator before = *this;
+    ++*this;
+    return before;
+  }
+  bool operator==(const LineCountingIterator& other) const {
+    return position_ == other.position_;
+  }
+  bool operator!=(const LineCountingIterator& other) const {
+    return !(*this == other);
+  }
+
+ private:
+  const char* position_;
+  int* line_;
+};
+
+// Builds the tree of nodes from the parser's events.
+class TreeBuilder : public nlohmann::json_sax<Json> {
+ public:
+  TreeBuilder(const int* line, FaultCollector* faults)
+      : line_(line), faults_(faults) {}
+
+  bool null() override { return Append(Make(JsonKind::kNull)); }
+
+  bool boolean(bool value) override {
+    JsonNode node = Make(JsonKind::kFlag);
+    node.flag = value;
+    return Append(std::move(node));
+  }
+
+  bool number_integer(number_integer_t value) override {
+    JsonNode node = Make(JsonKind::kInteger);
+    node.integer = value;
+    node.number = static_cast<double>(value);
+    return Append(std::move(node));
+  }
+
+  bool number_unsigned(number_unsigned_t value) override {
+    constexpr auto most =
+        static_cast<number_unsigned_t>(std::numeric_limits<int64_t>::max());
+    if (value > most) return AppendNumber(static_cast<double>(value));
+    return number_integer(static_cast<number_integer_t>(value));
+  }
+
+  bool number_float(number_float_t value, const string_t& /*text*/) override {
+    return AppendNumber(value);
+  }
+
+  bool string(string_t& value) override {
+    JsonNode node = Make(JsonKind::kText);
+    node.text = std::move(value);
+    return Append(std::move(node));
+  }
+
+  bool binary(binary_t& /*value*/) override { return false; }
+
+  bool start_object(std::size_t /*size*/) override {
+    return Open(JsonKind::kObject);
+  }
+  bool end_object() override { return Close(); }
+  bool start_array(std::size_t /*size*/) override {
+    return Open(JsonKind::kList);
+  }
+  bool end_array() override { return Close(); }
+
+  bool key(string_t& value) override {
+    key_ = std::move(value);
+    key_line_ = *line_;
+    if (open_.back().Find(key_) != nullptr) {
+      faults_->Add(key_line_, key_, "given twice");
+    }
+    return true;
+  }
+
+  bool parse_error(std::size_t /*position*/, const std::string& /*token*/,
+                   const nlohmann::detail::exception& error) override {
+    const std::string text = error.what();
+    const std::size_t reason = text.find("syntax error");
+    faults_->Add(*line_, "",
+                 reason == std::string::npos ? text : text.substr(reason));
+    return false;
+  }
+
+  JsonNode TakeRoot() { return std::move(root_); }
+
+ private:
+  JsonNode Make(JsonKind kind) {
+    JsonNode node;
+    node.kind = kind;
+    node.line = key_.empty() ? *line_ : key_line_;
+    node.key = std::move(key_);
+    key_.clear();
+    return node;
+  }
+
+  bool AppendNumber(double value) {
+    JsonNode node = Make(JsonKind::kNumber);
+    node.number = value;
+    return Append(std::move(node));
+  }
+
+  bool Append(JsonNode node) {
+    if (open_.empty()) {
+      root_ = std::move(node);
+    } else {
+      open_.back().items.push_back(std::move(node));
+    }
+    return true;
+  }
+
+  bool Open(JsonKind kind) {
+    open_.push_back(Make(kind));
+    if (open_.size() <= kDeepestNesting) return true;
+    faults_->Add(*line_, "",
+                 "nested deeper than " + std::to_string(kDeepestNesting));
+    return false;
+  }
+
+  bool Close() {
+    JsonNode node = std::move(open_.back());
+    open_.pop_back();
+    return Append(std::move(node));
+  }
+
+  const int* line_;
+  FaultCollector* faults_;
+  std::vector<JsonNode> open_;
+  std::string key_;
+  int key_line_ = 0;
+  JsonNode root_;
+};
+
+}  // namespace
+
+Checked<JsonNode> ParseJson(std::string_view text, const std::string& file) {
+  int line = 1;
+  FaultCollector faults(file);
+  TreeBuilder builder(&line, &faults);
+  const LineCountingIterator first(text.data(), &line);
+  const LineCountingIterator last(text.data() + text.size(), &line);
+  Json::sax_parse(first, last, &builder, Json::input_format_t::json, true,
+                  true);
+  if (!faults.empty()) return faults.Take();
+  return builder.TakeRoot();
+}
+
+}  // namespace chivewing
--- /dev/null
+++ b/src/schema/text_file.cc
@@ -0,0 +1,32 @@
+#include "schema/text_file.h"
+
+#include <cerrno>
+#include <cstddef>
+#include <cstring>
+#include <fstream>
+
+namespace chivewing {
+namespace {
+
+constexpr std::size_t kLargestFileBytes = 4'194'304;
+
+Faults CannotRead(const std::string& path, const std::string& why) {
+  return {Fault{path, 0, "", "cannot be read: " + why}};
+}
+
+}  // namespace
+
+Checked<std::string> ReadTextFile(const std::string& path) {
+  errno = 0;
+  std::ifstream file(path, std::ios::binary);
+  if (!file) return CannotRead(path, std::strerror(errno));
+  std::string text;
+  text.resize(kLargestFileBytes + 1);
+  file.read(text.data(), static_cast<std::streamsize>(text.size()));
+  text.resize(static_cast<std::size_t>(file.gcount()));
+  if (file.bad()) return CannotRead(path, "read error");
+  if (text.size() > kLargestFileBytes) return CannotRead(path, "over 4 MB");
+  return text;
+}
+
+}  // namespace chivewing
--- /dev/null
+++ b/src/schema/text_file.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include <string>
+
+#include "schema/fault.h"
+
+namespace chivewing {
+
+// The whole text of a file, or the fault that it cannot be read. Files over
+// 4 MB are refused.
+Checked<std::string> ReadTextFile(const std::string& path);
+
+}  // namespace chivewing
--- /dev/null
+++ b/src/settings/settings_check.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <vector>
+
+#include "schema/fault.h"
+#include "settings/settings.h"
+
+namespace chivewing {
+
+// Adds a fault for each pair of values that do not go together.
+void CheckSettings(const Settings& settings, FaultCollector& faults);
+
+// Takes this host out of its list of peers; adds a fault when its listing
+// differs from its own settings.
+void RemoveOwnListing(Settings& settings, FaultCollector& faults);
+
+}  // namespace chivewing
