--- /dev/null
+++ b/src/placement/check.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <string_view>
+
+namespace chivewing {
+
+// Logs `sentence` and ends the process.
+[[noreturn]] void FailCheck(std::string_view sentence);
+
+// Asserts an invariant in every build: going on with broken sums would hand a
+// worker more than it holds.
+inline void Check(bool holds, std::string_view sentence) {
+  if (!holds) FailCheck(sentence);
+}
+
+}  // namespace chivewing
--- /dev/null
+++ b/src/placement/class_statistics.cc
@@ -0,0 +1,74 @@
+#include "placement/class_statistics.h"
+
+#include <algorithm>
+
+namespace chivewing {
+namespace {
+
+constexpr std::size_t kRecentRuns = 64;
+constexpr std::size_t kRunsToTrust = 5;
+// Weight of one new report in the mean, as a divisor.
+constexpr std::int64_t kMeanWindow = 16;
+
+std::int64_t MoveMean(std::int64_t mean, std::int64_t value) {
+  return mean + ((value - mean) / kMeanWindow);
+}
+
+Duration UsualRunTime(std::vector<Duration> runs) {
+  const auto ninth = static_cast<std::ptrdiff_t>(runs.size() * 9 / 10);
+  std::nth_element(runs.begin(), runs.begin() + ninth, runs.end());
+  return runs[static_cast<std::size_t>(ninth)];
+}
+
+}  // namespace
+
+void ClassStatistics::AddUsage(const EntryName& entry,
+                               const Resources& declared,
+                               const Resources& used) {
+  EntryStatistics& known = entries_[entry].statistics;
+  known.entry = entry;
+  known.declared = declared;
+  known.largest_used = Largest(known.largest_used, used);
+  if (known.usage_reports++ == 0) {
+    known.mean_used = used;
+    return;
+  }
+  Resources& mean = known.mean_used;
+  mean.processors_milli =
+      MoveMean(mean.processors_milli, used.processors_milli);
+  mean.memory_mb = MoveMean(mean.memory_mb, used.memory_mb);
+  mean.accelerators = MoveMean(mean.accelerators, used.accelerators);
+}
+
+void ClassStatistics::AddRun(const EntryName& entry, Duration run_time) {
+  Entry& known = entries_[entry];
+  known.statistics.entry = entry;
+  ++known.statistics.runs;
+  if (known.recent_runs.size() < kRecentRuns) {
+    known.recent_runs.push_back(run_time);
+  } else {
+    known.recent_runs[known.next_run] = run_time;
+    known.next_run = (known.next_run + 1) % kRecentRuns;
+  }
+  known.statistics.usual_run_time = UsualRunTime(known.recent_runs);
+}
+
+Duration ClassStatistics::ExpectedRunTime(const EntryName& entry,
+                                          Duration declared) const {
+  const auto known = entries_.find(entry);
+  if (known == entries_.end()) return declared;
+  if (known->second.statistics.runs < kRunsToTrust) return declared;
+  return known->second.statistics.usual_run_time;
+}
+
+std::vector<EntryStatistics> ClassStatistics::All() const {
+  std::vector<EntryStatistics> all;
+  all.reserve(entries_.size());
+  for (const auto& [name, entry] : entries_) all.push_back(entry.statistics);
+  std::sort(all.begin(), all.end(), [](const auto& a, const auto& b) {
+    return a.entry.value() < b.entry.value();
+  });
+  return all;
+}
+
+}  // namespace chivewing
--- /dev/null
+++ b/src/placement/job_events.cc
@@ -0,0 +1,74 @@
+#include "placement/job_events.h"
+
+#include "placement/service_trim.h"
+#include "placement/zone_state.h"
+
+namespace chivewing {
+namespace {
+
+constexpr std::string_view kCancelled = "the job was cancelled";
+
+}  // namespace
+
+void JobEvents::Submit(TimePoint now, const JobSpec& job, Effects& effects) {
+  const JobIndex known = state_.jobs.Find(job.id);
+  if (known != kNoIndex) {
+    Update(now, known, job, effects);
+    return;
+  }
+  if (state_.workers.size() > 0) {
+    const std::string reason = state_.WhyNeverFits(job);
+    if (!reason.empty()) {
+      effects.emplace_back(JobRefused{job.id, ResultCode::kNeverFits, reason});
+      return;
+    }
+  }
+  Job added;
+  added.spec = job;
+  const JobIndex index = state_.jobs.Add(job.id, std::move(added));
+  state_.UpdateWaiting(now, index);
+}
+
+void JobEvents::Cancel(TimePoint now, std::span<const JobId> jobs,
+                       Effects& effects) {
+  for (const JobId& id : jobs) {
+    const JobIndex index = state_.jobs.Find(id);
+    if (index != kNoIndex) CancelOne(now, index, effects);
+  }
+}
+
+void JobEvents::Update(TimePoint now, JobIndex index, const JobSpec& job,
+                       Effects& effects) {
+  Job& known = state_.jobs.at(index);
+  if (known.cancelled) return;
+  // The lane depends on the specification: leave it before the change.
+  if (known.place) {
+    state_.queue.Remove(LaneQueue::KeyOf(known.spec), *known.place);
+    known.place.reset();
+  }
+  const bool spread_before = known.spec.spread;
+  known.spec = job;
+  known.spec.spread = spread_before;
+  known.unplaceable = false;
+  TrimService(state_, now, index, effects);
+  state_.FinishJobIfDone(now, index, effects);
+}
+
+void JobEvents::CancelOne(TimePoint now, JobIndex index, Effects& effects) {
+  Job& job = state_.jobs.at(index);
+  if (job.cancelled) return;
+  job.cancelled = true;
+  const std::vector<TaskIndex> tasks = job.tasks;
+  for (const TaskIndex task : tasks) {
+    // A task whose commit is pending is dropped when that is confirmed.
+    if (state_.tasks.at(task).state == TaskState::kReserved) continue;
+    state_.StopOneTask(now, task, StopMode::kStop, kCancelled, effects);
+  }
+  if (state_.reservation && state_.reservation->job == index) {
+    state_.DropReservation();
+  }
+  state_.DropClaimsOf(index);
+  state_.FinishJobIfDone(now, index, effects);
+}
+
+}  // namespace chivewing
--- /dev/null
+++ b/src/placement/job_events.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <span>
+
+#include "base/id.h"
+#include "base/time.h"
+#include "placement/effect.h"
+#include "placement/indices.h"
+#include "placement/job_spec.h"
+
+namespace chivewing {
+
+struct ZoneState;
+
+// What callers and operators do with jobs.
+class JobEvents {
+ public:
+  explicit JobEvents(ZoneState& state) : state_(state) {}
+
+  void Submit(TimePoint now, const JobSpec& job, Effects& effects);
+  void Cancel(TimePoint now, std::span<const JobId> jobs, Effects& effects);
+
+ private:
+  void Update(TimePoint now, JobIndex index, const JobSpec& job,
+              Effects& effects);
+  void CancelOne(TimePoint now, JobIndex index, Effects& effects);
+
+  ZoneState& state_;
+};
+
+}  // namespace chivewing
--- /dev/null
+++ b/src/placement/job_spec.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <optional>
+
+#include "base/id.h"
+#include "base/time.h"
+#include "placement/resources.h"
+
+namespace chivewing {
+
+enum class JobClass {
+  kService,    // a number of instances, each replaced when it ends
+  kSingleton,  // one instance, never two at once
+  kBatch,      // tasks that run to their end, in any order
+  kGang,       // tasks that are started all at once or not at all
+};
+
+// A job as submitted, with the limits of its catalogue entry.
+struct JobSpec {
+  JobId id;
+  EntryName entry;
+  OwnerId owner;
+  JobClass job_class = JobClass::kBatch;
+  int tasks = 1;
+  Resources per_task;
+  // Higher is more important.
+  int priority = 0;
+  // May preempt checkpointable tasks of lower priority.
+  bool urgent = false;
+  // Declared run time of one task; 0 when unknown.
+  Duration run_time{0};
+  std::optional<TimePoint> finish_by;
+  // Spread the instances over racks, so that a lost rack takes a bounded part.
+  bool spread = false;
+  bool checkpointable = false;
+  TimePoint submitted;
+};
+
+}  // namespace chivewing
--- /dev/null
+++ b/src/placement/lane_queue.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <tuple>
+#include <vector>
+
+#include "base/id.h"
+#include "base/time.h"
+#include "placement/indices.h"
+#include "placement/job_spec.h"
+#include "placement/resources.h"
+
+namespace chivewing {
+
+// What jobs must have in common to wait in the same lane: if the first of them
+// cannot be placed now, none can.
+struct LaneKey {
+  OwnerId owner;
+  EntryName entry;
+  JobClass job_class = JobClass::kBatch;
+  // Tasks of a gang; 0 for other classes, whose tasks are placed one by one.
+  int gang_tasks = 0;
+  Resources per_task;
+  int priority = 0;
+  bool urgent = false;
+  bool has_finish_by = false;
+  // Set for services and singletons, each of which has a lane of its own.
+  JobId job;
+
+  friend bool operator<(const LaneKey& a, const LaneKey& b);
+};
+
+// Place of a job in its lane: by time, then by arrival.
+struct LanePlace {
+  TimePoint time;
+  std::uint64_t arrival = 0;
+  JobIndex job = kNoIndex;
+
+  friend bool operator<(const LanePlace& a, const LanePlace& b) {
+    return std::tie(a.time, a.arrival) < std::tie(b.time, b.arrival);
+  }
+};
+
+// Jobs that wait alike.
+struct Lane {
+  std::set<LanePlace> places;
+  // WorkerPool::growth() when the first job last found no room: until it rises
+  // there is no need to look again.
+  std::uint64_t no_room_at = 0;
+};
+
+// All waiting jobs, grouped in lanes so that a decision costs time by the
+// number of kinds of jobs and not by the number of jobs.
+class LaneQueue {
+ public:
+  using Lanes = std::map<LaneKey, Lane>;
+
+  // The lane of a job.
+  static LaneKey KeyOf(const JobSpec& job);
+
+  void Add(const LaneKey& key, const LanePlace& place);
+  // Removes a place; empty lanes are dropped.
+  void Remove(const LaneKey& key, const LanePlace& place);
+
+  Lanes& lanes() { return lanes_; }
+  const Lanes& lanes() const { return lanes_; }
+
+ private:
+  Lanes lanes_;
+};
+
+}  // namespace chivewing
--- /dev/null
+++ b/src/placement/placer.cc
@@ -0,0 +1,149 @@
+#include "placement/placer.h"
+
+#include "placement/invariants.h"
+#include "placement/job_events.h"
+#include "placement/scheduler.h"
+#include "placement/task_events.h"
+#include "placement/usage_guard.h"
+#include "placement/worker_events.h"
+#include "placement/zone_state.h"
+
+namespace chivewing {
+
+Placer::Placer(PlacerOptions options, std::uint64_t epoch)
+    : state_(std::make_unique<ZoneState>(options, epoch)),
+      scheduler_(std::make_unique<Scheduler>(*state_)),
+      job_events_(std::make_unique<JobEvents>(*state_)),
+      task_events_(std::make_unique<TaskEvents>(*state_)),
+      worker_events_(std::make_unique<WorkerEvents>(*state_, *task_events_)),
+      usage_(std::make_unique<UsageGuard>(*state_)) {}
+
+Placer::~Placer() = default;
+
+void Placer::UpsertWorker(TimePoint now, const WorkerSpec& worker,
+                          Effects& effects) {
+  worker_events_->Upsert(now, worker, effects);
+}
+
+void Placer::RemoveWorker(TimePoint now, const WorkerId& worker,
+                          Effects& effects) {
+  worker_events_->Remove(now, worker, effects);
+}
+
+void Placer::SubmitJob(TimePoint now, const JobSpec& job, Effects& effects) {
+  job_events_->Submit(now, job, effects);
+}
+
+void Placer::CancelJobs(TimePoint now, std::span<const JobId> jobs,
+                        Effects& effects) {
+  job_events_->Cancel(now, jobs, effects);
+}
+
+void Placer::SetQuota(const OwnerId& owner, const Resources& quota) {
+  state_->quotas.SetQuota(owner, quota);
+}
+
+void Placer::RemoveQuota(const OwnerId& owner) {
+  state_->quotas.RemoveQuota(owner);
+}
+
+void Placer::RestoreTask(TimePoint now, const CommittedTask& task,
+                         Effects& effects) {
+  task_events_->Restore(now, task, effects);
+}
+
+void Placer::RestoreDoneTask(const JobId& job) {
+  task_events_->RestoreDone(job);
+}
+
+std::optional<BatchId> Placer::Decide(TimePoint now, std::size_t max_starts,
+                                      Effects& effects) {
+  return scheduler_->Decide(now, max_starts, effects);
+}
+
+void Placer::CommitSucceeded(TimePoint now, BatchId batch, Effects& effects) {
+  task_events_->CommitSucceeded(now, batch, effects);
+}
+
+void Placer::CommitFailed(TimePoint now, BatchId batch, Effects& effects) {
+  task_events_->CommitFailed(now, batch, effects);
+}
+
+void Placer::TaskStarted(TimePoint now, const TaskId& task, Effects& effects) {
+  task_events_->Started(now, task, effects);
+}
+
+void Placer::TaskStartFailed(TimePoint now, const TaskId& task,
+                             StartFailure failure, Effects& effects) {
+  task_events_->StartFailed(now, task, failure, effects);
+}
+
+void Placer::TaskEnded(TimePoint now, const TaskId& task, TaskEnd end,
+                       Effects& effects) {
+  task_events_->Ended(now, task, end, effects);
+}
+
+void Placer::TaskLost(TimePoint now, const TaskId& task, Effects& effects) {
+  task_events_->Lost(now, task, effects);
+}
+
+void Placer::TaskLeaseExpired(TimePoint now, const TaskId& task,
+                              Effects& effects) {
+  task_events_->LeaseExpired(now, task, effects);
+}
+
+void Placer::ReportUsage(TimePoint now, const TaskId& task,
+                         const Resources& used, Effects& effects) {
+  usage_->Report(now, task, used, effects);
+}
+
+void Placer::ProbeEnded(TimePoint now, const WorkerId& worker, bool good,
+                        Effects& effects) {
+  worker_events_->ProbeEnded(now, worker, good, effects);
+}
+
+WaitReason Placer::Why(TimePoint now, const JobId& job) const {
+  const JobIndex index = state_->jobs.Find(job);
+  if (index == kNoIndex) return {ResultCode::kNotFound, "no such job"};
+  return ExplainWait(*state_, now, state_->jobs.at(index));
+}
+
+PlacerSummary Placer::Summary() const {
+  PlacerSummary summary;
+  const WorkerPool& workers = state_->workers;
+  summary.workers = workers.size();
+  summary.live_workers = state_->CountLiveWorkers();
+  summary.quarantined_workers = state_->health.quarantined();
+  summary.jobs = state_->jobs.size();
+  for (const auto& [key, lane] : state_->queue.lanes()) {
+    summary.waiting_jobs += lane.places.size();
+  }
+  summary.tasks = state_->tasks.size();
+  for (WorkerIndex index = 0; index < workers.end_index(); ++index) {
+    if (!workers.Has(index)) continue;
+    summary.capacity += workers.at(index).spec.capacity;
+    summary.reserved += workers.at(index).reserved;
+  }
+  return summary;
+}
+
+std::vector<WorkerView> Placer::Workers() const {
+  std::vector<WorkerView> views;
+  const WorkerPool& workers = state_->workers;
+  views.reserve(workers.size());
+  for (WorkerIndex index = 0; index < workers.end_index(); ++index) {
+    if (!workers.Has(index)) continue;
+    const Worker& worker = workers.at(index);
+    views.push_back({worker.spec, worker.reserved, worker.tasks.size(),
+                     worker.quarantined});
+  }
+  return views;
+}
+
+std::vector<EntryStatistics> Placer::Statistics() const {
+  return state_->statistics.All();
+}
+
+void Placer::CheckInvariants() const { CheckZoneInvariants(*state_); }
+
+}  // namespace chivewing
--- /dev/null
+++ b/src/placement/preemption.cc
@@ -0,0 +1,83 @@
+#include "placement/preemption.h"
+
+#include <algorithm>
+#include <tuple>
+
+#include "placement/zone_state.h"
+
+namespace chivewing {
+namespace {
+
+int PriorityOf(const ZoneState& state, TaskIndex task) {
+  return state.jobs.at(state.tasks.at(task).job).spec.priority;
+}
+
+bool IsVictim(const ZoneState& state, const Task& task, const JobSpec& urgent) {
+  if (task.state != TaskState::kRunning || task.job == kNoIndex) return false;
+  const JobSpec& spec = state.jobs.at(task.job).spec;
+  return spec.checkpointable && !spec.urgent && spec.priority < urgent.priority;
+}
+
+// All possible victims on a worker, in the order in which they are taken.
+std::vector<TaskIndex> VictimsOn(const ZoneState& state, WorkerIndex worker,
+                                 const JobSpec& urgent) {
+  std::vector<TaskIndex> victims;
+  for (const TaskIndex task : state.workers.at(worker).tasks) {
+    if (IsVictim(state, state.tasks.at(task), urgent)) victims.push_back(task);
+  }
+  std::sort(victims.begin(), victims.end(), [&state](TaskIndex a, TaskIndex b) {
+    const int priority_a = PriorityOf(state, a);
+    const int priority_b = PriorityOf(state, b);
+    if (priority_a != priority_b) return priority_a < priority_b;
+    return state.tasks.at(a).started > state.tasks.at(b).started;
+  });
+  return victims;
+}
+
+// Takes victims in order until the task fits, then spares those that turned
+// out not to be needed; empty when even all of them make too little room.
+std::vector<TaskIndex> ChooseVictims(const ZoneState& state, WorkerIndex worker,
+                                     const JobSpec& urgent) {
+  const Worker& known = state.workers.at(worker);
+  Resources room = known.spec.capacity - known.reserved - known.urgent_hold;
+  std::vector<TaskIndex> taken;
+  for (const TaskIndex victim : VictimsOn(state, worker, urgent)) {
+    if (Fits(urgent.per_task, room)) break;
+    room += state.tasks.at(victim).resources;
+    taken.push_back(victim);
+  }
+  if (!Fits(urgent.per_task, room)) return {};
+  for (std::size_t left = taken.size(); left-- > 0;) {
+    const Resources& size = state.tasks.at(taken[left]).resources;
+    if (!Fits(urgent.per_task, room - size)) continue;
+    room -= size;
+    taken.erase(taken.begin() + static_cast<std::ptrdiff_t>(left));
+  }
+  return taken;
+}
+
+}  // namespace
+
+std::optional<PreemptionPlan> PlanPreemption(const ZoneState& state,
+                                             const JobSpec& urgent) {
+  std::optional<PreemptionPlan> best;
+  std::tuple<int, std::size_t> best_harm;
+  for (WorkerIndex worker = 0; worker < state.workers.end_index(); ++worker) {
+    if (!state.workers.Has(worker) || !state.workers.IsOpen(worker)) continue;
+    if (!Fits(urgent.per_task, state.workers.at(worker).spec.capacity))
+      continue;
+    std::vector<TaskIndex> victims = ChooseVictims(state, worker, urgent);
+    if (victims.empty()) continue;
+    int highest = PriorityOf(state, victims.front());
+    for (const TaskIndex victim : victims) {
+      highest = std::max(highest, PriorityOf(state, victim));
+    }
+    const std::tuple<int, std::size_t> harm(highest, victims.size());
+    if (best && harm >= best_harm) continue;
+    best_harm = harm;
+    best = PreemptionPlan{worker, std::move(victims)};
+  }
+  return best;
+}
+
+}  // namespace chivewing
--- /dev/null
+++ b/src/placement/preemption.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <optional>
+#include <vector>
+
+#include "base/time.h"
+#include "placement/indices.h"
+#include "placement/job_spec.h"
+
+namespace chivewing {
+
+struct ZoneState;
+
+// Tasks to checkpoint on one worker so that an urgent task fits.
+struct PreemptionPlan {
+  WorkerIndex worker = kNoIndex;
+  std::vector<TaskIndex> victims;
+};
+
+// Looks for the worker on which an urgent task fits at the least harm: victims
+// are checkpointable, of lower priority, lowest priority and newest first; of
+// several workers the one whose most important victim matters least, then the
+// one with the fewest victims.
+std::optional<PreemptionPlan> PlanPreemption(const ZoneState& state,
+                                             const JobSpec& urgent);
+
+}  // namespace chivewing
--- /dev/null
+++ b/src/placement/resources.cc
@@ -0,0 +1,57 @@
+#include "placement/resources.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace chivewing {
+namespace {
+
+std::int64_t CountFits(std::int64_t demand, std::int64_t room) {
+  if (demand <= 0) return std::numeric_limits<std::int64_t>::max();
+  return room / demand;
+}
+
+}  // namespace
+
+std::string_view Name(Dimension dimension) {
+  switch (dimension) {
+    case Dimension::kProcessors:
+      return "processors_milli";
+    case Dimension::kMemory:
+      return "memory_mb";
+    case Dimension::kAccelerators:
+      return "accelerators";
+  }
+  return "";
+}
+
+Resources Largest(const Resources& left, const Resources& right) {
+  return {std::max(left.processors_milli, right.processors_milli),
+          std::max(left.memory_mb, right.memory_mb),
+          std::max(left.accelerators, right.accelerators)};
+}
+
+std::int64_t CountFits(const Resources& demand, const Resources& room) {
+  if (!Fits(demand, room)) return 0;
+  return std::min({CountFits(demand.processors_milli, room.processors_milli),
+                   CountFits(demand.memory_mb, room.memory_mb),
+                   CountFits(demand.accelerators, room.accelerators)});
+}
+
+std::optional<Dimension> FirstLack(const Resources& demand,
+                                   const Resources& room) {
+  if (demand.processors_milli > room.processors_milli) {
+    return Dimension::kProcessors;
+  }
+  if (demand.memory_mb > room.memory_mb) return Dimension::kMemory;
+  if (demand.accelerators > room.accelerators) return Dimension::kAccelerators;
+  return std::nullopt;
+}
+
+std::string Describe(const Resources& amount) {
+  return std::to_string(amount.processors_milli) + " processors_milli, " +
+         std::to_string(amount.memory_mb) + " memory_mb, " +
+         std::to_string(amount.accelerators) + " accelerators";
+}
+
+}  // namespace chivewing
--- /dev/null
+++ b/src/placement/resources.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace chivewing {
+
+// One of the three dimensions in which workers have room.
+enum class Dimension { kProcessors, kMemory, kAccelerators };
+
+// The name of a dimension with its unit, as used in sentences to users.
+std::string_view Name(Dimension dimension);
+
+// An amount in each dimension: thousandths of a processor, megabytes, whole
+// accelerators.
+struct Resources {
+  std::int64_t processors_milli = 0;
+  std::int64_t memory_mb = 0;
+  std::int64_t accelerators = 0;
+
+  Resources& operator+=(const Resources& other) {
+    processors_milli += other.processors_milli;
+    memory_mb += other.memory_mb;
+    accelerators += other.accelerators;
+    return *this;
+  }
+  Resources& operator-=(const Resources& other) {
+    processors_milli -= other.processors_milli;
+    memory_mb -= other.memory_mb;
+    accelerators -= other.accelerators;
+    return *this;
+  }
+  friend Resources operator+(Resources left, const Resources& right) {
+    return left += right;
+  }
+  friend Resources operator-(Resources left, const Resources& right) {
+    return left -= right;
+  }
+  friend Resources operator*(const Resources& one, std::int64_t count) {
+    return {one.processors_milli * count, one.memory_mb * count,
+            one.accelerators * count};
+  }
+  friend bool operator==(const Resources&, const Resources&) = default;
+};
+
+// Whether `demand` fits into `room` in every dimension.
+inline bool Fits(const Resources& demand, const Resources& room) {
+  return demand.processors_milli <= room.processors_milli &&
+         demand.memory_mb <= room.memory_mb &&
+         demand.accelerators <= room.accelerators;
+}
+
+// The larger of both amounts in each dimension.
+Resources Largest(const Resources& left, const Resources& right);
+
+// How many times `demand` fits into `room`; 0 when it does not fit once.
+std::int64_t CountFits(const Resources& demand, const Resources& room);
+
+// The first dimension in which `demand` exceeds `room`.
+std::optional<Dimension> FirstLack(const Resources& demand,
+                                   const Resources& room);
+
+// "2000 processors_milli, 4096 memory_mb, 0 accelerators".
+std::string Describe(const Resources& amount);
+
+}  // namespace chivewing
--- /dev/null
+++ b/src/placement/scheduler.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <cstddef>
+#include <optional>
+
+#include "base/time.h"
+#include "placement/effect.h"
+#include "placement/indices.h"
+#include "placement/lane_queue.h"
+#include "placement/worker_choice.h"
+
+namespace chivewing {
+
+struct Job;
+struct ZoneState;
+
+// Decides which waiting tasks start, and where. Jobs are taken by priority; a
+// job that cannot start blocks only the jobs that wait for the same.
+class Scheduler {
+ public:
+  explicit Scheduler(ZoneState& state) : state_(state) {}
+
+  std::optional<BatchId> Decide(TimePoint now, std::size_t max_starts,
+                                Effects& effects);
+
+ private:
+  // What came of trying the first job of a lane.
+  enum class Outcome {
+    kPlaced,   // the lane may have more
+    kNoRoom,   // nothing in the lane fits until room grows
+    kBlocked,  // nothing in the lane fits now for another reason
+  };
+
+  void RequeueHeldJobs(TimePoint now);
+  void TickHealth(TimePoint now, Effects& effects);
+  void RunLanes(Effects& effects);
+  Outcome PlaceFirst(const LaneKey& key, Lane& lane, Effects& effects);
+  Outcome PlaceTasks(JobIndex index, Effects& effects);
+  Outcome PlaceGang(JobIndex index, Effects& effects);
+  void StartGang(JobIndex index, Effects& effects);
+  void ReserveForGang(JobIndex index);
+
+  WorkerIndex FindWorker(JobIndex index, Effects& effects);
+  WorkerIndex FindBackfill(const Job& job) const;
+  WorkerIndex FindUrgent(JobIndex index, Effects& effects);
+  int RackLimit(const Job& job) const;
+  void StartOn(JobIndex index, WorkerIndex worker, Effects& effects);
+  void ReportUnplaceable(JobIndex index, Effects& effects);
+
+  ZoneState& state_;
+  // Of the decision in progress.
+  TimePoint now_;
+  std::size_t starts_left_ = 0;
+  BatchId batch_ = 0;
+};
+
+}  // namespace chivewing
--- /dev/null
+++ b/src/placement/service_trim.cc
@@ -0,0 +1,62 @@
+#include "placement/service_trim.h"
+
+#include <algorithm>
+#include <vector>
+
+#include "placement/zone_state.h"
+
+namespace chivewing {
+namespace {
+
+bool CanBeStopped(const Task& task) {
+  return task.state == TaskState::kRunning ||
+         task.state == TaskState::kLaunched;
+}
+
+void StopReplaced(ZoneState& state, TimePoint now, JobIndex index,
+                  Effects& effects) {
+  const Job& job = state.jobs.at(index);
+  int running = 0;
+  for (const TaskIndex task : job.tasks) {
+    const Task& known = state.tasks.at(task);
+    if (known.state == TaskState::kRunning && !known.replaced) ++running;
+  }
+  if (running < job.spec.tasks) return;
+  for (const TaskIndex task : job.tasks) {
+    const Task& known = state.tasks.at(task);
+    if (!known.replaced || !CanBeStopped(known)) continue;
+    state.StopOneTask(now, task, StopMode::kStop,
+                      "another instance has taken its place", effects);
+  }
+}
+
+void StopSurplus(ZoneState& state, TimePoint now, JobIndex index,
+                 Effects& effects) {
+  const Job& job = state.jobs.at(index);
+  int surplus = job.active - job.spec.tasks;
+  if (surplus <= 0) return;
+  std::vector<TaskIndex> newest;
+  for (const TaskIndex task : job.tasks) {
+    const Task& known = state.tasks.at(task);
+    if (!known.replaced && CanBeStopped(known)) newest.push_back(task);
+  }
+  std::sort(newest.begin(), newest.end(), [&state](TaskIndex a, TaskIndex b) {
+    return state.tasks.at(a).started > state.tasks.at(b).started;
+  });
+  for (const TaskIndex task : newest) {
+    if (surplus-- <= 0) return;
+    state.StopOneTask(now, task, StopMode::kStop,
+                      "more instances run than are wanted", effects);
+  }
+}
+
+}  // namespace
+
+void TrimService(ZoneState& state, TimePoint now, JobIndex job,
+                 Effects& effects) {
+  if (state.jobs.at(job).spec.job_class != JobClass::kService) return;
+  StopReplaced(state, now, job, effects);
+  StopSurplus(state, now, job, effects);
+}
+
+}  // namespace chivewing
--- /dev/null
+++ b/src/placement/service_trim.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "base/time.h"
+#include "placement/effect.h"
+#include "placement/indices.h"
+
+namespace chivewing {
+
+struct ZoneState;
+
+// Stops instances of a service that are no longer needed: those that others
+// have taken the place of, once enough others run, and the newest of those
+// beyond the wanted number. Does nothing for other classes.
+void TrimService(ZoneState& state, TimePoint now, JobIndex job,
+                 Effects& effects);
+
+}  // namespace chivewing
--- /dev/null
+++ b/src/placement/task_events.cc
@@ -0,0 +1,262 @@
+#include "placement/task_events.h"
+
+#include <vector>
+
+#include "placement/check.h"
+#include "placement/service_trim.h"
+#include "placement/zone_state.h"
+
+namespace chivewing {
+
+void TaskEvents::Restore(TimePoint now, const CommittedTask& row,
+                         Effects& effects) {
+  if (state_.tasks.Find(row.id) != kNoIndex) return;
+  const WorkerIndex worker = FindOrAddWorker(row.worker);
+  Task task;
+  task.id = row.id;
+  task.job = state_.jobs.Find(row.job);
+  task.entry = row.entry;
+  task.owner = row.owner;
+  task.worker = worker;
+  task.resources = row.resources;
+  task.state =
+      row.state == TaskState::kReserved ? TaskState::kLaunched : row.state;
+  task.since = row.since;
+  task.started = row.since;
+  const TaskIndex index = state_.AddTask(std::move(task), /*occupy=*/true);
+  const Task& added = state_.tasks.at(index);
+  if (added.job == kNoIndex) {
+    state_.StopOneTask(now, index, StopMode::kStop, "its job is not known",
+                       effects);
+    return;
+  }
+  const bool closed =
+      state_.workers.at(worker).spec.state != WorkerState::kLive;
+  if (closed) MoveAway(now, index, effects);
+  TrimService(state_, now, added.job, effects);
+  state_.UpdateWaiting(now, added.job);
+}
+
+WorkerIndex TaskEvents::FindOrAddWorker(const WorkerId& id) {
+  const WorkerIndex known = state_.workers.Find(id);
+  if (known != kNoIndex) return known;
+  // The list of workers lags: the task may run, so its job must wait for it.
+  WorkerSpec unlisted;
+  unlisted.id = id;
+  unlisted.state = WorkerState::kOutOfUse;
+  return state_.workers.Upsert(unlisted);
+}
+
+void TaskEvents::RestoreDone(const JobId& job) {
+  const JobIndex index = state_.jobs.Find(job);
+  if (index != kNoIndex) ++state_.jobs.at(index).done;
+}
+
+void TaskEvents::CommitSucceeded(TimePoint now, BatchId batch,
+                                 Effects& effects) {
+  const auto found = state_.batches.find(batch);
+  if (found == state_.batches.end()) return;
+  const Batch ready = std::move(found->second);
+  state_.batches.erase(found);
+  for (const TaskId& task : ready.dropped) {
+    effects.emplace_back(DropTask{task});
+  }
+  for (const TaskIndex index : ready.tasks) {
+    Task& task = state_.tasks.at(index);
+    if (!IsWanted(index)) {
+      effects.emplace_back(DropTask{task.id});
+      Finish(now, index, /*done=*/false, effects);
+      continue;
+    }
+    task.state = TaskState::kLaunched;
+    task.since = now;
+    task.started = now;
+    effects.emplace_back(LaunchTask{task.id, state_.jobs.at(task.job).spec.id,
+                                    state_.workers.at(task.worker).spec.id});
+  }
+}
+
+void TaskEvents::CommitFailed(TimePoint now, BatchId batch, Effects& effects) {
+  const auto found = state_.batches.find(batch);
+  if (found == state_.batches.end()) return;
+  const Batch refused = std::move(found->second);
+  state_.batches.erase(found);
+  for (const TaskIndex index : refused.tasks) {
+    const JobIndex job = state_.tasks.at(index).job;
+    state_.FinishTask(index);
+    if (job != kNoIndex) state_.FinishJobIfDone(now, job, effects);
+  }
+}
+
+void TaskEvents::Started(TimePoint now, const TaskId& id, Effects& effects) {
+  const TaskIndex index = state_.tasks.Find(id);
+  if (index == kNoIndex) return;
+  Task& task = state_.tasks.at(index);
+  if (task.state == TaskState::kLaunched) {
+    task.state = TaskState::kRunning;
+    task.since = now;
+    task.started = now;
+  } else if (task.state == TaskState::kSuspect) {
+    // It was only silent.
+    task.state = TaskState::kRunning;
+    if (state_.workers.at(task.worker).spec.state == WorkerState::kLive) {
+      state_.UnmarkReplaced(index);
+    }
+  }
+  if (task.job == kNoIndex) return;
+  TrimService(state_, now, task.job, effects);
+  state_.UpdateWaiting(now, task.job);
+}
+
+void TaskEvents::StartFailed(TimePoint now, const TaskId& id,
+                             StartFailure failure, Effects& effects) {
+  const TaskIndex index = state_.tasks.Find(id);
+  if (index == kNoIndex) return;
+  Check(state_.tasks.at(index).state != TaskState::kReserved,
+        "a task failed to start before its commit was confirmed");
+  if (failure == StartFailure::kFailed) {
+    state_.AddFailure(now, state_.tasks.at(index), effects);
+  }
+  Finish(now, index, /*done=*/false, effects);
+}
+
+void TaskEvents::Ended(TimePoint now, const TaskId& id, TaskEnd end,
+                       Effects& effects) {
+  const TaskIndex index = state_.tasks.Find(id);
+  if (index == kNoIndex) return;
+  Check(state_.tasks.at(index).state != TaskState::kReserved,
+        "a task ended before its commit was confirmed");
+  LearnFrom(now, index, end, effects);
+  Finish(now, index, end == TaskEnd::kDone, effects);
+}
+
+void TaskEvents::Lost(TimePoint now, const TaskId& id, Effects& /*effects*/) {
+  const TaskIndex index = state_.tasks.Find(id);
+  if (index == kNoIndex) return;
+  Task& task = state_.tasks.at(index);
+  const bool may_run =
+      task.state == TaskState::kLaunched || task.state == TaskState::kRunning;
+  if (!may_run) return;
+  task.state = TaskState::kSuspect;
+  task.since = now;
+  if (task.job == kNoIndex) return;
+  if (state_.jobs.at(task.job).spec.job_class != JobClass::kService) return;
+  state_.MarkReplaced(index);
+  state_.UpdateWaiting(now, task.job);
+}
+
+void TaskEvents::LeaseExpired(TimePoint now, const TaskId& id,
+                              Effects& effects) {
+  const TaskIndex index = state_.tasks.Find(id);
+  if (index == kNoIndex) return;
+  if (state_.tasks.at(index).state == TaskState::kReserved) return;
+  Finish(now, index, /*done=*/false, effects);
+}
+
+void TaskEvents::WorkerGone(TimePoint now, WorkerIndex worker,
+                            Effects& effects) {
+  const std::vector<TaskIndex> tasks = state_.workers.at(worker).tasks;
+  for (const TaskIndex index : tasks) {
+    const Task& task = state_.tasks.at(index);
+    if (task.state == TaskState::kReserved) {
+      Batch& batch = state_.batches[task.batch];
+      std::erase(batch.tasks, index);
+      batch.dropped.push_back(task.id);
+    }
+    Finish(now, index, /*done=*/false, effects);
+  }
+}
+
+void TaskEvents::WorkerLeaving(TimePoint now, WorkerIndex worker,
+                               Effects& effects) {
+  const std::vector<TaskIndex> tasks = state_.workers.at(worker).tasks;
+  for (const TaskIndex task : tasks) MoveAway(now, task, effects);
+}
+
+void TaskEvents::WorkerBack(WorkerIndex worker) {
+  for (const TaskIndex index : state_.workers.at(worker).tasks) {
+    const TaskState state = state_.tasks.at(index).state;
+    const bool runs =
+        state == TaskState::kRunning || state == TaskState::kLaunched;
+    if (runs) state_.UnmarkReplaced(index);
+  }
+}
+
+void TaskEvents::MoveAway(TimePoint now, TaskIndex index, Effects& effects) {
+  const Task& task = state_.tasks.at(index);
+  const bool runs =
+      task.state == TaskState::kRunning || task.state == TaskState::kLaunched;
+  if (!runs || task.job == kNoIndex) return;
+  const JobIndex job_index = task.job;
+  const JobSpec& spec = state_.jobs.at(job_index).spec;
+  const std::string_view reason = "its worker is leaving";
+  switch (spec.job_class) {
+    case JobClass::kService:
+      // It goes on until another instance runs.
+      state_.MarkReplaced(index);
+      break;
+    case JobClass::kSingleton:
+      state_.StopOneTask(now, index, state_.GentlestStop(task), reason,
+                         effects);
+      break;
+    case JobClass::kBatch:
+      if (!spec.checkpointable) break;
+      state_.StopOneTask(now, index, StopMode::kCheckpoint, reason, effects);
+      break;
+    case JobClass::kGang:
+      if (spec.checkpointable) RestartGang(now, job_index, effects);
+      break;
+  }
+  state_.UpdateWaiting(now, job_index);
+}
+
+bool TaskEvents::IsWanted(TaskIndex index) const {
+  const Task& task = state_.tasks.at(index);
+  if (task.job == kNoIndex) return false;
+  const Job& job = state_.jobs.at(task.job);
+  if (job.cancelled || job.restarting) return false;
+  return state_.workers.at(task.worker).spec.state == WorkerState::kLive;
+}
+
+void TaskEvents::LearnFrom(TimePoint now, TaskIndex index, TaskEnd end,
+                           Effects& effects) {
+  const Task& task = state_.tasks.at(index);
+  const Duration ran = now - task.started;
+  if (end == TaskEnd::kDone) state_.statistics.AddRun(task.entry, ran);
+  const bool proven = ran >= state_.options.health.proven_run;
+  if (end == TaskEnd::kDone || (end == TaskEnd::kFailed && proven)) {
+    state_.AddSuccess(task);
+    return;
+  }
+  if (end == TaskEnd::kFailed) state_.AddFailure(now, task, effects);
+}
+
+void TaskEvents::Finish(TimePoint now, TaskIndex index, bool done,
+                        Effects& effects) {
+  const JobIndex job_index = state_.tasks.at(index).job;
+  state_.FinishTask(index);
+  if (job_index == kNoIndex) return;
+  Job& job = state_.jobs.at(job_index);
+  if (done) {
+    ++job.done;
+  } else if (job.spec.job_class == JobClass::kGang) {
+    RestartGang(now, job_index, effects);
+  }
+  state_.FinishJobIfDone(now, job_index, effects);
+}
+
+void TaskEvents::RestartGang(TimePoint now, JobIndex index, Effects& effects) {
+  Job& job = state_.jobs.at(index);
+  if (job.cancelled || job.restarting) return;
+  job.restarting = true;
+  const std::vector<TaskIndex> tasks = job.tasks;
+  for (const TaskIndex task : tasks) {
+    const Task& known = state_.tasks.at(task);
+    // A task whose commit is pending is dropped when that is confirmed.
+    if (known.state == TaskState::kReserved) continue;
+    state_.StopOneTask(now, task, state_.GentlestStop(known),
+                       "the gang lost a task", effects);
+  }
+}
+
+}  // namespace chivewing
--- /dev/null
+++ b/src/placement/task_events.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "base/id.h"
+#include "base/time.h"
+#include "placement/effect.h"
+#include "placement/indices.h"
+#include "placement/task_state.h"
+
+namespace chivewing {
+
+struct ZoneState;
+
+// What the table and the workers say of tasks.
+class TaskEvents {
+ public:
+  explicit TaskEvents(ZoneState& state) : state_(state) {}
+
+  void Restore(TimePoint now, const CommittedTask& row, Effects& effects);
+  void RestoreDone(const JobId& job);
+  void CommitSucceeded(TimePoint now, BatchId batch, Effects& effects);
+  void CommitFailed(TimePoint now, BatchId batch, Effects& effects);
+
+  void Started(TimePoint now, const TaskId& id, Effects& effects);
+  void StartFailed(TimePoint now, const TaskId& id, StartFailure failure,
+                   Effects& effects);
+  void Ended(TimePoint now, const TaskId& id, TaskEnd end, Effects& effects);
+  void Lost(TimePoint now, const TaskId& id, Effects& effects);
+  void LeaseExpired(TimePoint now, const TaskId& id, Effects& effects);
+
+  // The worker is gone with all its tasks.
+  void WorkerGone(TimePoint now, WorkerIndex worker, Effects& effects);
+  // The worker takes no new tasks: moves its tasks away.
+  void WorkerLeaving(TimePoint now, WorkerIndex worker, Effects& effects);
+  // The worker takes tasks again.
+  void WorkerBack(WorkerIndex worker);
+
+ private:
+  WorkerIndex FindOrAddWorker(const WorkerId& id);
+  void MoveAway(TimePoint now, TaskIndex index, Effects& effects);
+  // Whether a committed task should still be launched.
+  bool IsWanted(TaskIndex index) const;
+  void LearnFrom(TimePoint now, TaskIndex index, TaskEnd end, Effects& effects);
+  // Frees the room of a task and lets its job go on.
+  void Finish(TimePoint now, TaskIndex index, bool done, Effects& effects);
+  // A gang without one of its tasks is stopped and starts again as a whole.
+  void RestartGang(TimePoint now, JobIndex index, Effects& effects);
+
+  ZoneState& state_;
+};
+
+}  // namespace chivewing
--- /dev/null
+++ b/src/placement/usage_guard.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "base/id.h"
+#include "base/time.h"
+#include "placement/effect.h"
+#include "placement/indices.h"
+#include "placement/resources.h"
+
+namespace chivewing {
+
+struct Task;
+struct ZoneState;
+
+// Holds tasks to their declared size. A task above it is throttled; while a
+// worker as a whole uses more than it has, tasks above their size are
+// checkpointed or stopped, lowest priority and newest first.
+class UsageGuard {
+ public:
+  explicit UsageGuard(ZoneState& state) : state_(state) {}
+
+  void Report(TimePoint now, const TaskId& id, const Resources& used,
+              Effects& effects);
+
+ private:
+  bool IsOver(const Task& task) const;
+  void Throttle(TaskIndex index, Effects& effects);
+  void RelieveWorker(TimePoint now, WorkerIndex worker_index, Effects& effects);
+
+  ZoneState& state_;
+};
+
+}  // namespace chivewing
--- /dev/null
+++ b/src/placement/wait_explainer.cc
@@ -0,0 +1,124 @@
+#include "placement/wait_explainer.h"
+
+#include <algorithm>
+
+#include "placement/worker_choice.h"
+#include "placement/zone_state.h"
+
+namespace chivewing {
+namespace {
+
+std::string Seconds(Duration duration) {
+  const auto seconds =
+      std::chrono::duration_cast<std::chrono::seconds>(duration);
+  return std::to_string(seconds.count()) + " s";
+}
+
+// Amount that the job needs at once.
+Resources NeededAtOnce(const JobSpec& spec) {
+  return spec.job_class == JobClass::kGang ? spec.per_task * spec.tasks
+                                           : spec.per_task;
+}
+
+WaitReason ExplainQuota(const ZoneState& state, const JobSpec& spec) {
+  const Resources quota = *state.quotas.Quota(spec.owner);
+  const bool alone = !Fits(NeededAtOnce(spec), quota);
+  const std::string used = Describe(state.quotas.Used(spec.owner));
+  const std::string rest = alone ? "the job alone needs more than the quota of "
+                                 : "the quota is used up: ";
+  return {ResultCode::kOverQuota, rest + "owner " + spec.owner.value() +
+                                      " uses " + used + " of " +
+                                      Describe(quota)};
+}
+
+WaitReason ExplainGang(const ZoneState& state, TimePoint now, const Job& job) {
+  const JobSpec& spec = job.spec;
+  const std::int64_t room = CountRoom(state.workers, spec.per_task, spec.tasks);
+  std::string sentence =
+      "waits for room for all " + std::to_string(spec.tasks) +
+      " tasks at once; there is room for " + std::to_string(room) + " now";
+  const auto& reservation = state.reservation;
+  if (reservation && state.jobs.at(reservation->job).spec.id == spec.id) {
+    const Duration left = std::max(Duration(0), reservation->start - now);
+    sentence += "; room is reserved, expected in " + Seconds(left);
+  }
+  return {ResultCode::kNoRoom, sentence};
+}
+
+std::string ExplainRoom(const ZoneState& state, const JobSpec& spec) {
+  std::size_t quarantined = 0;
+  std::size_t fitting = 0;
+  Resources largest;
+  for (WorkerIndex index = 0; index < state.workers.end_index(); ++index) {
+    if (!state.workers.Has(index)) continue;
+    const Worker& worker = state.workers.at(index);
+    if (worker.spec.state != WorkerState::kLive) continue;
+    const Resources free = worker.spec.capacity - worker.reserved;
+    largest = Largest(largest, free);
+    if (!Fits(spec.per_task, free)) continue;
+    ++fitting;
+    if (worker.quarantined) ++quarantined;
+  }
+  if (fitting > 0 && fitting == quarantined) {
+    return "waits for room: the " + std::to_string(fitting) +
+           " workers with room are in quarantine";
+  }
+  if (fitting > 0) {
+    return "waits: " + std::to_string(fitting) +
+           " workers have room, but it is kept for a gang, for urgent work or "
+           "by the limit of instances in a rack";
+  }
+  return "waits for room: a task needs " + Describe(spec.per_task) +
+         ", the most free in each dimension is " + Describe(largest);
+}
+
+bool HasClosedRoomOnly(const std::string& sentence) {
+  return sentence.find("quarantine") != std::string::npos;
+}
+
+}  // namespace
+
+WaitReason ExplainWait(const ZoneState& state, TimePoint now, const Job& job) {
+  const JobSpec& spec = job.spec;
+  if (job.cancelled) {
+    return {ResultCode::kCancelled, "cancelled; waits for its tasks to stop"};
+  }
+  const TimePoint held_until = state.health.HeldUntil(spec.id);
+  if (held_until > now) {
+    return {ResultCode::kNotPlacedYet,
+            "held back for " + Seconds(held_until - now) +
+                " because its tasks failed on several workers"};
+  }
+  if (state.MissingTasks(job) == 0) {
+    if (job.tasks.empty()) return {};
+    const bool restart = job.restarting;
+    if (restart) {
+      return {ResultCode::kNotPlacedYet,
+              "starts again when all tasks of the gang have stopped"};
+    }
+    const bool waits_for_stop =
+        spec.job_class == JobClass::kSingleton &&
+        state.tasks.at(job.tasks.front()).state != TaskState::kRunning;
+    if (waits_for_stop) {
+      return {ResultCode::kNotPlacedYet,
+              "its one task is starting, stopping or silent; another starts "
+              "only after its end is certain"};
+    }
+    return {};
+  }
+  if (state.workers.size() == 0) {
+    return {ResultCode::kNotPlacedYet, "no worker is known yet"};
+  }
+  const std::string never = state.WhyNeverFits(spec);
+  if (!never.empty()) return {ResultCode::kNeverFits, never};
+  if (!state.quotas.Allows(spec.owner, NeededAtOnce(spec))) {
+    return ExplainQuota(state, spec);
+  }
+  if (spec.job_class == JobClass::kGang) return ExplainGang(state, now, job);
+  const std::string room = ExplainRoom(state, spec);
+  return {HasClosedRoomOnly(room) ? ResultCode::kWorkerQuarantined
+                                  : ResultCode::kNoRoom,
+          room};
+}
+
+}  // namespace chivewing
--- /dev/null
+++ b/src/placement/zone_state.cc
@@ -0,0 +1,340 @@
+#include "placement/zone_state.h"
+
+#include <algorithm>
+#include <limits>
+
+#include "placement/check.h"
+
+namespace chivewing {
+namespace {
+
+// A task whose run time is unknown is expected to run on at least this long.
+constexpr Duration kLeastRemaining = std::chrono::seconds(60);
+
+bool IsLongRunning(JobClass job_class) {
+  return job_class == JobClass::kService || job_class == JobClass::kSingleton;
+}
+
+}  // namespace
+
+ZoneState::ZoneState(PlacerOptions placer_options, std::uint64_t lease_epoch)
+    : options(placer_options),
+      epoch(lease_epoch),
+      health(placer_options.health) {}
+
+TaskIndex ZoneState::AddTask(Task task, bool occupy) {
+  const TaskId id = task.id;
+  const TaskIndex index = tasks.Add(id, std::move(task));
+  const Task& added = tasks.at(index);
+  if (occupy) {
+    workers.Occupy(added.worker, index, added.resources);
+  } else {
+    workers.Reserve(added.worker, index, added.resources);
+  }
+  quotas.Add(added.owner, added.resources);
+  if (added.job == kNoIndex) return index;
+  Job& job = jobs.at(added.job);
+  job.tasks.push_back(index);
+  CountInstance(job, added.worker, 1);
+  return index;
+}
+
+void ZoneState::FinishTask(TaskIndex task) {
+  const Task& ended = tasks.at(task);
+  workers.Release(ended.worker, task, ended.resources);
+  quotas.Subtract(ended.owner, ended.resources);
+  if (ended.job != kNoIndex) {
+    Job& job = jobs.at(ended.job);
+    const auto held = std::find(job.tasks.begin(), job.tasks.end(), task);
+    Check(held != job.tasks.end(), "a task is missing from its job");
+    *held = job.tasks.back();
+    job.tasks.pop_back();
+    if (!ended.replaced) CountInstance(job, ended.worker, -1);
+  }
+  const TaskId id = ended.id;
+  tasks.Remove(id);
+}
+
+void ZoneState::MarkReplaced(TaskIndex task) {
+  Task& known = tasks.at(task);
+  if (known.replaced || known.job == kNoIndex) return;
+  known.replaced = true;
+  CountInstance(jobs.at(known.job), known.worker, -1);
+}
+
+void ZoneState::UnmarkReplaced(TaskIndex task) {
+  Task& known = tasks.at(task);
+  if (!known.replaced || known.job == kNoIndex) return;
+  known.replaced = false;
+  CountInstance(jobs.at(known.job), known.worker, 1);
+}
+
+void ZoneState::CountInstance(Job& job, WorkerIndex worker, int change) {
+  job.active += change;
+  if (!job.spec.spread) return;
+  const RackIndex rack = workers.at(worker).rack;
+  if (job.rack_instances.size() <= rack) job.rack_instances.resize(rack + 1);
+  job.rack_instances[rack] += change;
+}
+
+int ZoneState::MissingTasks(const Job& job) const {
+  if (job.cancelled) return 0;
+  const auto live = static_cast<int>(job.tasks.size());
+  switch (job.spec.job_class) {
+    case JobClass::kService:
+      return std::max(0, job.spec.tasks - job.active);
+    case JobClass::kSingleton:
+      return live == 0 ? 1 : 0;
+    case JobClass::kBatch:
+      return std::max(0, job.spec.tasks - job.done - live);
+    case JobClass::kGang:
+      return live == 0 && job.done < job.spec.tasks ? job.spec.tasks : 0;
+  }
+  return 0;
+}
+
+void ZoneState::UpdateWaiting(TimePoint now, JobIndex index) {
+  Job& job = jobs.at(index);
+  if (job.restarting && job.tasks.empty()) {
+    job.restarting = false;
+    job.done = 0;
+  }
+  const TimePoint held_until = health.HeldUntil(job.spec.id);
+  const bool held = held_until > now;
+  const bool waits = MissingTasks(job) > 0 && !held;
+  if (MissingTasks(job) > 0 && held) {
+    held_jobs.emplace(held_until, job.spec.id);
+  }
+  if (waits == job.place.has_value()) return;
+  const LaneKey key = LaneQueue::KeyOf(job.spec);
+  if (!waits) {
+    queue.Remove(key, *job.place);
+    job.place.reset();
+    return;
+  }
+  TimePoint time = job.spec.submitted;
+  if (job.spec.finish_by) {
+    time = *job.spec.finish_by - ExpectedRunTime(job.spec);
+  }
+  job.place = LanePlace{time, next_arrival++, index};
+  queue.Add(key, *job.place);
+}
+
+void ZoneState::RemoveJob(JobIndex index) {
+  Job& job = jobs.at(index);
+  if (job.place) queue.Remove(LaneQueue::KeyOf(job.spec), *job.place);
+  if (reservation && reservation->job == index) DropReservation();
+  DropClaimsOf(index);
+  for (const TaskIndex task : job.tasks) tasks.at(task).job = kNoIndex;
+  const JobId id = job.spec.id;
+  health.ForgetJob(id);
+  jobs.Remove(id);
+}
+
+void ZoneState::FinishJobIfDone(TimePoint now, JobIndex index,
+                                Effects& effects) {
+  const Job& job = jobs.at(index);
+  const bool all_done =
+      !IsLongRunning(job.spec.job_class) && job.done >= job.spec.tasks;
+  if (!job.tasks.empty() || !(job.cancelled || all_done)) {
+    UpdateWaiting(now, index);
+    return;
+  }
+  effects.emplace_back(JobFinished{job.spec.id, job.cancelled});
+  RemoveJob(index);
+}
+
+void ZoneState::StopOneTask(TimePoint now, TaskIndex task, StopMode mode,
+                            std::string_view reason, Effects& effects) {
+  Task& known = tasks.at(task);
+  if (known.state == TaskState::kStopping) return;
+  Check(known.state != TaskState::kReserved,
+        "a task is stopped before its commit is confirmed");
+  known.state = TaskState::kStopping;
+  known.since = now;
+  MarkReplaced(task);
+  effects.emplace_back(StopTask{known.id, workers.at(known.worker).spec.id,
+                                mode, std::string(reason)});
+}
+
+StopMode ZoneState::GentlestStop(const Task& task) const {
+  const bool can_checkpoint =
+      task.job != kNoIndex && jobs.at(task.job).spec.checkpointable;
+  return can_checkpoint ? StopMode::kCheckpoint : StopMode::kStop;
+}
+
+std::optional<TimePoint> ZoneState::ExpectedEnd(TimePoint now,
+                                                const Task& task) const {
+  if (task.state == TaskState::kStopping) return now;
+  if (task.job == kNoIndex) return now + kLeastRemaining;
+  const JobSpec& spec = jobs.at(task.job).spec;
+  if (IsLongRunning(spec.job_class)) return std::nullopt;
+  const Duration run_time = ExpectedRunTime(spec);
+  const TimePoint declared_end = task.started + run_time;
+  if (run_time > Duration(0) && declared_end > now) return declared_end;
+  // It has outrun what was declared: as long again is the best guess.
+  return now + std::max(kLeastRemaining, now - task.started);
+}
+
+Duration ZoneState::ExpectedRunTime(const JobSpec& job) const {
+  return statistics.ExpectedRunTime(job.entry, job.run_time);
+}
+
+void ZoneState::HoldReservation() {
+  const Resources size = jobs.at(reservation->job).spec.per_task;
+  for (const auto& [worker, places] : reservation->places) {
+    if (workers.Has(worker)) workers.SetGangHold(worker, size * places);
+  }
+}
+
+void ZoneState::LiftReservation() {
+  for (const auto& [worker, places] : reservation->places) {
+    if (workers.Has(worker)) workers.SetGangHold(worker, Resources());
+  }
+}
+
+void ZoneState::DropReservation() {
+  if (!reservation) return;
+  LiftReservation();
+  reservation.reset();
+}
+
+void ZoneState::AddClaim(UrgentClaim claim) {
+  claims.push_back(claim);
+  SetUrgentHold(claim.worker);
+}
+
+void ZoneState::DropClaim(std::size_t claim) {
+  const WorkerIndex worker = claims[claim].worker;
+  claims.erase(claims.begin() + static_cast<std::ptrdiff_t>(claim));
+  SetUrgentHold(worker);
+}
+
+void ZoneState::DropClaimsOf(JobIndex job) {
+  std::vector<WorkerIndex> touched;
+  for (const UrgentClaim& claim : claims) {
+    if (claim.job == job) touched.push_back(claim.worker);
+  }
+  std::erase_if(claims, [job](const auto& claim) { return claim.job == job; });
+  for (const WorkerIndex worker : touched) SetUrgentHold(worker);
+}
+
+void ZoneState::TrimClaims(JobIndex job) {
+  int kept = MissingTasks(jobs.at(job));
+  for (std::size_t claim = 0; claim < claims.size();) {
+    const bool surplus = claims[claim].job == job && kept-- <= 0;
+    if (surplus) {
+      DropClaim(claim);
+    } else {
+      ++claim;
+    }
+  }
+}
+
+void ZoneState::DropClaimsOn(WorkerIndex worker) {
+  std::erase_if(claims, [worker](const UrgentClaim& claim) {
+    return claim.worker == worker;
+  });
+  SetUrgentHold(worker);
+}
+
+void ZoneState::SetUrgentHold(WorkerIndex worker) {
+  if (!workers.Has(worker)) return;
+  Resources hold;
+  for (const UrgentClaim& claim : claims) {
+    if (claim.worker == worker) hold += claim.amount;
+  }
+  workers.SetUrgentHold(worker, hold);
+}
+
+void ZoneState::ApplyHealth(const Effects& effects, std::size_t first) {
+  for (std::size_t index = first; index < effects.size(); ++index) {
+    if (const auto* bad = std::get_if<WorkerQuarantined>(&effects[index])) {
+      const WorkerIndex worker = workers.Find(bad->worker);
+      workers.SetQuarantined(worker, true);
+      DropClaimsOn(worker);
+    }
+    if (const auto* good = std::get_if<WorkerReadmitted>(&effects[index])) {
+      workers.SetQuarantined(workers.Find(good->worker), false);
+    }
+  }
+}
+
+void ZoneState::AddFailure(TimePoint now, const Task& task, Effects& effects) {
+  if (task.job == kNoIndex) return;
+  Job& job = jobs.at(task.job);
+  std::erase(job.avoided, task.worker);
+  job.avoided.push_back(task.worker);
+  const std::size_t first = effects.size();
+  health.AddFailure(now, workers.at(task.worker).spec.id, job.spec.id,
+                    CountLiveWorkers(), effects);
+  ApplyHealth(effects, first);
+}
+
+void ZoneState::AddSuccess(const Task& task) {
+  if (task.job == kNoIndex) return;
+  Job& job = jobs.at(task.job);
+  std::erase(job.avoided, task.worker);
+  health.AddSuccess(workers.at(task.worker).spec.id, job.spec.id);
+}
+
+void ZoneState::ForgetAvoided(WorkerIndex worker) {
+  for (JobIndex index = 0; index < jobs.end_index(); ++index) {
+    if (jobs.Has(index)) std::erase(jobs.at(index).avoided, worker);
+  }
+}
+
+TaskId ZoneState::NewTaskId(const JobId& job) {
+  return TaskId(job.value() + "." + std::to_string(epoch) + "." +
+                std::to_string(next_task++));
+}
+
+std::size_t ZoneState::CountLiveWorkers() const {
+  std::size_t live = 0;
+  for (WorkerIndex index = 0; index < workers.end_index(); ++index) {
+    if (!workers.Has(index)) continue;
+    if (workers.at(index).spec.state == WorkerState::kLive) ++live;
+  }
+  return live;
+}
+
+std::size_t ZoneState::CountUsableRacks() const {
+  std::vector<bool> usable(workers.rack_count());
+  for (WorkerIndex index = 0; index < workers.end_index(); ++index) {
+    if (!workers.Has(index) || !workers.IsOpen(index)) continue;
+    usable[workers.at(index).rack] = true;
+  }
+  return static_cast<std::size_t>(
+      std::count(usable.begin(), usable.end(), true));
+}
+
+std::string ZoneState::WhyNeverFits(const JobSpec& job) const {
+  Resources largest;
+  std::int64_t places = 0;
+  for (WorkerIndex index = 0; index < workers.end_index(); ++index) {
+    if (!workers.Has(index)) continue;
+    const WorkerSpec& spec = workers.at(index).spec;
+    if (spec.state != WorkerState::kLive) continue;
+    largest = Largest(largest, spec.capacity);
+    places += std::min<std::int64_t>(CountFits(job.per_task, spec.capacity),
+                                     job.tasks);
+  }
+  if (const auto lack = FirstLack(job.per_task, largest)) {
+    return "no live worker has enough " + std::string(Name(*lack)) +
+           ": a task needs " + Describe(job.per_task) +
+           ", the most in each dimension is " + Describe(largest);
+  }
+  if (places == 0) {
+    return "no live worker has enough in all dimensions at once: a task "
+           "needs " +
+           Describe(job.per_task);
+  }
+  if (job.job_class == JobClass::kGang && places < job.tasks) {
+    return "all live workers could hold " + std::to_string(places) +
+           " of the " + std::to_string(job.tasks) +
+           " tasks at once, even when empty";
+  }
+  return {};
+}
+
+}  // namespace chivewing
