Request router: public headers and first working version

Cause: an entry host needs one place that decides where each request runs, without I/O or a clock, so that the same code runs in the threads and under random schedules.

Change: src/routing holds the events and effects (router.h, router_effect.h), instances with their slots, connections and health (instance_table), the waiting requests (request_queue), retry budgets, what is believed of peers (peer_table) and when they are told of load (load_reporter). Invariants are checked in every build, since RelWithDebInfo turns assert off.

--- a/src/base/id.h
+++ b/src/base/id.h
@@ -17,6 +17,7 @@
   const std::string& value() const { return value_; }
   bool empty() const { return value_.empty(); }
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 misreads the operator
   friend auto operator<=>(const Id&, const Id&) = default;
   friend bool operator==(const Id&, const Id&) = default;
 
--- /dev/null
+++ b/src/routing/instance.cc
@@ -0,0 +1,165 @@
+#include "routing/instance.h"
+
+#include <algorithm>
+
+#include "routing/invariant.h"
+
+namespace chivewing {
+namespace {
+
+constexpr double kServiceTimeWeight = 0.1;
+constexpr std::uint32_t kTrialSuccesses = 5;
+// Connections kept for probes: one now, one of a holder before.
+constexpr std::uint32_t kReservedConnections = 2;
+
+bool KeepsConnection(TargetOutcome outcome) {
+  return IsDone(outcome) || outcome == TargetOutcome::kRefusedFull ||
+         outcome == TargetOutcome::kRefusedLeaving;
+}
+
+bool MayStillRun(TargetOutcome outcome) {
+  return !IsDone(outcome) && !CertainlyNotRun(outcome);
+}
+
+}  // namespace
+
+Instance::Instance(const InstanceView& view)
+    : view_(view), service_time_(kServiceTimeWeight) {}
+
+std::uint32_t Instance::left_behind() const {
+  return static_cast<std::uint32_t>(left_behind_.size());
+}
+
+bool Instance::dispatchable() const {
+  if (removed_ || view_.state != InstanceState::kInUse) return false;
+  return health_ == Health::kGood || health_ == Health::kTrial;
+}
+
+bool Instance::needs_probe() const {
+  if (removed_) return false;
+  if (health_ == Health::kSuspect || health_ == Health::kPutAside) return true;
+  return !left_behind_.empty() || foreign_ > 0;
+}
+
+std::uint32_t Instance::ConnectionBound() const {
+  if (view_.connections <= kReservedConnections) return 1;
+  return view_.connections - kReservedConnections;
+}
+
+std::uint32_t Instance::usable_slots() const {
+  if (!dispatchable()) return 0;
+  return health_ == Health::kTrial ? 1 : view_.slots;
+}
+
+std::uint32_t Instance::free_slots() const {
+  const std::uint32_t used = in_flight_ + left_behind();
+  const std::uint32_t usable = usable_slots();
+  if (used >= usable) return 0;
+  const std::uint32_t bound = ConnectionBound();
+  const std::uint32_t taken = open_ + foreign_;
+  const std::uint32_t openable = taken >= bound ? 0 : bound - taken;
+  return std::min(usable - used, idle_ + openable);
+}
+
+bool Instance::Start() {
+  RequireInvariant(dispatchable(), "only an instance in use gets new work");
+  RequireInvariant(in_flight_ + left_behind() < view_.slots,
+                   "an instance is not given more than its slots");
+  ++in_flight_;
+  if (idle_ > 0) {
+    --idle_;
+    return false;
+  }
+  ++open_;
+  RequireInvariant(open_ <= view_.connections,
+                   "an instance is not given more than its connections");
+  return true;
+}
+
+void Instance::End(TimePoint now, TargetOutcome outcome, bool fresh,
+                   TimePoint run_end) {
+  --in_flight_;
+  const bool never_opened = outcome == TargetOutcome::kNotSent && fresh;
+  if (KeepsConnection(outcome) ||
+      (outcome == TargetOutcome::kNotSent && !never_opened)) {
+    ++idle_;
+  } else {
+    --open_;
+  }
+  if (MayStillRun(outcome)) LeaveBehind(now, run_end);
+}
+
+void Instance::LeaveBehind(TimePoint now, TimePoint until) {
+  if (until <= now) return;
+  if (in_flight_ + left_behind_.size() >= view_.slots) return;
+  left_behind_.push_back({now, until});
+}
+
+void Instance::LeaveAllBehind(TimePoint now, TimePoint until) {
+  while (in_flight_ + left_behind_.size() < view_.slots) {
+    left_behind_.push_back({now, until});
+  }
+  foreign_ = view_.connections - std::min(view_.connections, open_ + 1);
+  foreign_span_ = {now, until};
+}
+
+void Instance::ApplyStatus(const TargetStatus& status, TimePoint asked_at) {
+  std::uint32_t kept = 0;
+  const auto is_over = [&](const LeftBehind& each) {
+    if (each.since > asked_at) return false;
+    return ++kept > status.running;
+  };
+  left_behind_.erase(
+      std::remove_if(left_behind_.begin(), left_behind_.end(), is_over),
+      left_behind_.end());
+  if (foreign_span_.since > asked_at) return;
+  foreign_ = std::min(foreign_, status.connections);
+}
+
+void Instance::Expire(TimePoint now) {
+  const auto is_over = [now](const LeftBehind& each) {
+    return each.until <= now;
+  };
+  left_behind_.erase(
+      std::remove_if(left_behind_.begin(), left_behind_.end(), is_over),
+      left_behind_.end());
+  if (foreign_span_.until <= now) foreign_ = 0;
+}
+
+std::optional<TimePoint> Instance::NextExpiry() const {
+  std::optional<TimePoint> next;
+  if (foreign_ > 0) next = foreign_span_.until;
+  for (const LeftBehind& each : left_behind_) {
+    if (!next || each.until < *next) next = each.until;
+  }
+  return next;
+}
+
+void Instance::DropIdleConnections() {
+  open_ -= idle_;
+  idle_ = 0;
+}
+
+void Instance::set_health(Health health) {
+  health_ = health;
+  successes_ = 0;
+  good_probes_ = 0;
+  if (health != Health::kTrial) return;
+  failures_ = 0;
+  slow_ = false;
+  service_time_.Reset();
+}
+
+void Instance::AddSuccess(Duration service) {
+  failures_ = 0;
+  service_time_.Add(service);
+  if (health_ != Health::kTrial) return;
+  if (++successes_ >= kTrialSuccesses) health_ = Health::kGood;
+}
+
+std::uint32_t Instance::AddProbe(bool good) {
+  good_probes_ = good ? good_probes_ + 1 : 0;
+  return good_probes_;
+}
+
+}  // namespace chivewing
--- /dev/null
+++ b/src/routing/instance.h
@@ -0,0 +1,112 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+#include "base/time.h"
+#include "routing/instance_view.h"
+#include "routing/router_settings.h"
+#include "routing/router_state.h"
+#include "routing/routing_id.h"
+#include "routing/service_time.h"
+#include "routing/target_outcome.h"
+
+namespace chivewing {
+
+// Slots, connections and health of one instance, as far as this host knows.
+//
+// A slot is free, in flight (a dispatch of ours has no outcome yet) or left
+// behind: work without an answer may still run in it. Left-behind slots come
+// back when the instance reports less running work, or after the longest run
+// time.
+class Instance {
+ public:
+  explicit Instance(const InstanceView& view);
+
+  const InstanceView& view() const { return view_; }
+  void set_view(const InstanceView& view) { view_ = view; }
+  void set_state(InstanceState state) { view_.state = state; }
+  // The share is no longer held here.
+  bool removed() const { return removed_; }
+  void set_removed(bool removed) { removed_ = removed; }
+
+  std::uint32_t in_flight() const { return in_flight_; }
+  std::uint32_t left_behind() const;
+  std::uint32_t open_connections() const { return open_; }
+  // No work of ours runs or may still run there.
+  bool drained() const { return in_flight_ == 0 && left_behind_.empty(); }
+
+  // Slots that count as capacity, and those of them a dispatch can take now.
+  std::uint32_t usable_slots() const;
+  std::uint32_t free_slots() const;
+
+  // Takes a slot and a connection; returns whether the connection is a new one.
+  bool Start();
+  // Gives both back. Work that may still run stays counted until `run_end`.
+  void End(TimePoint now, TargetOutcome outcome, bool fresh, TimePoint run_end);
+  // Counts one more slot as used by unknown work until `until`.
+  void LeaveBehind(TimePoint now, TimePoint until);
+  // Counts every slot and connection as used by a former holder's work.
+  void LeaveAllBehind(TimePoint now, TimePoint until);
+  // Lowers what was left behind before `asked_at` to what the instance reports.
+  void ApplyStatus(const TargetStatus& status, TimePoint asked_at);
+  // Forgets left-behind work whose time is over.
+  void Expire(TimePoint now);
+  std::optional<TimePoint> NextExpiry() const;
+  // Idle connections are being closed.
+  void DropIdleConnections();
+
+  Health health() const { return health_; }
+  void set_health(Health health);
+  std::uint32_t failures() const { return failures_; }
+  void AddFailure() { ++failures_; }
+  // Counts a good answer; ends a trial after enough of them.
+  void AddSuccess(Duration service);
+  const ServiceTime& service_time() const { return service_time_; }
+  bool slow() const { return slow_; }
+  void set_slow(bool slow) { slow_ = slow; }
+
+  // The probe under way, and when the next one is to be sent.
+  std::optional<ProbeId> probe() const { return probe_; }
+  void set_probe(std::optional<ProbeId> probe) { probe_ = probe; }
+  std::optional<TimePoint> probe_due() const { return probe_due_; }
+  void set_probe_due(std::optional<TimePoint> due) { probe_due_ = due; }
+  // Whether only a probe can show what is free or sound there.
+  bool needs_probe() const;
+  // Whether the caller was told that a leaving instance is idle.
+  bool idle_told() const { return idle_told_; }
+  void set_idle_told(bool told) { idle_told_ = told; }
+  // Counts a probe's result; returns the number of good ones in a row.
+  std::uint32_t AddProbe(bool good);
+
+ private:
+  struct LeftBehind {
+    TimePoint since;
+    TimePoint until;
+  };
+
+  bool dispatchable() const;
+  std::uint32_t ConnectionBound() const;
+
+  InstanceView view_;
+  bool removed_ = false;
+  std::uint32_t in_flight_ = 0;
+  std::vector<LeftBehind> left_behind_;
+  std::uint32_t open_ = 0;     // connections of ours
+  std::uint32_t idle_ = 0;     // those without a dispatch
+  std::uint32_t foreign_ = 0;  // connections a former holder may have left
+  LeftBehind foreign_span_{};
+
+  Health health_ = Health::kGood;
+  std::uint32_t failures_ = 0;     // in a row
+  std::uint32_t successes_ = 0;    // since health changed
+  std::uint32_t good_probes_ = 0;  // in a row
+  bool slow_ = false;
+  ServiceTime service_time_;
+  std::optional<ProbeId> probe_;
+  std::optional<TimePoint> probe_due_;
+  bool idle_told_ = false;
+};
+
+}  // namespace chivewing
--- /dev/null
+++ b/src/routing/instance_pool.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <unordered_map>
+
+#include "base/time.h"
+#include "routing/instance.h"
+
+namespace chivewing {
+
+// Number of an instance within one Router.
+enum class InstanceKey : std::uint64_t {};
+
+// The instances of one service and the order in which they take work. Choosing
+// one costs O(log n) in their number.
+class InstancePool {
+ public:
+  explicit InstancePool(double put_aside_share);
+
+  // The instance added under `key`, if there is none yet.
+  Instance& Add(InstanceKey key, const InstanceView& view);
+  Instance* Find(InstanceKey key);
+  const Instance* Find(InstanceKey key) const;
+  void Erase(InstanceKey key);
+  // Must follow each change of an instance.
+  void Refresh(InstanceKey key);
+
+  // The best instance with a free slot, if possible another than `avoid`.
+  std::optional<InstanceKey> Choose(std::optional<InstanceKey> avoid) const;
+
+  std::uint32_t slots() const { return slots_; }
+  std::uint32_t free_slots() const { return free_slots_; }
+  bool empty() const { return members_.empty(); }
+  // Whether one more instance may be put aside.
+  bool MayPutAside() const;
+
+  ServiceTime& service_time() { return service_time_; }
+  const ServiceTime& service_time() const { return service_time_; }
+
+  // Calls `visit` for each instance.
+  template <typename Visit>
+  void ForEach(Visit visit) const {
+    for (const auto& [key, member] : members_) visit(member.instance);
+  }
+
+ private:
+  struct Candidate {
+    double score = 0;  // lower is better
+    InstanceKey key{};
+
+    friend bool operator<(const Candidate& a, const Candidate& b) {
+      if (a.score != b.score) return a.score < b.score;
+      return a.key < b.key;
+    }
+  };
+  struct Member {
+    Instance instance;
+    Candidate candidate;  // as in candidates_ when free is over 0
+    std::uint32_t slots = 0;
+    std::uint32_t free = 0;
+    bool in_use = false;
+    bool put_aside = false;
+  };
+
+  double Score(const Instance& instance) const;
+
+  double put_aside_share_;
+  std::unordered_map<InstanceKey, Member> members_;
+  std::set<Candidate> candidates_;
+  std::uint32_t slots_ = 0;
+  std::uint32_t free_slots_ = 0;
+  std::uint32_t in_use_ = 0;
+  std::uint32_t put_aside_ = 0;
+  ServiceTime service_time_;
+};
+
+}  // namespace chivewing
--- /dev/null
+++ b/src/routing/instance_table.h
@@ -0,0 +1,112 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "base/id.h"
+#include "base/time.h"
+#include "routing/instance_pool.h"
+#include "routing/instance_view.h"
+#include "routing/router_effect.h"
+#include "routing/router_settings.h"
+#include "routing/router_state.h"
+#include "routing/target_outcome.h"
+
+namespace chivewing {
+
+// An instance and the service that it belongs to.
+struct InstanceRef {
+  EntryName service;
+  InstanceKey key{};
+};
+
+// How a dispatch ended, as far as the instance is concerned.
+struct DispatchEnd {
+  TargetOutcome outcome = TargetOutcome::kDone;
+  bool fresh_connection = false;
+  TimePoint sent_at;
+  TimePoint run_end;  // until then the request may still run
+};
+
+// All instances whose share this host holds: takes and returns their slots,
+// judges their health, and probes those that need it.
+class InstanceTable {
+ public:
+  explicit InstanceTable(const RouterSettings& settings);
+
+  // With `busy_until`, a former holder's work may use every slot until then.
+  void Add(TimePoint now, const InstanceView& view,
+           std::optional<TimePoint> busy_until, RouterEffects& out);
+  void Remove(TimePoint now, const InstanceId& id, RouterEffects& out);
+  void SetState(TimePoint now, const InstanceId& id, InstanceState state,
+                RouterEffects& out);
+  void SetStatus(TimePoint now, const InstanceId& id,
+                 const TargetStatus& status, TimePoint asked_at,
+                 RouterEffects& out);
+
+  // Null for a service without instances.
+  const InstancePool* Find(const EntryName& service) const;
+  const Instance& Get(const InstanceRef& ref) const;
+  // Service of an instance; empty when it is not known.
+  EntryName ServiceOf(const InstanceId& id) const;
+
+  std::optional<InstanceRef> Choose(const EntryName& service,
+                                    std::optional<InstanceKey> avoid) const;
+  // Takes a slot; returns whether its connection must be a new one.
+  bool Start(const InstanceRef& ref);
+  // Returns the slot and judges the instance.
+  void End(TimePoint now, const InstanceRef& ref, const DispatchEnd& end,
+           RouterEffects& out);
+
+  // Returns the service that may have gained slots.
+  EntryName ProbeAnswered(TimePoint now, ProbeId probe,
+                          const std::optional<TargetStatus>& status,
+                          RouterEffects& out);
+
+  // Does what is due; returns the services that may have gained slots.
+  std::vector<EntryName> Tick(TimePoint now, RouterEffects& out);
+  std::optional<TimePoint> NextDeadline() const;
+
+  std::uint64_t put_aside() const { return put_aside_; }
+  std::uint64_t readmitted() const { return readmitted_; }
+  std::vector<InstanceSummary> Summaries() const;
+
+ private:
+  struct Probe {
+    InstanceRef instance;
+    TimePoint asked_at;
+  };
+
+  Instance& Mutable(const InstanceRef& ref);
+  void Judge(TimePoint now, const InstanceRef& ref, const DispatchEnd& end,
+             RouterEffects& out);
+  void JudgeDone(TimePoint now, const InstanceRef& ref, Duration service);
+  void JudgeFailure(TimePoint now, const InstanceRef& ref);
+  void Suspect(const InstanceRef& ref, RouterEffects& out);
+  bool PutAside(TimePoint now, const InstanceRef& ref);
+  void JudgeProbe(TimePoint now, const InstanceRef& ref, bool good);
+  void SendProbe(TimePoint now, const InstanceRef& ref, RouterEffects& out);
+  // Follows each change of an instance: probes, tells it is idle, forgets it,
+  // and keeps the pool and the wake-up time right.
+  void Settle(TimePoint now, const InstanceRef& ref, RouterEffects& out);
+  void SetWake(InstanceKey key, std::optional<TimePoint> at);
+  std::optional<TimePoint> NextWake(const Instance& instance) const;
+
+  RouterSettings settings_;
+  std::unordered_map<EntryName, InstancePool> pools_;
+  std::unordered_map<InstanceId, InstanceRef> ids_;
+  std::unordered_map<InstanceKey, EntryName> services_;
+  std::unordered_map<ProbeId, Probe> probes_;
+  std::unordered_map<InstanceKey, TimePoint> wake_times_;
+  std::set<std::pair<TimePoint, InstanceKey>> wakes_;
+  std::uint64_t last_key_ = 0;
+  std::uint64_t last_probe_ = 0;
+  std::uint64_t put_aside_ = 0;
+  std::uint64_t readmitted_ = 0;
+};
+
+}  // namespace chivewing
--- /dev/null
+++ b/src/routing/invariant.cc
@@ -0,0 +1,16 @@
+#include "routing/invariant.h"
+
+#include <cstdlib>
+#include <string>
+
+#include "base/log.h"
+
+namespace chivewing {
+
+void RequireInvariant(bool holds, std::string_view what) {
+  if (holds) return;
+  LogError(LogPart::kRouter, "invariant broken: " + std::string(what));
+  std::abort();
+}
+
+}  // namespace chivewing
--- /dev/null
+++ b/src/routing/peer_table.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "base/id.h"
+#include "base/time.h"
+#include "routing/load_report.h"
+#include "routing/router_settings.h"
+#include "routing/router_state.h"
+
+namespace chivewing {
+
+// What this entry host believes of its peers' load, and which of them a request
+// is best forwarded to.
+class PeerTable {
+ public:
+  explicit PeerTable(const RouterSettings& settings) : settings_(settings) {}
+
+  void Add(const HostId& peer) { peers_[peer]; }
+  void Remove(const HostId& peer) { peers_.erase(peer); }
+  bool Contains(const HostId& peer) const { return peers_.contains(peer); }
+
+  // Takes a report. A service that it does not name keeps its load.
+  void Apply(const HostId& peer, const LoadReport& report);
+  void CountForward(const HostId& peer, const EntryName& service, HopId hop);
+  void EndForward(const HostId& peer, const EntryName& service, HopId hop);
+
+  // Whether any peer has instances of the service.
+  bool AnyServes(const EntryName& service) const;
+  // The peer to forward to instead of waiting `local_wait` here; empty when
+  // none is better.
+  std::optional<HostId> Choose(const EntryName& service, Duration mean_service,
+                               Duration local_wait);
+
+  std::vector<PeerSummary> Summaries() const;
+
+ private:
+  struct Service {
+    EntryLoad load;
+    std::deque<HopId> unseen;  // own forwards that `load` does not hold
+    std::uint32_t in_flight = 0;
+  };
+  using Services = std::map<EntryName, Service>;
+
+  std::int64_t BelievedFree(const Service& service) const;
+  Duration ExpectedWait(const Service& service, Duration mean_service) const;
+  std::optional<HostId> ChooseFreest(const EntryName& service) const;
+  std::optional<HostId> ChooseOfTwo(const EntryName& service);
+  std::optional<HostId> ChooseShortest(const EntryName& service,
+                                       Duration mean_service,
+                                       Duration local_wait) const;
+
+  RouterSettings settings_;
+  std::map<HostId, Services> peers_;
+  std::minstd_rand random_;
+};
+
+}  // namespace chivewing
--- /dev/null
+++ b/src/routing/retry_budget.h
@@ -0,0 +1,26 @@
+#pragma once
+
+namespace chivewing {
+
+// Token bucket that allows retries as a share of first tries, so that retries
+// cannot multiply the load when everything fails.
+class RetryBudget {
+ public:
+  explicit RetryBudget(int percent) : share_(percent / 100.0) {}
+
+  void set_percent(int percent) { share_ = percent / 100.0; }
+
+  // Counts a first try.
+  void Earn();
+  // Takes one retry out; false when the budget is spent.
+  bool Spend();
+
+ private:
+  double share_;
+  double tokens_ = kInitialTokens;
+
+  static constexpr double kInitialTokens = 10;
+  static constexpr double kMaxTokens = 100;
+};
+
+}  // namespace chivewing
--- /dev/null
+++ b/src/routing/router.cc
@@ -0,0 +1,594 @@
+#include "routing/router.h"
+
+#include <algorithm>
+#include <chrono>
+
+#include "routing/invariant.h"
+
+namespace chivewing {
+namespace {
+
+// Longest run of requests whose class is not known.
+constexpr std::chrono::seconds kUnknownLongestRun{60};
+// Service time assumed before the first answer.
+constexpr std::chrono::milliseconds kFirstServiceTime{10};
+
+// The end of a dispatch as the code that a caller would get.
+ResultCode CodeOf(TargetOutcome outcome) {
+  switch (outcome) {
+    case TargetOutcome::kDone:
+    case TargetOutcome::kDoneWithFault:
+      return ResultCode::kOk;
+    case TargetOutcome::kRefusedFull:
+    case TargetOutcome::kRefusedLeaving:
+      return ResultCode::kRefusedByTarget;
+    case TargetOutcome::kConnectFailed:
+      return ResultCode::kConnectFailed;
+    case TargetOutcome::kNotSent:
+      return ResultCode::kOverloaded;
+    case TargetOutcome::kTimedOut:
+      return ResultCode::kTimedOut;
+    case TargetOutcome::kConnectionLost:
+      return ResultCode::kConnectionLost;
+    case TargetOutcome::kBadAnswer:
+      return ResultCode::kBadAnswer;
+  }
+  return ResultCode::kInternal;
+}
+
+bool IsUnknown(ResultCode code) {
+  const int number = static_cast<int>(code);
+  return number >= 300 && number < 400;
+}
+
+}  // namespace
+
+Router::Router(const RouterSettings& settings)
+    : settings_(settings),
+      instances_(settings),
+      peers_(settings),
+      reporter_(settings.report_interval) {}
+
+EntryName Router::ServiceOf(const RequestClass& policy) {
+  return policy.service.empty() ? policy.entry : policy.service;
+}
+
+QueuePosition Router::PositionOf(RequestKey key, const Request& request) {
+  return {request.policy->priority, request.deadline,
+          static_cast<std::uint64_t>(key)};
+}
+
+void Router::SetClasses(TimePoint now, const std::vector<RequestClass>& classes,
+                        RouterEffects& out) {
+  for (auto& [entry, record] : classes_) record.policy = nullptr;
+  for (const RequestClass& policy : classes) {
+    ClassRecord& record = classes_[policy.entry];
+    record.policy = std::make_shared<const RequestClass>(policy);
+    record.budget.set_percent(policy.retry_budget_percent);
+  }
+  std::erase_if(classes_, [](const auto& item) {
+    return item.second.policy == nullptr && item.second.in_progress == 0;
+  });
+  ReportNews(now, out);
+}
+
+Duration Router::LongestRun(const EntryName& service) const {
+  Duration longest{};
+  for (const auto& [entry, record] : classes_) {
+    if (record.policy == nullptr || ServiceOf(*record.policy) != service) {
+      continue;
+    }
+    longest = std::max<Duration>(longest, record.policy->longest_run);
+  }
+  return longest.count() > 0 ? longest : Duration(kUnknownLongestRun);
+}
+
+void Router::AddInstance(TimePoint now, const InstanceView& view,
+                         bool taken_over, RouterEffects& out) {
+  std::optional<TimePoint> busy_until;
+  if (taken_over) busy_until = now + LongestRun(view.entry);
+  instances_.Add(now, view, busy_until, out);
+  Close(now, view.entry, out);
+}
+
+void Router::RemoveInstance(TimePoint now, const InstanceId& id,
+                            RouterEffects& out) {
+  const EntryName service = instances_.ServiceOf(id);
+  instances_.Remove(now, id, out);
+  Close(now, service, out);
+}
+
+void Router::SetInstanceState(TimePoint now, const InstanceId& id,
+                              InstanceState state, RouterEffects& out) {
+  instances_.SetState(now, id, state, out);
+  Close(now, instances_.ServiceOf(id), out);
+}
+
+void Router::SetBusyFromStatus(TimePoint now, const InstanceId& id,
+                               const TargetStatus& status, TimePoint asked_at,
+                               RouterEffects& out) {
+  instances_.SetStatus(now, id, status, asked_at, out);
+  Close(now, instances_.ServiceOf(id), out);
+}
+
+ResultCode Router::Admit(const RouterRequest& request) const {
+  if (stopping_) return ResultCode::kStopping;
+  const auto found = classes_.find(request.entry);
+  if (found == classes_.end() || found->second.policy == nullptr) {
+    return ResultCode::kUnknownEntry;
+  }
+  if (!found->second.policy->idempotent && !request.claimed) {
+    return ResultCode::kClaimUnavailable;
+  }
+  if (request.remaining && request.remaining->count() <= 0) {
+    return ResultCode::kDeadlineUnreachable;
+  }
+  return ResultCode::kOk;
+}
+
+void Router::Refuse(const RouterRequest& request, ResultCode code,
+                    RouterEffects& out) {
+  Request refused;
+  refused.id = request.id;
+  refused.origin = request.origin;
+  const auto found = classes_.find(request.entry);
+  if (found != classes_.end() && found->second.policy != nullptr) {
+    refused.service = ServiceOf(*found->second.policy);
+  }
+  SendAnswer(refused, code, std::nullopt, std::nullopt, out);
+}
+
+Router::RequestKey Router::Insert(TimePoint now, const RouterRequest& request) {
+  const RequestKey key{++last_request_};
+  ClassRecord& record = classes_.at(request.entry);
+  ++record.in_progress;
+  record.budget.Earn();
+  Request inserted;
+  inserted.id = request.id;
+  inserted.policy = record.policy;
+  inserted.service = ServiceOf(*record.policy);
+  inserted.origin = request.origin;
+  inserted.claimed = request.claimed;
+  inserted.may_forward = !request.origin;
+  inserted.deadline =
+      now + request.remaining.value_or(record.policy->default_deadline);
+  inserted.timer = inserted.deadline;
+  timers_.emplace(inserted.timer, key);
+  ids_.emplace(request.id, key);
+  requests_.emplace(key, std::move(inserted));
+  return key;
+}
+
+Status Router::Submit(TimePoint now, const RouterRequest& request,
+                      RouterEffects& out) {
+  if (ids_.contains(request.id)) {
+    return Error{ResultCode::kBadRequest,
+                 "request " + request.id.value() + " is in progress already"};
+  }
+  ++counters_.submitted;
+  if (request.origin) {
+    reporter_.SeeHop(request.origin->peer, request.origin->hop);
+  }
+  const ResultCode code = Admit(request);
+  if (code != ResultCode::kOk) {
+    Refuse(request, code, out);
+    return Ok();
+  }
+  const RequestKey key = Insert(now, request);
+  const EntryName service = requests_.at(key).service;
+  Place(now, key, out);
+  Close(now, service, out);
+  return Ok();
+}
+
+void Router::Place(TimePoint now, RequestKey key, RouterEffects& out) {
+  const Request& request = requests_.at(key);
+  if (TryDispatch(now, key, out)) return;
+  const std::size_t ahead =
+      queues_[request.service].CountBefore(PositionOf(key, request));
+  const std::optional<Duration> wait = EstimateWait(request.service, ahead);
+  if (TryForward(now, key, wait.value_or(Duration::max()), out)) return;
+  Wait(now, key, out);
+}
+
+bool Router::TryDispatch(TimePoint now, RequestKey key, RouterEffects& out) {
+  Request& request = requests_.at(key);
+  RequireInvariant(request.policy->idempotent || !request.may_have_run,
+                   "a non-idempotent request is not sent again");
+  const std::optional<InstanceRef> chosen =
+      instances_.Choose(request.service, request.avoid);
+  if (!chosen) return false;
+  const bool fresh = instances_.Start(*chosen);
+  const DispatchId dispatch{++last_dispatch_};
+  const RequestClass& policy = *request.policy;
+  dispatches_.emplace(
+      dispatch,
+      DispatchRecord{key, *chosen, now, now + policy.longest_run, fresh});
+  request.phase = Phase::kDispatched;
+  request.dispatch = dispatch;
+  request.avoid = chosen->key;
+  ++counters_.dispatched;
+  const InstanceView& view = instances_.Get(*chosen).view();
+  const Duration timeout =
+      std::min<Duration>(policy.timeout, request.deadline - now);
+  out.emplace_back(Dispatch{dispatch, request.id, view.id, view.address,
+                            view.share_epoch, timeout, fresh});
+  return true;
+}
+
+bool Router::TryForward(TimePoint now, RequestKey key, Duration local_wait,
+                        RouterEffects& out) {
+  Request& request = requests_.at(key);
+  if (!request.may_forward) return false;
+  const std::optional<HostId> peer =
+      peers_.Choose(request.service, MeanService(request.service), local_wait);
+  if (!peer) return false;
+  const HopId hop{++last_hop_};
+  hops_.emplace(hop, HopRecord{key, *peer, request.service});
+  peers_.CountForward(*peer, request.service, hop);
+  request.phase = Phase::kForwarded;
+  request.hop = hop;
+  ++counters_.forwarded;
+  out.emplace_back(ForwardTo{*peer, hop, request.id, request.deadline - now,
+                             request.claimed});
+  return true;
+}
+
+void Router::Wait(TimePoint now, RequestKey key, RouterEffects& out) {
+  Request& request = requests_.at(key);
+  const InstancePool* const pool = instances_.Find(request.service);
+  if (pool == nullptr || pool->empty()) {
+    Finish(key, request.refusal, std::nullopt, std::nullopt, out);
+    return;
+  }
+  ClassRecord& record = classes_.at(request.policy->entry);
+  if (record.waiting >= request.policy->queue_bound) {
+    Finish(key, ResultCode::kQueueFull, std::nullopt, std::nullopt, out);
+    return;
+  }
+  RequestQueue& queue = queues_[request.service];
+  const QueuePosition position = PositionOf(key, request);
+  const std::optional<Duration> wait =
+      EstimateWait(request.service, queue.CountBefore(position));
+  const bool late =
+      wait && now + *wait + MeanService(request.service) > request.deadline;
+  if (late || request.deadline <= now) {
+    Finish(key, ResultCode::kDeadlineUnreachable, std::nullopt, std::nullopt,
+           out);
+    return;
+  }
+  request.phase = Phase::kWaiting;
+  queue.Add(position, request.may_forward);
+  ++record.waiting;
+}
+
+void Router::Dequeue(RequestKey key, Request& request) {
+  queues_[request.service].Remove(PositionOf(key, request));
+  --classes_.at(request.policy->entry).waiting;
+}
+
+Duration Router::MeanService(const EntryName& service) const {
+  const InstancePool* const pool = instances_.Find(service);
+  if (pool == nullptr || pool->service_time().samples() == 0) {
+    return kFirstServiceTime;
+  }
+  return pool->service_time().mean();
+}
+
+std::optional<Duration> Router::EstimateWait(const EntryName& service,
+                                             std::size_t ahead) const {
+  const InstancePool* const pool = instances_.Find(service);
+  if (pool == nullptr || pool->slots() == 0) return std::nullopt;
+  const auto turns = static_cast<Duration::rep>(ahead) + 1;
+  return MeanService(service) * turns / pool->slots();
+}
+
+void Router::Drain(TimePoint now, const EntryName& service,
+                   RouterEffects& out) {
+  const auto found = queues_.find(service);
+  if (found == queues_.end()) return;
+  RequestQueue& queue = found->second;
+  while (const std::optional<std::uint64_t> first = queue.First()) {
+    const RequestKey key{*first};
+    if (!TryDispatch(now, key, out)) break;
+    Dequeue(key, requests_.at(key));
+  }
+  while (const std::optional<std::uint64_t> first = queue.FirstForwardable()) {
+    const RequestKey key{*first};
+    const QueuePosition position = PositionOf(key, requests_.at(key));
+    const std::optional<Duration> wait =
+        EstimateWait(service, queue.CountBefore(position));
+    if (!TryForward(now, key, wait.value_or(Duration::max()), out)) break;
+    Dequeue(key, requests_.at(key));
+  }
+}
+
+void Router::Cancel(TimePoint now, const RequestId& id, RouterEffects& out) {
+  const auto found = ids_.find(id);
+  if (found == ids_.end()) return;
+  const RequestKey key = found->second;
+  Request& request = requests_.at(key);
+  if (request.phase != Phase::kWaiting) return;
+  const EntryName service = request.service;
+  Dequeue(key, request);
+  Finish(key, ResultCode::kCancelled, std::nullopt, std::nullopt, out);
+  Close(now, service, out);
+}
+
+void Router::TargetAnswered(TimePoint now, DispatchId dispatch,
+                            TargetOutcome outcome, RouterEffects& out) {
+  const auto found = dispatches_.find(dispatch);
+  if (found == dispatches_.end()) return;
+  const DispatchRecord record = found->second;
+  dispatches_.erase(found);
+  instances_.End(now, record.instance,
+                 DispatchEnd{outcome, record.fresh_connection, record.sent_at,
+                             record.run_end},
+                 out);
+  const ResultCode code = CodeOf(outcome);
+  if (code == ResultCode::kOk) {
+    Finish(record.request, code, dispatch, std::nullopt, out);
+  } else {
+    AttemptFailed(now, record.request, code, out);
+  }
+  Close(now, record.instance.service, out);
+}
+
+void Router::AttemptFailed(TimePoint now, RequestKey key, ResultCode code,
+                           RouterEffects& out) {
+  Request& request = requests_.at(key);
+  const bool unknown = IsUnknown(code);
+  if (unknown) request.may_have_run = code;
+  if (!unknown) request.refusal = code;
+  const bool may_retry = !unknown || request.policy->idempotent;
+  if (!may_retry || request.deadline <= now) {
+    Finish(key, code, std::nullopt, std::nullopt, out);
+    return;
+  }
+  if (!classes_.at(request.policy->entry).budget.Spend()) {
+    ++counters_.retries_refused;
+    Finish(key, unknown ? code : ResultCode::kRetryBudgetSpent, std::nullopt,
+           std::nullopt, out);
+    return;
+  }
+  ++counters_.retried;
+  Place(now, key, out);
+}
+
+void Router::Finish(RequestKey key, ResultCode code,
+                    std::optional<DispatchId> dispatch,
+                    std::optional<HopId> hop, RouterEffects& out) {
+  const auto found = requests_.find(key);
+  RequireInvariant(found != requests_.end(),
+                   "a request is answered exactly once");
+  const Request& request = found->second;
+  // Whatever stopped a later try, an earlier one may have run.
+  const bool hides_a_run = IsNotRun(code) && request.may_have_run;
+  const ResultCode final_code = hides_a_run ? *request.may_have_run : code;
+  RequireInvariant(!IsNotRun(final_code) || !request.may_have_run,
+                   "not run is only said of what cannot have run");
+  SendAnswer(request, final_code, dispatch, hop, out);
+  timers_.erase({request.timer, key});
+  ids_.erase(request.id);
+  const auto record = classes_.find(request.policy->entry);
+  --record->second.in_progress;
+  if (record->second.policy == nullptr && record->second.in_progress == 0) {
+    classes_.erase(record);
+  }
+  requests_.erase(found);
+}
+
+void Router::SendAnswer(const Request& request, ResultCode code,
+                        std::optional<DispatchId> dispatch,
+                        std::optional<HopId> hop, RouterEffects& out) {
+  if (code == ResultCode::kOk) {
+    ++counters_.done;
+  } else if (IsNotRun(code)) {
+    ++counters_.not_run;
+  } else {
+    ++counters_.unknown;
+  }
+  if (!request.origin) {
+    out.emplace_back(Answer{request.id, code, dispatch, hop});
+    return;
+  }
+  LoadReport load{reporter_.seen_hop(request.origin->peer), {}};
+  if (!request.service.empty()) {
+    load.entries.push_back(LoadOf(request.service));
+    NoteLoad(request.service);
+    reporter_.SetTold(request.origin->peer, request.service);
+  }
+  out.emplace_back(AnswerPeer{request.origin->peer, request.origin->hop,
+                              request.id, code, dispatch, std::move(load)});
+}
+
+void Router::ProbeAnswered(TimePoint now, ProbeId probe,
+                           const std::optional<TargetStatus>& status,
+                           RouterEffects& out) {
+  const EntryName service = instances_.ProbeAnswered(now, probe, status, out);
+  if (!service.empty()) Close(now, service, out);
+}
+
+void Router::AddPeer(TimePoint now, const HostId& peer, RouterEffects& out) {
+  if (!peers_.Contains(peer)) peers_.Add(peer);
+  reporter_.AddPeer(peer);
+  ReportNews(now, out);
+}
+
+void Router::PeerLost(TimePoint now, const HostId& peer, RouterEffects& out) {
+  peers_.Remove(peer);
+  reporter_.RemovePeer(peer);
+  std::vector<HopId> lost;
+  for (const auto& [hop, record] : hops_) {
+    if (record.peer == peer) lost.push_back(hop);
+  }
+  std::sort(lost.begin(), lost.end());
+  for (const HopId hop : lost) {
+    const HopRecord record = hops_.at(hop);
+    hops_.erase(hop);
+    AttemptFailed(now, record.request, ResultCode::kConnectionLost, out);
+    Close(now, record.service, out);
+  }
+  // Nobody is left to take the answers of what it forwarded here.
+  std::vector<RequestId> orphans;
+  for (const auto& [key, request] : requests_) {
+    if (request.phase != Phase::kWaiting || !request.origin) continue;
+    if (request.origin->peer == peer) orphans.push_back(request.id);
+  }
+  for (const RequestId& id : orphans) Cancel(now, id, out);
+}
+
+void Router::PeerLoad(TimePoint now, const HostId& peer,
+                      const LoadReport& report, RouterEffects& out) {
+  peers_.Apply(peer, report);
+  for (const EntryLoad& load : report.entries) Close(now, load.entry, out);
+}
+
+void Router::PeerAnswered(TimePoint now, const HostId& peer, HopId hop,
+                          ResultCode code, const LoadReport& report,
+                          RouterEffects& out) {
+  peers_.Apply(peer, report);
+  const auto found = hops_.find(hop);
+  if (found == hops_.end() || found->second.peer != peer) return;
+  const HopRecord record = found->second;
+  hops_.erase(found);
+  peers_.EndForward(peer, record.service, hop);
+  if (code == ResultCode::kOk) {
+    Finish(record.request, code, std::nullopt, hop, out);
+  } else if (IsNotRun(code)) {
+    requests_.at(record.request).may_forward = false;
+    AttemptFailed(now, record.request, code, out);
+  } else {
+    AttemptFailed(now, record.request,
+                  IsUnknown(code) ? code : ResultCode::kBadAnswer, out);
+  }
+  Close(now, record.service, out);
+}
+
+void Router::BeginStop(TimePoint now, RouterEffects& out) {
+  stopping_ = true;
+  reporter_.ForgetTold();
+  ReportNews(now, out);
+}
+
+bool Router::idle() const { return requests_.empty() && dispatches_.empty(); }
+
+void Router::SetTimer(RequestKey key, Request& request, TimePoint at) {
+  timers_.erase({request.timer, key});
+  request.timer = at;
+  timers_.emplace(at, key);
+}
+
+void Router::Expire(TimePoint now, RequestKey key, RouterEffects& out) {
+  Request& request = requests_.at(key);
+  const EntryName service = request.service;
+  if (request.phase == Phase::kWaiting) {
+    Dequeue(key, request);
+    Finish(key, ResultCode::kDeadlineUnreachable, std::nullopt, std::nullopt,
+           out);
+  } else if (request.timer == request.deadline) {
+    SetTimer(key, request, request.deadline + settings_.outcome_grace);
+  } else {
+    GiveUp(now, key, out);
+  }
+  Close(now, service, out);
+}
+
+// The outcome was lost on its way here: the answer is unknown.
+void Router::GiveUp(TimePoint now, RequestKey key, RouterEffects& out) {
+  const Request& request = requests_.at(key);
+  if (request.phase == Phase::kForwarded) {
+    const HopRecord record = hops_.at(request.hop);
+    hops_.erase(request.hop);
+    peers_.EndForward(record.peer, record.service, request.hop);
+    AttemptFailed(now, key, ResultCode::kTimedOut, out);
+    return;
+  }
+  const DispatchRecord record = dispatches_.at(request.dispatch);
+  dispatches_.erase(request.dispatch);
+  instances_.End(now, record.instance,
+                 DispatchEnd{TargetOutcome::kTimedOut, record.fresh_connection,
+                             record.sent_at, record.run_end},
+                 out);
+  AttemptFailed(now, key, ResultCode::kTimedOut, out);
+}
+
+void Router::Tick(TimePoint now, RouterEffects& out) {
+  while (!timers_.empty() && timers_.begin()->first <= now) {
+    Expire(now, timers_.begin()->second, out);
+  }
+  for (const EntryName& service : instances_.Tick(now, out)) {
+    Close(now, service, out);
+  }
+  ReportNews(now, out);
+}
+
+std::optional<TimePoint> Router::NextDeadline() const {
+  std::optional<TimePoint> next = instances_.NextDeadline();
+  const std::optional<TimePoint> report = reporter_.NextDue();
+  if (report && (!next || *report < *next)) next = report;
+  if (!timers_.empty() && (!next || timers_.begin()->first < *next)) {
+    next = timers_.begin()->first;
+  }
+  return next;
+}
+
+EntryLoad Router::LoadOf(const EntryName& service) const {
+  EntryLoad load;
+  load.entry = service;
+  const auto queue = queues_.find(service);
+  if (queue != queues_.end()) {
+    load.queued = static_cast<std::uint32_t>(queue->second.size());
+  }
+  const InstancePool* const pool = instances_.Find(service);
+  if (pool == nullptr || stopping_) return load;
+  load.slots = pool->slots();
+  load.free_slots = pool->free_slots();
+  return load;
+}
+
+void Router::NoteLoad(const EntryName& service) {
+  if (instances_.Find(service) == nullptr) return;
+  const EntryLoad load = LoadOf(service);
+  Capacity capacity = Capacity::kFree;
+  if (load.free_slots == 0) capacity = Capacity::kFull;
+  if (load.slots == 0) capacity = Capacity::kNone;
+  reporter_.SetCapacity(service, capacity);
+}
+
+void Router::ReportNews(TimePoint now, RouterEffects& out) {
+  for (const HostId& peer : reporter_.DuePeers(now)) {
+    LoadReport report{reporter_.seen_hop(peer), {}};
+    for (const EntryName& service : reporter_.TakeNews(now, peer)) {
+      report.entries.push_back(LoadOf(service));
+    }
+    ++counters_.reports_sent;
+    out.emplace_back(ReportLoad{peer, std::move(report)});
+  }
+}
+
+void Router::Close(TimePoint now, const EntryName& service,
+                   RouterEffects& out) {
+  if (service.empty()) return;
+  Drain(now, service, out);
+  NoteLoad(service);
+  ReportNews(now, out);
+}
+
+RouterState Router::State(TimePoint /*now*/) const {
+  RouterState state;
+  state.stopping = stopping_;
+  for (const auto& [service, queue] : queues_) {
+    state.waiting += static_cast<std::uint32_t>(queue.size());
+  }
+  state.in_flight = static_cast<std::uint32_t>(dispatches_.size());
+  state.forwarded = static_cast<std::uint32_t>(hops_.size());
+  state.instances = instances_.Summaries();
+  state.peers = peers_.Summaries();
+  state.counters = counters_;
+  state.counters.put_aside = instances_.put_aside();
+  state.counters.readmitted = instances_.readmitted();
+  return state;
+}
+
+}  // namespace chivewing
--- /dev/null
+++ b/src/routing/router_request.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <chrono>
+#include <optional>
+
+#include "base/id.h"
+#include "base/time.h"
+#include "routing/routing_id.h"
+
+namespace chivewing {
+
+// The peer that forwarded a request, and the hop id to answer it under.
+struct ForwardOrigin {
+  HostId peer;
+  HopId hop{};
+};
+
+// A request handed to the router. The body stays with the caller.
+struct RouterRequest {
+  // Unique among the requests in progress at this entry host.
+  RequestId id;
+  EntryName entry;
+  // Empty for a request of a local caller.
+  std::optional<ForwardOrigin> origin;
+  // A claim (or ticket) of a non-idempotent request is on record.
+  bool claimed = false;
+  // Time left until its deadline; the class's default when empty.
+  std::optional<Duration> remaining;
+};
+
+}  // namespace chivewing
--- /dev/null
+++ b/src/routing/router_settings.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+
+namespace chivewing {
+
+// How a full entry host picks the peer to forward to.
+enum class PeerChoice : std::uint8_t {
+  kNone,           // never forwards
+  kFreest,         // most free slots, else queues here
+  kTwoChoices,     // the freer of two peers drawn at random
+  kShortestDelay,  // shortest expected wait, queues included
+};
+
+// Bounds of the router's policy.
+struct RouterSettings {
+  PeerChoice peer_choice = PeerChoice::kFreest;
+  // Count own forwards that a peer's report does not hold yet.
+  bool count_unseen_forwards = true;
+  // Least time between two unasked load reports to the same peer.
+  std::chrono::milliseconds report_interval{50};
+  // One-way time to a peer of the zone.
+  std::chrono::microseconds hop_time{500};
+
+  // Failures in a row after which an instance is put aside.
+  std::uint32_t failure_limit = 3;
+  // Mean service time over that of all instances that counts as slow.
+  double slow_factor = 4.0;
+  // Answers of an instance before its service time is judged.
+  std::uint32_t slow_samples = 20;
+  // Most of a service's instances that may be put aside at once.
+  double put_aside_share = 1.0 / 3;
+  std::chrono::milliseconds probe_timeout{200};
+  std::chrono::milliseconds probe_interval{500};
+  // Good probes in a row before an instance takes work again.
+  std::uint32_t probes_to_readmit = 3;
+
+  // How long after its timeout a dispatch without any outcome is given up.
+  std::chrono::milliseconds outcome_grace{1000};
+};
+
+}  // namespace chivewing
--- /dev/null
+++ b/src/routing/router_state.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <vector>
+
+#include "base/id.h"
+#include "base/time.h"
+#include "routing/instance_view.h"
+#include "routing/load_report.h"
+
+namespace chivewing {
+
+// Whether an instance is given work, judged by its answers.
+enum class Health : std::uint8_t {
+  kGood,
+  kSuspect,   // a reused connection went silent; waits for a probe
+  kPutAside,  // failed or slow; waits for good probes in a row
+  kTrial,     // readmitted, one request at a time
+};
+
+struct InstanceSummary {
+  InstanceId id;
+  EntryName entry;
+  InstanceState state = InstanceState::kInUse;
+  Health health = Health::kGood;
+  std::uint64_t share_epoch = 0;
+  std::uint32_t slots = 0;
+  std::uint32_t in_flight = 0;
+  std::uint32_t left_behind = 0;  // slots that unanswered work may still use
+  std::uint32_t open_connections = 0;
+  Duration mean_service{};
+};
+
+struct PeerSummary {
+  HostId peer;
+  std::vector<EntryLoad> entries;
+  std::uint32_t forwards_in_flight = 0;
+};
+
+// Counts since the start.
+struct RouterCounters {
+  std::uint64_t submitted = 0;
+  std::uint64_t done = 0;
+  std::uint64_t not_run = 0;
+  std::uint64_t unknown = 0;
+  std::uint64_t dispatched = 0;
+  std::uint64_t forwarded = 0;
+  std::uint64_t retried = 0;
+  std::uint64_t retries_refused = 0;
+  std::uint64_t put_aside = 0;
+  std::uint64_t readmitted = 0;
+  std::uint64_t reports_sent = 0;
+};
+
+// Dump of a Router.
+struct RouterState {
+  bool stopping = false;
+  std::uint32_t waiting = 0;
+  std::uint32_t in_flight = 0;
+  std::uint32_t forwarded = 0;
+  std::vector<InstanceSummary> instances;
+  std::vector<PeerSummary> peers;
+  RouterCounters counters;
+};
+
+}  // namespace chivewing
--- /dev/null
+++ b/src/routing/service_time.cc
@@ -0,0 +1,19 @@
+#include "routing/service_time.h"
+
+#include <algorithm>
+
+namespace chivewing {
+
+void ServiceTime::Add(Duration sample) {
+  ++samples_;
+  // A plain mean until there are enough samples for the weight to apply.
+  const double weight = std::max(weight_, 1.0 / samples_);
+  mean_ += weight * (static_cast<double>(sample.count()) - mean_);
+}
+
+void ServiceTime::Reset() {
+  mean_ = 0;
+  samples_ = 0;
+}
+
+}  // namespace chivewing
--- /dev/null
+++ b/tests/routing/router_test.cc
@@ -0,0 +1,110 @@
+#include "routing/router.h"
+
+#include <gtest/gtest.h>
+
+#include <chrono>
+#include <string>
+
+namespace chivewing {
+namespace {
+
+using std::chrono::milliseconds;
+
+const EntryName kEntry("route-check");
+
+// A Router with one class and the given number of instances of two slots.
+class RouterTest : public testing::Test {
+ protected:
+  void Start(int instances, bool idempotent = true) {
+    RequestClass policy;
+    policy.entry = kEntry;
+    policy.idempotent = idempotent;
+    router_.SetClasses(now_, {policy}, out_);
+    for (int i = 0; i < instances; ++i) {
+      InstanceView view;
+      view.id = InstanceId("i" + std::to_string(i));
+      view.entry = kEntry;
+      view.slots = 2;
+      router_.AddInstance(now_, view, false, out_);
+    }
+  }
+
+  void Submit(const std::string& id) {
+    RouterRequest request;
+    request.id = RequestId(id);
+    request.entry = kEntry;
+    request.claimed = true;
+    ASSERT_TRUE(router_.Submit(now_, request, out_).has_value());
+  }
+
+  // Takes the oldest effect of this kind out of the list.
+  template <typename Effect>
+  std::optional<Effect> Take() {
+    for (auto each = out_.begin(); each != out_.end(); ++each) {
+      const Effect* const effect = std::get_if<Effect>(&*each);
+      if (effect == nullptr) continue;
+      const Effect taken = *effect;
+      out_.erase(each);
+      return taken;
+    }
+    return std::nullopt;
+  }
+
+  TimePoint now_{std::chrono::hours(1)};
+  Router router_;
+  RouterEffects out_;
+};
+
+// What the caller gets after the only dispatch ended so, with one instance.
+struct OutcomeCase {
+  TargetOutcome outcome;
+  bool idempotent;
+  bool dispatched_again;
+  ResultCode code;  // when not dispatched again
+};
+
+class OutcomeTest : public RouterTest,
+                    public testing::WithParamInterface<OutcomeCase> {};
+
+TEST_P(OutcomeTest, EndsInItsCodeOrIsTriedAgain) {
+  const OutcomeCase& param = GetParam();
+  Start(3, param.idempotent);
+  Submit("r1");
+  const auto first = Take<Dispatch>();
+  ASSERT_TRUE(first);
+  now_ += milliseconds(5);
+  router_.TargetAnswered(now_, first->dispatch, param.outcome, out_);
+  const auto second = Take<Dispatch>();
+  EXPECT_EQ(second.has_value(), param.dispatched_again);
+  const auto answer = Take<Answer>();
+  ASSERT_EQ(answer.has_value(), !param.dispatched_again);
+  if (answer) {
+    EXPECT_EQ(answer->code, param.code);
+  }
+  if (second) {
+    EXPECT_NE(second->instance, first->instance);
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    All, OutcomeTest,
+    testing::Values(
+        OutcomeCase{TargetOutcome::kDone, false, false, ResultCode::kOk},
+        OutcomeCase{TargetOutcome::kDoneWithFault, false, false,
+                    ResultCode::kOk},
+        OutcomeCase{TargetOutcome::kRefusedFull, false, true, {}},
+        OutcomeCase{TargetOutcome::kRefusedLeaving, false, true, {}},
+        OutcomeCase{TargetOutcome::kConnectFailed, false, true, {}},
+        OutcomeCase{TargetOutcome::kNotSent, false, true, {}},
+        OutcomeCase{TargetOutcome::kTimedOut, false, false,
+                    ResultCode::kTimedOut},
+        OutcomeCase{TargetOutcome::kConnectionLost, false, false,
+                    ResultCode::kConnectionLost},
+        OutcomeCase{TargetOutcome::kBadAnswer, false, false,
+                    ResultCode::kBadAnswer},
+        OutcomeCase{TargetOutcome::kTimedOut, true, true, {}},
+        OutcomeCase{TargetOutcome::kConnectionLost, true, true, {}},
+        OutcomeCase{TargetOutcome::kBadAnswer, true, true, {}}));
+
+}  // namespace
+}  // namespace chivewing
