Peer messages carry the router's load reports; conversation with a worker

Cause: routing and peer both named a LoadReport, two types of one name; and the placer needs to know when an unanswered order can no longer be carried out. Ruled out: peer depending on routing for two structs; time-outs alone, which say nothing of an order that waits in a paused worker's socket. Change: PeerLoadReport with the last hop seen; src/workers with WorkerLink, one call at a time to a worker, orders with a not-after on the worker's clock. Before: no such part.

--- a/src/peer/codec.cc
+++ b/src/peer/codec.cc
@@ -27,8 +27,8 @@
   visit(m.sequence);
 }
 template <typename Visitor>
-void Fields(Visitor& visit, EntryLoad& m) {
-  visit(m.entry, m.free_slots, m.queued);
+void Fields(Visitor& visit, PeerEntryLoad& m) {
+  visit(m.entry, m.slots, m.free_slots, m.queued);
 }
 template <typename Visitor>
 void Fields(Visitor& visit, Forward& m) {
@@ -37,11 +37,11 @@
 }
 template <typename Visitor>
 void Fields(Visitor& visit, ForwardAnswer& m) {
-  visit(m.hop, m.code, m.body, m.load);
+  visit(m.hop, m.code, m.status, m.body, m.load);
 }
 template <typename Visitor>
-void Fields(Visitor& visit, LoadReport& m) {
-  visit(m.loads);
+void Fields(Visitor& visit, PeerLoadReport& m) {
+  visit(m.seen_hop, m.loads);
 }
 template <typename Visitor>
 void Fields(Visitor& visit, TableRow& m) {
--- a/src/peer/messages.h
+++ b/src/peer/messages.h
@@ -33,12 +33,19 @@
 };
 
 // Load of one catalogue entry at the sending host.
-struct EntryLoad {
+struct PeerEntryLoad {
   EntryName entry;
+  std::uint64_t slots = 0;  // usable ones, busy or free
   std::uint64_t free_slots = 0;
   std::uint64_t queued = 0;
 };
 
+struct PeerLoadReport {
+  // Last hop received from the receiver: later ones are not counted in here.
+  std::uint64_t seen_hop = 0;
+  std::vector<PeerEntryLoad> loads;
+};
+
 // A caller's request that another entry host shall dispatch.
 struct Forward {
   std::uint64_t hop = 0;  // names the forward between these two hosts
@@ -55,12 +62,9 @@
 struct ForwardAnswer {
   std::uint64_t hop = 0;
   ResultCode code = ResultCode::kInternal;
+  std::uint64_t status = 0;  // HTTP status of the instance's answer
   std::string body;
-  EntryLoad load;
-};
-
-struct LoadReport {
-  std::vector<EntryLoad> loads;
+  PeerLoadReport load;  // of the one service
 };
 
 // Rows which the sender has just committed or was asked for.
@@ -98,8 +102,8 @@
   std::uint64_t incarnation = 0;
 };
 
-using PeerMessage =
-    std::variant<Hello, Heartbeat, HeartbeatEcho, Forward, ForwardAnswer,
-                 LoadReport, RowsPush, RowsAsk, ClaimAsk, ClaimAnswer, Leaving>;
+using PeerMessage = std::variant<Hello, Heartbeat, HeartbeatEcho, Forward,
+                                 ForwardAnswer, PeerLoadReport, RowsPush,
+                                 RowsAsk, ClaimAsk, ClaimAnswer, Leaving>;
 
 }  // namespace chivewing
--- /dev/null
+++ b/src/workers/worker_link.cc
@@ -0,0 +1,347 @@
+#include "workers/worker_link.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace chivewing {
+namespace {
+
+// Renewals a lease.
+constexpr int kRenewalsALease = 3;
+
+Duration WithDrift(Duration time, double drift) {
+  const auto extra = static_cast<double>(time.count()) * drift;
+  return time + Duration(static_cast<Duration::rep>(extra));
+}
+
+}  // namespace
+
+WorkerLink::WorkerLink(WorkerId worker, std::string address,
+                       std::uint64_t epoch, WorkerLinkSettings settings)
+    : worker_(std::move(worker)),
+      address_(std::move(address)),
+      epoch_(epoch),
+      settings_(settings) {}
+
+void WorkerLink::Start(const StartOrder& order, bool lapses) {
+  Task& task = tasks_[order.task];
+  task.order = order;
+  task.lapses = lapses;
+}
+
+void WorkerLink::Adopt(TimePoint now, const TaskId& task, bool lapses) {
+  Task& adopted = tasks_[task];
+  adopted.phase = Phase::kRunning;
+  adopted.order.task = task;
+  adopted.lapses = lapses;
+  adopted.adopted = true;
+  // The earlier placer sent its last order before its lease ended, hence
+  // before now.
+  adopted.lease_over = LeaseEnd(OrderEnd(now));
+}
+
+void WorkerLink::Stop(const TaskId& task, bool checkpoint) {
+  const auto found = tasks_.find(task);
+  if (found == tasks_.end()) return;
+  found->second.to_stop = true;
+  found->second.checkpoint = checkpoint;
+}
+
+void WorkerLink::Throttle(const TaskId& task) {
+  const auto found = tasks_.find(task);
+  if (found != tasks_.end()) found->second.to_throttle = true;
+}
+
+void WorkerLink::Forget(const TaskId& task) { tasks_.erase(task); }
+
+TimePoint WorkerLink::OrderEnd(TimePoint now) const {
+  return now + settings_.call_timeout +
+         WithDrift(settings_.order_patience, settings_.drift);
+}
+
+TimePoint WorkerLink::LeaseEnd(TimePoint renewed_by) const {
+  return renewed_by + WithDrift(settings_.task_lease, settings_.drift);
+}
+
+void WorkerLink::Tick(TimePoint now, Effects& out) {
+  CheckSilence(now, out);
+  if (open_ || now < retry_at_) return;
+  // The first call shows our epoch to the worker, so that orders of an earlier
+  // placer that are still under way are refused from then on.
+  if (!fenced_first_) {
+    SendRenewal(now, out);
+    return;
+  }
+  if (!worker_clock_) {
+    SendList(now, out);
+    return;
+  }
+  if (SendStops(now, out) || SendStarts(now, out) || SendThrottles(now, out)) {
+    return;
+  }
+  if (now >= next_renewal_ && SendRenewal(now, out)) return;
+  if (now >= next_list_) SendList(now, out);
+}
+
+void WorkerLink::CheckSilence(TimePoint now, Effects& out) {
+  silent_ = unanswered_since_ && now - *unanswered_since_ >= settings_.silence;
+  if (!silent_) return;
+  std::vector<TaskId> over;
+  for (auto& [id, task] : tasks_) {
+    if (!std::exchange(task.silence_told, true))
+      out.emplace_back(TaskSilent{id});
+    const bool never_sent =
+        task.phase == Phase::kToStart && !task.order_open_until;
+    if (!task.lapses || never_sent) continue;
+    if (now >= task.lease_over) over.push_back(id);
+  }
+  for (const TaskId& id : over) {
+    tasks_.erase(id);
+    out.emplace_back(TaskLeaseOver{id});
+  }
+}
+
+bool WorkerLink::SendStops(TimePoint now, Effects& out) {
+  WorkerCall call;
+  call.kind = WorkerCallKind::kStop;
+  call.tasks.assign(acknowledge_.begin(), acknowledge_.end());
+  for (auto& [id, task] : tasks_) {
+    if (!task.to_stop || call.tasks.size() >= settings_.group_max) continue;
+    // A start that may yet be carried out would follow the stop.
+    if (task.order_open_until && now < *task.order_open_until) continue;
+    if (task.checkpoint) call.kind = WorkerCallKind::kCheckpoint;
+    call.tasks.push_back(id);
+  }
+  if (call.tasks.empty()) return false;
+  Send(now, std::move(call), out);
+  return true;
+}
+
+bool WorkerLink::SendStarts(TimePoint now, Effects& out) {
+  WorkerCall call;
+  call.kind = WorkerCallKind::kStart;
+  for (auto& [id, task] : tasks_) {
+    if (task.phase != Phase::kToStart || task.to_stop) continue;
+    if (call.starts.size() >= settings_.group_max) break;
+    task.phase = Phase::kStarting;
+    task.order_open_until = OrderEnd(now);
+    task.lease_over = LeaseEnd(*task.order_open_until);
+    call.starts.push_back(task.order);
+  }
+  if (call.starts.empty()) return false;
+  Send(now, std::move(call), out);
+  return true;
+}
+
+bool WorkerLink::SendThrottles(TimePoint now, Effects& out) {
+  WorkerCall call;
+  call.kind = WorkerCallKind::kThrottle;
+  for (auto& [id, task] : tasks_) {
+    if (std::exchange(task.to_throttle, false)) call.tasks.push_back(id);
+  }
+  if (call.tasks.empty()) return false;
+  Send(now, std::move(call), out);
+  return true;
+}
+
+bool WorkerLink::SendRenewal(TimePoint now, Effects& out) {
+  WorkerCall call;
+  call.kind = WorkerCallKind::kRenew;
+  for (auto& [id, task] : tasks_) {
+    if (task.phase != Phase::kRunning || task.to_stop) continue;
+    task.lease_over = std::max(task.lease_over, LeaseEnd(OrderEnd(now)));
+    call.tasks.push_back(id);
+  }
+  next_renewal_ = now + settings_.task_lease / kRenewalsALease;
+  if (call.tasks.empty() && fenced_first_) return false;
+  Send(now, std::move(call), out);
+  return true;
+}
+
+bool WorkerLink::SendList(TimePoint now, Effects& out) {
+  next_list_ = now + settings_.list_interval;
+  WorkerCall call;
+  call.kind = WorkerCallKind::kList;
+  Send(now, std::move(call), out);
+  return true;
+}
+
+void WorkerLink::Send(TimePoint now, WorkerCall call, Effects& out) {
+  call.worker = worker_;
+  call.address = address_;
+  call.call = next_call_++;
+  call.epoch = epoch_;
+  call.lease = settings_.task_lease;
+  call.timeout = settings_.call_timeout;
+  if (worker_clock_) {
+    const auto since = std::chrono::duration_cast<std::chrono::milliseconds>(
+        now - worker_clock_at_);
+    call.not_after = *worker_clock_ + since + settings_.order_patience;
+  }
+  open_ = OpenCall{call, now};
+  out.emplace_back(std::move(call));
+}
+
+void WorkerLink::OnReply(TimePoint now, const WorkerReply& reply,
+                         Effects& out) {
+  if (!open_ || open_->call.call != reply.call) return;
+  const OpenCall open = std::move(*open_);
+  open_.reset();
+  switch (reply.status) {
+    case WorkerReplyStatus::kAnswered:
+      OnAnswered(now, open, reply, out);
+      return;
+    case WorkerReplyStatus::kRefused:
+      ReturnStarts(open);
+      unanswered_since_.reset();
+      retry_at_ = now + settings_.retry_interval;
+      worker_clock_.reset();
+      if (reply.epoch > epoch_) out.emplace_back(WorkerFenced{reply.epoch});
+      return;
+    case WorkerReplyStatus::kNotSent:
+      ReturnStarts(open);
+      OnNoAnswer(now, open);
+      return;
+    case WorkerReplyStatus::kNoAnswer:
+      OnNoAnswer(now, open);
+      return;
+  }
+}
+
+void WorkerLink::OnNoAnswer(TimePoint now, const OpenCall& open) {
+  if (!unanswered_since_) unanswered_since_ = open.sent_at;
+  retry_at_ = now + settings_.retry_interval;
+  if (open.call.kind != WorkerCallKind::kStart) return;
+  // The worker answers `exists` to a second order for the same task.
+  for (const StartOrder& order : open.call.starts) {
+    const auto found = tasks_.find(order.task);
+    if (found == tasks_.end()) continue;
+    if (found->second.phase != Phase::kStarting) continue;
+    found->second.phase = Phase::kToStart;
+  }
+}
+
+void WorkerLink::ReturnStarts(const OpenCall& open) {
+  for (const StartOrder& order : open.call.starts) {
+    const auto found = tasks_.find(order.task);
+    if (found == tasks_.end()) continue;
+    found->second.phase = Phase::kToStart;
+  }
+}
+
+void WorkerLink::OnAnswered(TimePoint now, const OpenCall& open,
+                            const WorkerReply& reply, Effects& out) {
+  unanswered_since_.reset();
+  worker_clock_ = reply.worker_clock;
+  worker_clock_at_ = now;
+  for (auto& [id, task] : tasks_) task.silence_told = false;
+  switch (open.call.kind) {
+    case WorkerCallKind::kStart:
+      OnStarted(reply, out);
+      return;
+    case WorkerCallKind::kStop:
+    case WorkerCallKind::kCheckpoint:
+      OnStopped(reply, out);
+      return;
+    case WorkerCallKind::kThrottle:
+      return;
+    case WorkerCallKind::kRenew:
+      OnRenewed(open, reply);
+      next_list_ = fenced_first_ ? next_list_ : now;
+      fenced_first_ = true;
+      return;
+    case WorkerCallKind::kList:
+      OnListed(now, open, reply, out);
+      return;
+  }
+}
+
+void WorkerLink::OnStarted(const WorkerReply& reply, Effects& out) {
+  for (const StartResult& result : reply.started) {
+    const auto found = tasks_.find(result.task);
+    if (found == tasks_.end()) continue;
+    Task& task = found->second;
+    if (result.status == StartStatus::kStarted ||
+        result.status == StartStatus::kExists) {
+      task.phase = Phase::kRunning;
+      task.order_open_until.reset();
+      out.emplace_back(TaskRuns{result.task, result.address});
+      continue;
+    }
+    tasks_.erase(found);
+    const bool no_room = result.status == StartStatus::kNoRoom;
+    out.emplace_back(TaskRefused{result.task, no_room});
+  }
+}
+
+void WorkerLink::OnStopped(const WorkerReply& reply, Effects& out) {
+  for (const TaskId& id : reply.tasks) {
+    acknowledge_.erase(id);
+    const auto found = tasks_.find(id);
+    if (found == tasks_.end()) continue;
+    const bool checkpoint = found->second.checkpoint;
+    tasks_.erase(found);
+    out.emplace_back(TaskOver{id, checkpoint ? WorkerTaskState::kCheckpointed
+                                             : WorkerTaskState::kStopped});
+  }
+}
+
+void WorkerLink::OnRenewed(const OpenCall& open, const WorkerReply& reply) {
+  for (const TaskId& id : open.call.tasks) {
+    const auto found = tasks_.find(id);
+    if (found == tasks_.end()) continue;
+    found->second.lease_over =
+        std::min(found->second.lease_over,
+                 LeaseEnd(open.sent_at + settings_.call_timeout));
+  }
+  // An unknown task has ended: the list tells how.
+  if (!reply.tasks.empty()) next_list_ = open.sent_at;
+}
+
+void WorkerLink::OnListed(TimePoint now, const OpenCall& open,
+                          const WorkerReply& reply, Effects& out) {
+  std::set<TaskId> seen;
+  for (const WorkerTask& listed : reply.listed) {
+    seen.insert(listed.task);
+    OnListedTask(listed, out);
+  }
+  std::vector<TaskId> missing;
+  for (const auto& [id, task] : tasks_) {
+    if (task.phase != Phase::kRunning || seen.contains(id)) continue;
+    if (task.order_open_until && now < *task.order_open_until) continue;
+    missing.push_back(id);
+  }
+  for (const TaskId& id : missing) End(id, WorkerTaskState::kLapsed, out);
+  next_list_ = open.sent_at + settings_.list_interval;
+}
+
+void WorkerLink::OnListedTask(const WorkerTask& listed, Effects& out) {
+  const auto found = tasks_.find(listed.task);
+  if (found == tasks_.end()) {
+    // Ended ones that nobody asks for any more, and running ones that no row
+    // names: the worker is told to drop both.
+    acknowledge_.insert(listed.task);
+    return;
+  }
+  Task& task = found->second;
+  if (listed.state != WorkerTaskState::kRunning) {
+    if (task.phase != Phase::kRunning) return;
+    End(listed.task, listed.state, out);
+    return;
+  }
+  const bool news = task.phase != Phase::kRunning || task.adopted;
+  task.phase = Phase::kRunning;
+  task.adopted = false;
+  task.order_open_until.reset();
+  if (news) out.emplace_back(TaskRuns{listed.task, listed.address});
+  out.emplace_back(
+      TaskUsage{listed.task, listed.processors_milli, listed.memory_mb});
+}
+
+void WorkerLink::End(const TaskId& task, WorkerTaskState state, Effects& out) {
+  tasks_.erase(task);
+  acknowledge_.insert(task);
+  out.emplace_back(TaskOver{task, state});
+}
+
+}  // namespace chivewing
--- /dev/null
+++ b/src/workers/worker_link.h
@@ -0,0 +1,166 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "base/id.h"
+#include "base/time.h"
+#include "workers/worker_call.h"
+
+namespace chivewing {
+
+// The worker runs the task; a service listens at `address`.
+struct TaskRuns {
+  TaskId task;
+  std::string address;
+};
+
+// The worker did not start the task, and certainly will not.
+struct TaskRefused {
+  TaskId task;
+  bool no_room = false;
+};
+
+// The task certainly does not run any more.
+struct TaskOver {
+  TaskId task;
+  WorkerTaskState state = WorkerTaskState::kStopped;
+};
+
+// The worker does not answer: the task may or may not run.
+struct TaskSilent {
+  TaskId task;
+};
+
+// The lease of the task has run out for certain.
+struct TaskLeaseOver {
+  TaskId task;
+};
+
+// What the task was measured to use; the worker reports it with a lag.
+struct TaskUsage {
+  TaskId task;
+  std::int64_t processors_milli = 0;
+  std::int64_t memory_mb = 0;
+};
+
+// The worker has seen a higher epoch: another host is the placer now.
+struct WorkerFenced {
+  std::uint64_t epoch = 0;
+};
+
+using WorkerEffect =
+    std::variant<WorkerCall, TaskRuns, TaskRefused, TaskOver, TaskSilent,
+                 TaskLeaseOver, TaskUsage, WorkerFenced>;
+
+struct WorkerLinkSettings {
+  std::chrono::milliseconds task_lease{15000};
+  std::chrono::milliseconds call_timeout{1000};
+  // An order is refused by a worker that reads it later than this.
+  std::chrono::milliseconds order_patience{2000};
+  std::chrono::milliseconds list_interval{1000};
+  std::chrono::milliseconds retry_interval{500};
+  // Without any answer for this long the worker counts as silent.
+  std::chrono::milliseconds silence{3000};
+  // Allowance for clocks that run at unlike speeds, as a share of a time.
+  double drift = 0.01;
+  std::size_t group_max = 64;  // tasks a call
+};
+
+// Conversation of the placer with one worker: one call at a time, so that
+// orders cannot overtake each other. Orders carry a not-after time of the
+// worker's own clock, known from its answers; so an order that was not answered
+// has either been carried out by a known time or never will be.
+class WorkerLink {
+ public:
+  using Effects = std::vector<WorkerEffect>;
+
+  WorkerLink(WorkerId worker, std::string address, std::uint64_t epoch,
+             WorkerLinkSettings settings);
+
+  void set_address(std::string address) { address_ = std::move(address); }
+
+  // Starts a task. One that `lapses` has leases from this link alone, so their
+  // end can be told by time.
+  void Start(const StartOrder& order, bool lapses);
+  // Takes over a task of an earlier placer, which may or may not run.
+  void Adopt(TimePoint now, const TaskId& task, bool lapses);
+  // Stops a task. TaskOver follows when that is confirmed.
+  void Stop(const TaskId& task, bool checkpoint);
+  void Throttle(const TaskId& task);
+  // Drops a task that is known to have ended.
+  void Forget(const TaskId& task);
+
+  void OnReply(TimePoint now, const WorkerReply& reply, Effects& out);
+  void Tick(TimePoint now, Effects& out);
+
+  bool is_silent() const { return silent_; }
+  bool empty() const { return tasks_.empty(); }
+
+ private:
+  enum class Phase { kToStart, kStarting, kRunning };
+  struct Task {
+    Phase phase = Phase::kToStart;
+    StartOrder order;
+    bool lapses = false;
+    bool adopted = false;  // not yet seen in a list
+    bool to_stop = false;
+    bool checkpoint = false;
+    bool to_throttle = false;
+    // A start order may be carried out until then; unset when none is open.
+    std::optional<TimePoint> order_open_until;
+    // The lease at the worker has certainly ended by then.
+    TimePoint lease_over;
+    bool silence_told = false;
+  };
+  struct OpenCall {
+    WorkerCall call;
+    TimePoint sent_at;
+  };
+
+  bool SendStops(TimePoint now, Effects& out);
+  bool SendStarts(TimePoint now, Effects& out);
+  bool SendThrottles(TimePoint now, Effects& out);
+  bool SendRenewal(TimePoint now, Effects& out);
+  bool SendList(TimePoint now, Effects& out);
+  void Send(TimePoint now, WorkerCall call, Effects& out);
+  void CheckSilence(TimePoint now, Effects& out);
+  TimePoint OrderEnd(TimePoint now) const;
+  TimePoint LeaseEnd(TimePoint renewed_by) const;
+
+  void OnAnswered(TimePoint now, const OpenCall& open, const WorkerReply& reply,
+                  Effects& out);
+  void OnStarted(const WorkerReply& reply, Effects& out);
+  void OnStopped(const WorkerReply& reply, Effects& out);
+  void OnRenewed(const OpenCall& open, const WorkerReply& reply);
+  void OnListed(TimePoint now, const OpenCall& open, const WorkerReply& reply,
+                Effects& out);
+  void OnListedTask(const WorkerTask& listed, Effects& out);
+  void OnNoAnswer(TimePoint now, const OpenCall& open);
+  void ReturnStarts(const OpenCall& open);
+  void End(const TaskId& task, WorkerTaskState state, Effects& out);
+
+  WorkerId worker_;
+  std::string address_;
+  std::uint64_t epoch_;
+  WorkerLinkSettings settings_;
+  std::map<TaskId, Task> tasks_;
+  std::set<TaskId> acknowledge_;  // ended ones that the worker may forget
+  std::optional<OpenCall> open_;
+  std::uint64_t next_call_ = 1;
+  std::optional<std::chrono::milliseconds> worker_clock_;
+  TimePoint worker_clock_at_;
+  bool fenced_first_ = false;  // the worker has seen our epoch
+  TimePoint next_renewal_;
+  TimePoint next_list_;
+  TimePoint retry_at_;
+  std::optional<TimePoint> unanswered_since_;
+  bool silent_ = false;
+};
+
+}  // namespace chivewing
