HTTP client and server with a certain "was it sent"

Cause: every part needs HTTP towards callers, targets, workers and the platform, and must know whether a request may have run.

libcurl by itself writes a request again when a reused connection closes without an answer, for POST too: the four SentOnceTest cases were seen failing (the server read 3 requests where 2 were sent) before the pre-request callback refused a second write; now they pass. Ruled out: FORBID_REUSE (a connection a request) and trusting libcurl to spare POST. Requests over the connection limits wait in the client rather than in libcurl, so that they time out as certainly not sent. An answer whose length is not told counts as cut.

The server binds its own socket (SO_REUSEADDR, never SO_REUSEPORT), suspends a call until it is answered from any thread, and closes a connection that does not deliver a whole request within the idle timeout, however it drips. Stop answers what the handler holds with 504 unknown and what it was not given with 503 not run, since only the latter certainly did not run.

--- /dev/null
+++ b/src/http/http_client.cc
@@ -0,0 +1,335 @@
+#include "http/http_client.h"
+
+#include <curl/curl.h>
+
+#include <algorithm>
+#include <atomic>
+#include <deque>
+#include <map>
+#include <mutex>
+#include <thread>
+#include <unordered_map>
+#include <utility>
+
+#include "base/ring.h"
+#include "base/time.h"
+#include "http/http_transfer.h"
+
+namespace chivewing {
+namespace {
+
+constexpr std::chrono::milliseconds kLongestPoll{1000};
+constexpr std::string_view kScheme = "http://";
+
+// The "IP:PORT" part of a URL: the unit of the limit on connections.
+std::string HostOf(std::string_view url) {
+  if (url.starts_with(kScheme)) url.remove_prefix(kScheme.size());
+  return std::string(url.substr(0, url.find('/')));
+}
+
+void InitCurlOnce() {
+  static const CURLcode code = curl_global_init(CURL_GLOBAL_DEFAULT);
+  static_cast<void>(code);
+}
+
+}  // namespace
+
+std::string_view Name(HttpFault fault) {
+  switch (fault) {
+    case HttpFault::kNone:
+      return "none";
+    case HttpFault::kConnect:
+      return "connect";
+    case HttpFault::kTimeout:
+      return "timeout";
+    case HttpFault::kConnectionLost:
+      return "connection_lost";
+    case HttpFault::kTooLarge:
+      return "too_large";
+    case HttpFault::kStopped:
+      return "stopped";
+  }
+  return "unlisted";
+}
+
+std::string_view HttpAnswer::Header(std::string_view name) const {
+  const auto found = std::find_if(
+      headers.begin(), headers.end(),
+      [name](const HttpHeader& header) { return header.name == name; });
+  return found == headers.end() ? std::string_view{} : found->value;
+}
+
+// The thread of a client. Transfers over the limits wait here rather than in
+// libcurl, which does not time out the transfers that it holds back.
+class HttpClient::Loop {
+ public:
+  explicit Loop(HttpClientOptions options);
+  ~Loop();
+  Loop(const Loop&) = delete;
+  Loop& operator=(const Loop&) = delete;
+
+  bool Push(HttpRequest request, Done done);
+  void Stop();
+  HttpClientCounts counts() const;
+
+ private:
+  struct Submission {
+    HttpRequest request;
+    Done done;
+    TimePoint deadline;
+  };
+  struct Host {
+    std::size_t active = 0;
+    std::deque<std::uint64_t> waiting;
+  };
+
+  void Run();
+  void TakeSubmissions();
+  void TakeFinished();
+  void Admit(Submission submission);
+  bool Start(Host& host, Submission submission);
+  void StartWaiting(const std::string& name);
+  bool StartFirst(Host& host);
+  void ExpireWaiting();
+  void Finish(HttpTransfer& transfer, HttpAnswer answer);
+  void Report(const Done& done, HttpAnswer answer);
+  void FailAll();
+  int PollTimeout() const;
+  std::unique_ptr<HttpTransfer> TakeTransfer();
+
+  HttpClientOptions options_;
+  CURLM* multi_;
+  Ring<Submission> ring_;
+  std::vector<Submission> taken_;
+  std::unordered_map<std::string, Host> hosts_;
+  std::unordered_map<std::uint64_t, Submission> waiting_;
+  std::multimap<TimePoint, std::uint64_t> deadlines_;  // of waiting ones
+  std::deque<std::string> crowded_;  // hosts held back by max_connections
+  std::uint64_t last_waiting_ = 0;
+  std::unordered_map<HttpTransfer*, std::unique_ptr<HttpTransfer>> active_;
+  std::vector<std::unique_ptr<HttpTransfer>> idle_;
+  std::atomic<std::uint64_t> requests_{0};
+  std::atomic<std::uint64_t> answers_{0};
+  std::atomic<std::uint64_t> faults_{0};
+  std::atomic<std::uint64_t> bytes_sent_{0};
+  std::atomic<std::uint64_t> bytes_received_{0};
+  std::mutex stop_mutex_;
+  std::thread thread_;
+};
+
+HttpClient::Loop::Loop(HttpClientOptions options)
+    : options_(options),
+      multi_(curl_multi_init()),
+      ring_(options.ring_capacity, [this] { curl_multi_wakeup(multi_); }) {
+  curl_multi_setopt(multi_, CURLMOPT_MAX_HOST_CONNECTIONS,
+                    static_cast<long>(options_.max_connections_per_host));
+  curl_multi_setopt(multi_, CURLMOPT_MAX_TOTAL_CONNECTIONS,
+                    static_cast<long>(options_.max_connections));
+  curl_multi_setopt(multi_, CURLMOPT_MAXCONNECTS,
+                    static_cast<long>(options_.max_connections));
+  curl_multi_setopt(multi_, CURLMOPT_PIPELINING, CURLPIPE_NOTHING);
+  thread_ = std::thread([this] { Run(); });
+}
+
+HttpClient::Loop::~Loop() {
+  Stop();
+  idle_.clear();
+  curl_multi_cleanup(multi_);
+}
+
+bool HttpClient::Loop::Push(HttpRequest request, Done done) {
+  const TimePoint deadline = BootClock::now() + request.timeout;
+  return ring_.Push({std::move(request), std::move(done), deadline});
+}
+
+void HttpClient::Loop::Stop() {
+  ring_.Close();
+  const std::lock_guard lock(stop_mutex_);
+  if (thread_.joinable()) thread_.join();
+}
+
+HttpClientCounts HttpClient::Loop::counts() const {
+  return {.requests = requests_,
+          .answers = answers_,
+          .faults = faults_,
+          .bytes_sent = bytes_sent_,
+          .bytes_received = bytes_received_};
+}
+
+void HttpClient::Loop::Run() {
+  while (!ring_.closed()) {
+    TakeSubmissions();
+    ExpireWaiting();
+    int running = 0;
+    curl_multi_perform(multi_, &running);
+    TakeFinished();
+    curl_multi_poll(multi_, nullptr, 0, PollTimeout(), nullptr);
+  }
+  FailAll();
+}
+
+int HttpClient::Loop::PollTimeout() const {
+  if (deadlines_.empty()) return static_cast<int>(kLongestPoll.count());
+  const auto left = std::chrono::ceil<std::chrono::milliseconds>(
+      deadlines_.begin()->first - BootClock::now());
+  return static_cast<int>(
+      std::clamp(left, std::chrono::milliseconds(0), kLongestPoll).count());
+}
+
+void HttpClient::Loop::TakeSubmissions() {
+  ring_.Drain(taken_, std::chrono::nanoseconds(0));
+  for (Submission& submission : taken_) Admit(std::move(submission));
+  taken_.clear();
+}
+
+void HttpClient::Loop::Admit(Submission submission) {
+  ++requests_;
+  bytes_sent_ += submission.request.body.size();
+  const std::string name = HostOf(submission.request.url);
+  Host& host = hosts_[name];
+  const bool full = active_.size() >= options_.max_connections;
+  const bool host_full = host.active >= options_.max_connections_per_host;
+  if (!full && !host_full && host.waiting.empty()) {
+    Start(host, std::move(submission));
+    return;
+  }
+  const std::uint64_t id = ++last_waiting_;
+  deadlines_.emplace(submission.deadline, id);
+  waiting_.emplace(id, std::move(submission));
+  host.waiting.push_back(id);
+  if (!host_full) crowded_.push_back(name);
+}
+
+// Returns false when the submission is past its deadline.
+bool HttpClient::Loop::Start(Host& host, Submission submission) {
+  const auto left = std::chrono::ceil<std::chrono::milliseconds>(
+      submission.deadline - BootClock::now());
+  if (left.count() <= 0) {
+    Report(submission.done, {.fault = HttpFault::kTimeout});
+    return false;
+  }
+  ++host.active;
+  std::unique_ptr<HttpTransfer> transfer = TakeTransfer();
+  transfer->Prepare(std::move(submission.request), std::move(submission.done),
+                    left);
+  curl_multi_add_handle(multi_, transfer->handle());
+  HttpTransfer* const key = transfer.get();
+  active_.emplace(key, std::move(transfer));
+  return true;
+}
+
+std::unique_ptr<HttpTransfer> HttpClient::Loop::TakeTransfer() {
+  if (!idle_.empty()) {
+    std::unique_ptr<HttpTransfer> transfer = std::move(idle_.back());
+    idle_.pop_back();
+    return transfer;
+  }
+  auto transfer = std::make_unique<HttpTransfer>();
+  curl_easy_setopt(transfer->handle(), CURLOPT_MAXAGE_CONN,
+                   static_cast<long>(options_.max_idle.count()));
+  return transfer;
+}
+
+void HttpClient::Loop::TakeFinished() {
+  int left = 0;
+  while (CURLMsg* message = curl_multi_info_read(multi_, &left)) {
+    if (message->msg != CURLMSG_DONE) continue;
+    void* transfer = nullptr;
+    curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &transfer);
+    auto* const done = static_cast<HttpTransfer*>(transfer);
+    Finish(*done, done->TakeAnswer(message->data.result));
+  }
+}
+
+void HttpClient::Loop::Finish(HttpTransfer& transfer, HttpAnswer answer) {
+  curl_multi_remove_handle(multi_, transfer.handle());
+  const std::string name = HostOf(transfer.request().url);
+  const Done done = transfer.TakeDone();
+  auto node = active_.extract(&transfer);
+  idle_.push_back(std::move(node.mapped()));
+  --hosts_[name].active;
+  Report(done, std::move(answer));
+  StartWaiting(name);
+}
+
+void HttpClient::Loop::Report(const Done& done, HttpAnswer answer) {
+  if (answer.ok()) {
+    ++answers_;
+    bytes_received_ += answer.body.size();
+  } else {
+    ++faults_;
+  }
+  done(std::move(answer));
+}
+
+// Starts what the end of a transfer to host `name` made room for.
+void HttpClient::Loop::StartWaiting(const std::string& name) {
+  const auto found = hosts_.find(name);
+  if (found == hosts_.end()) return;
+  Host& host = found->second;
+  if (StartFirst(host)) return;
+  if (host.active == 0 && host.waiting.empty()) hosts_.erase(found);
+  while (!crowded_.empty()) {
+    const std::string next = std::move(crowded_.front());
+    crowded_.pop_front();
+    const auto other = hosts_.find(next);
+    if (other != hosts_.end() && StartFirst(other->second)) return;
+  }
+}
+
+bool HttpClient::Loop::StartFirst(Host& host) {
+  while (!host.waiting.empty() &&
+         host.active < options_.max_connections_per_host) {
+    const auto found = waiting_.find(host.waiting.front());
+    host.waiting.pop_front();
+    if (found == waiting_.end()) continue;
+    Submission submission = std::move(found->second);
+    waiting_.erase(found);
+    if (Start(host, std::move(submission))) return true;
+  }
+  return false;
+}
+
+void HttpClient::Loop::ExpireWaiting() {
+  const TimePoint now = BootClock::now();
+  while (!deadlines_.empty() && deadlines_.begin()->first <= now) {
+    auto node = waiting_.extract(deadlines_.begin()->second);
+    deadlines_.erase(deadlines_.begin());
+    if (node.empty()) continue;
+    Report(node.mapped().done, {.fault = HttpFault::kTimeout});
+  }
+}
+
+void HttpClient::Loop::FailAll() {
+  ring_.Drain(taken_, std::chrono::nanoseconds(0));
+  for (const Submission& submission : taken_) {
+    Report(submission.done, {.fault = HttpFault::kStopped});
+  }
+  taken_.clear();
+  for (const auto& [id, submission] : waiting_) {
+    Report(submission.done, {.fault = HttpFault::kStopped});
+  }
+  waiting_.clear();
+  for (const auto& [key, transfer] : active_) {
+    curl_multi_remove_handle(multi_, transfer->handle());
+    Report(transfer->TakeDone(), transfer->TakeStopped());
+  }
+  active_.clear();
+}
+
+HttpClient::HttpClient(HttpClientOptions options) {
+  InitCurlOnce();
+  loop_ = std::make_unique<Loop>(options);
+}
+
+HttpClient::~HttpClient() = default;
+
+bool HttpClient::Send(HttpRequest request, Done done) {
+  return loop_->Push(std::move(request), std::move(done));
+}
+
+void HttpClient::Stop() { loop_->Stop(); }
+
+HttpClientCounts HttpClient::counts() const { return loop_->counts(); }
+
+}  // namespace chivewing
--- /dev/null
+++ b/src/http/http_transfer.cc
@@ -0,0 +1,192 @@
+#include "http/http_transfer.h"
+
+#include <algorithm>
+#include <cctype>
+#include <utility>
+
+namespace chivewing {
+namespace {
+
+constexpr int kFirstFinalStatus = 200;
+constexpr int kNoContent = 204;
+constexpr int kNotModified = 304;
+
+std::string_view Trim(std::string_view text) {
+  const auto first = text.find_first_not_of(" \t\r\n");
+  if (first == std::string_view::npos) return {};
+  const auto last = text.find_last_not_of(" \t\r\n");
+  return text.substr(first, last - first + 1);
+}
+
+std::string LowerCase(std::string_view text) {
+  std::string out(text);
+  std::transform(out.begin(), out.end(), out.begin(),
+                 [](unsigned char c) { return std::tolower(c); });
+  return out;
+}
+
+}  // namespace
+
+HttpTransfer::HttpTransfer() : handle_(curl_easy_init()) { SetFixedOptions(); }
+
+HttpTransfer::~HttpTransfer() {
+  curl_easy_cleanup(handle_);
+  curl_slist_free_all(header_list_);
+}
+
+void HttpTransfer::SetFixedOptions() {
+  curl_easy_setopt(handle_, CURLOPT_PRIVATE, this);
+  curl_easy_setopt(handle_, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(handle_, CURLOPT_TCP_NODELAY, 1L);
+  curl_easy_setopt(handle_, CURLOPT_PROXY, "");
+  curl_easy_setopt(handle_, CURLOPT_NOPROXY, "*");
+  curl_easy_setopt(handle_, CURLOPT_PROTOCOLS_STR, "http");
+  curl_easy_setopt(handle_, CURLOPT_FOLLOWLOCATION, 0L);
+  curl_easy_setopt(handle_, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+  curl_easy_setopt(handle_, CURLOPT_WRITEFUNCTION, &HttpTransfer::OnBody);
+  curl_easy_setopt(handle_, CURLOPT_WRITEDATA, this);
+  curl_easy_setopt(handle_, CURLOPT_HEADERFUNCTION, &HttpTransfer::OnHeader);
+  curl_easy_setopt(handle_, CURLOPT_HEADERDATA, this);
+  curl_easy_setopt(handle_, CURLOPT_PREREQFUNCTION, &HttpTransfer::OnConnected);
+  curl_easy_setopt(handle_, CURLOPT_PREREQDATA, this);
+}
+
+void HttpTransfer::Prepare(HttpRequest request, HttpClient::Done done,
+                           std::chrono::milliseconds remaining) {
+  request_ = std::move(request);
+  done_ = std::move(done);
+  answer_ = HttpAnswer{};
+  received_ = 0;
+  written_ = false;
+  too_large_ = false;
+  curl_easy_setopt(handle_, CURLOPT_URL, request_.url.c_str());
+  curl_easy_setopt(handle_, CURLOPT_TIMEOUT_MS,
+                   static_cast<long>(remaining.count()));
+  curl_easy_setopt(handle_, CURLOPT_CONNECTTIMEOUT_MS,
+                   static_cast<long>(request_.connect_timeout.count()));
+  curl_easy_setopt(handle_, CURLOPT_FRESH_CONNECT,
+                   request_.fresh_connection ? 1L : 0L);
+  SetMethod();
+  SetHeaders();
+}
+
+void HttpTransfer::SetMethod() {
+  curl_easy_setopt(handle_, CURLOPT_CUSTOMREQUEST, nullptr);
+  curl_easy_setopt(handle_, CURLOPT_HTTPGET, 1L);
+  if (request_.method == "GET" && request_.body.empty()) return;
+  if (request_.method == "HEAD") {
+    curl_easy_setopt(handle_, CURLOPT_NOBODY, 1L);
+    return;
+  }
+  if (request_.method == "POST" || !request_.body.empty()) {
+    curl_easy_setopt(handle_, CURLOPT_POST, 1L);
+    curl_easy_setopt(handle_, CURLOPT_POSTFIELDS, request_.body.data());
+    curl_easy_setopt(handle_, CURLOPT_POSTFIELDSIZE_LARGE,
+                     static_cast<curl_off_t>(request_.body.size()));
+  }
+  curl_easy_setopt(handle_, CURLOPT_CUSTOMREQUEST, request_.method.c_str());
+}
+
+void HttpTransfer::SetHeaders() {
+  curl_slist_free_all(header_list_);
+  header_list_ = curl_slist_append(nullptr, "Expect:");
+  bool has_type = false;
+  for (const HttpHeader& header : request_.headers) {
+    has_type = has_type || LowerCase(header.name) == "content-type";
+    const std::string line = header.value.empty()
+                                 ? header.name + ";"
+                                 : header.name + ": " + header.value;
+    header_list_ = curl_slist_append(header_list_, line.c_str());
+  }
+  if (!has_type) {
+    header_list_ = curl_slist_append(header_list_, "Content-Type:");
+  }
+  curl_easy_setopt(handle_, CURLOPT_HTTPHEADER, header_list_);
+}
+
+bool HttpTransfer::Admit(std::size_t bytes) {
+  received_ += bytes;
+  too_large_ = received_ > request_.max_answer_bytes;
+  return !too_large_;
+}
+
+std::size_t HttpTransfer::OnBody(char* data, std::size_t size,
+                                 std::size_t count, void* self) {
+  auto* transfer = static_cast<HttpTransfer*>(self);
+  const std::size_t bytes = size * count;
+  if (!transfer->Admit(bytes)) return 0;
+  transfer->answer_.body.append(data, bytes);
+  return bytes;
+}
+
+std::size_t HttpTransfer::OnHeader(char* data, std::size_t size,
+                                   std::size_t count, void* self) {
+  auto* transfer = static_cast<HttpTransfer*>(self);
+  const std::size_t bytes = size * count;
+  if (!transfer->Admit(bytes)) return 0;
+  return transfer->AddHeaderLine({data, bytes}) ? bytes : 0;
+}
+
+bool HttpTransfer::AddHeaderLine(std::string_view line) {
+  // A status line starts a new block: an interim answer may come before.
+  if (line.starts_with("HTTP/")) {
+    answer_.headers.clear();
+    return true;
+  }
+  const auto colon = line.find(':');
+  if (colon == std::string_view::npos) return true;
+  answer_.headers.push_back({LowerCase(line.substr(0, colon)),
+                             std::string(Trim(line.substr(colon + 1)))});
+  return true;
+}
+
+// Called each time before libcurl writes the request to a connection. libcurl
+// would write it again, to another connection, when a reused one closes without
+// an answer; the second call stops that, since the server may have run it.
+int HttpTransfer::OnConnected(void* self, char* /*remote_ip*/,
+                              char* /*local_ip*/, int /*remote_port*/,
+                              int /*local_port*/) {
+  auto* transfer = static_cast<HttpTransfer*>(self);
+  if (transfer->written_) return CURL_PREREQFUNC_ABORT;
+  transfer->written_ = true;
+  return CURL_PREREQFUNC_OK;
+}
+
+// An answer that ends with its connection may be cut short without a trace, so
+// a length or chunks are asked for.
+bool HttpTransfer::IsLengthProved() const {
+  if (request_.method == "HEAD") return true;
+  if (answer_.status == kNoContent || answer_.status == kNotModified) {
+    return true;
+  }
+  return !answer_.Header("content-length").empty() ||
+         LowerCase(answer_.Header("transfer-encoding")) == "chunked";
+}
+
+HttpFault HttpTransfer::FaultOf(CURLcode code) const {
+  if (too_large_) return HttpFault::kTooLarge;
+  if (code == CURLE_OK) {
+    const bool whole = answer_.status >= kFirstFinalStatus && IsLengthProved();
+    return whole ? HttpFault::kNone : HttpFault::kConnectionLost;
+  }
+  if (!written_) return HttpFault::kConnect;
+  if (code == CURLE_OPERATION_TIMEDOUT) return HttpFault::kTimeout;
+  return HttpFault::kConnectionLost;
+}
+
+HttpAnswer HttpTransfer::TakeAnswer(CURLcode code) {
+  long status = 0;
+  curl_easy_getinfo(handle_, CURLINFO_RESPONSE_CODE, &status);
+  answer_.status = static_cast<int>(status);
+  answer_.fault = FaultOf(code);
+  answer_.maybe_sent = written_;
+  return std::move(answer_);
+}
+
+HttpAnswer HttpTransfer::TakeStopped() {
+  answer_.fault = HttpFault::kStopped;
+  answer_.maybe_sent = written_;
+  return std::move(answer_);
+}
+
+}  // namespace chivewing
--- /dev/null
+++ b/src/http/http_transfer.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <curl/curl.h>
+
+#include <string>
+#include <string_view>
+
+#include "base/time.h"
+#include "http/http_client.h"
+
+namespace chivewing {
+
+// One request on one easy handle of libcurl, from being set up to its answer.
+// Used again for later requests, since handles are costly to make.
+class HttpTransfer {
+ public:
+  HttpTransfer();
+  ~HttpTransfer();
+  HttpTransfer(const HttpTransfer&) = delete;
+  HttpTransfer& operator=(const HttpTransfer&) = delete;
+
+  // Sets the handle up for `request`, with `remaining` of its timeout left.
+  void Prepare(HttpRequest request, HttpClient::Done done,
+               std::chrono::milliseconds remaining);
+
+  // The answer, after libcurl has ended the transfer with `code`.
+  HttpAnswer TakeAnswer(CURLcode code);
+  // The answer when the transfer is given up by the client itself.
+  HttpAnswer TakeStopped();
+  HttpClient::Done TakeDone() { return std::move(done_); }
+
+  CURL* handle() const { return handle_; }
+  const HttpRequest& request() const { return request_; }
+
+ private:
+  void SetFixedOptions();
+  void SetMethod();
+  void SetHeaders();
+  bool AddHeaderLine(std::string_view line);
+  bool IsLengthProved() const;
+  HttpFault FaultOf(CURLcode code) const;
+  bool Admit(std::size_t bytes);
+
+  static std::size_t OnBody(char* data, std::size_t size, std::size_t count,
+                            void* self);
+  static std::size_t OnHeader(char* data, std::size_t size, std::size_t count,
+                              void* self);
+  static int OnConnected(void* self, char* remote_ip, char* local_ip,
+                         int remote_port, int local_port);
+
+  CURL* handle_;
+  curl_slist* header_list_ = nullptr;
+  HttpRequest request_;
+  HttpClient::Done done_;
+  HttpAnswer answer_;
+  std::size_t received_ = 0;
+  bool written_ = false;  // a connection was given the request
+  bool too_large_ = false;
+};
+
+}  // namespace chivewing
--- /dev/null
+++ b/tests/http/http_server_test.cc
@@ -0,0 +1,306 @@
+#include "http/http_server.h"
+
+#include <gtest/gtest.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <future>
+#include <optional>
+
+#include "http/raw_server.h"
+#include "standins/blocking_http.h"
+
+namespace chivewing {
+namespace {
+
+using std::chrono::milliseconds;
+
+// A server that answers each call with its own body at once.
+class EchoServer {
+ public:
+  explicit EchoServer(HttpServerOptions options) : server_(std::move(options)) {
+    const Status started = server_.Start([this](const HttpCall& call) {
+      ++calls_;
+      server_.Answer(call.id, {.body = call.body});
+    });
+    EXPECT_TRUE(started);
+  }
+
+  std::string Url(const std::string& path) const {
+    return LoopbackUrl(server_.port(), path);
+  }
+  HttpServer& server() { return server_; }
+  int calls() const { return calls_; }
+
+ private:
+  std::atomic<int> calls_{0};
+  HttpServer server_;
+};
+
+TEST(HttpServerTest, HandsOverTheWholeCall) {
+  HttpServer server({});
+  std::optional<HttpCall> seen;
+  ASSERT_TRUE(server.Start([&](const HttpCall& call) {
+    seen = call;
+    server.Answer(
+        call.id,
+        {.status = 201, .body = "made", .headers = {{"X-Request-Id", "7"}}});
+  }));
+  const HttpAnswer answer =
+      Call("PUT", LoopbackUrl(server.port(), "/a%20b?prefix=p&prefix=q&n=1"),
+           "text", {{"X-Host", "h1"}});
+  EXPECT_EQ(answer.status, 201);
+  EXPECT_EQ(answer.body, "made");
+  EXPECT_EQ(answer.Header("x-request-id"), "7");
+  ASSERT_TRUE(seen.has_value());
+  EXPECT_EQ(seen->method, "PUT");
+  EXPECT_EQ(seen->path, "/a b");
+  EXPECT_EQ(seen->body, "text");
+  EXPECT_EQ(seen->Header("x-host"), "h1");
+  EXPECT_EQ(seen->query.count("prefix"), 2U);
+  EXPECT_EQ(seen->Query("n"), "1");
+}
+
+TEST(HttpServerTest, AnswersFromAnotherThreadAndIgnoresASecondAnswer) {
+  HttpServer server({.threads = 2});
+  std::promise<std::uint64_t> called;
+  ASSERT_TRUE(
+      server.Start([&](const HttpCall& call) { called.set_value(call.id); }));
+  std::thread answering([&] {
+    const std::uint64_t id = called.get_future().get();
+    server.Answer(id, {.body = "first"});
+    server.Answer(id, {.body = "second"});
+    server.Answer(id + 100, {.body = "nobody's"});
+  });
+  EXPECT_EQ(Get(LoopbackUrl(server.port(), "/")).body, "first");
+  answering.join();
+}
+
+struct KeyCase {
+  const char* name;
+  const char* header;
+  int status;
+};
+
+class BearerKeyTest : public testing::TestWithParam<KeyCase> {};
+
+TEST_P(BearerKeyTest, LetsOnlyTheKeyThrough) {
+  EchoServer echo({.bearer_key = "s3cret"});
+  std::vector<HttpHeader> headers;
+  if (*GetParam().header != '\0') {
+    headers.push_back({"Authorization", GetParam().header});
+  }
+  const HttpAnswer answer = Post(echo.Url("/"), "body", std::move(headers));
+  EXPECT_EQ(answer.status, GetParam().status);
+  EXPECT_EQ(echo.calls(), GetParam().status == 200 ? 1 : 0);
+  if (answer.status != 200) {
+    EXPECT_NE(answer.body.find("\"code\":106"), std::string::npos);
+    EXPECT_EQ(answer.body.find("s3cret"), std::string::npos);
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Keys, BearerKeyTest,
+    testing::Values(KeyCase{"Right", "Bearer s3cret", 200},
+                    KeyCase{"None", "", 401},
+                    KeyCase{"Wrong", "Bearer s3creT", 401},
+                    KeyCase{"Short", "Bearer s3cre", 401},
+                    KeyCase{"Long", "Bearer s3cret1", 401},
+                    KeyCase{"Twice", "Bearer s3crets3cret", 401},
+                    KeyCase{"Empty", "Bearer ", 401},
+                    KeyCase{"NoScheme", "s3cret", 401},
+                    KeyCase{"OtherScheme", "Basic s3cret", 401}),
+    [](const auto& each) { return each.param.name; });
+
+struct BytesCase {
+  const char* name;
+  std::string sent;
+  const char* status;  // what the answer starts with; "" for a bare close
+};
+
+class ServerBytesTest : public testing::TestWithParam<BytesCase> {};
+
+TEST_P(ServerBytesTest, MalformedCallsNeverReachTheHandler) {
+  EchoServer echo({.max_body_bytes = 64,
+                   .max_header_bytes = 2048,
+                   .idle_timeout = milliseconds(500)});
+  const int fd = ConnectTo(echo.server().port());
+  WriteAll(fd, GetParam().sent);
+  shutdown(fd, SHUT_WR);
+  const std::string answer = ReadUntil(fd, "");
+  close(fd);
+  const std::string wanted = GetParam().status;
+  EXPECT_EQ(answer.substr(0, wanted.size()), wanted);
+  if (wanted.empty()) {
+    EXPECT_EQ(answer, "");
+  }
+  EXPECT_EQ(echo.calls(), 0);
+  // The server goes on serving others.
+  EXPECT_EQ(Post(echo.Url("/"), "next").body, "next");
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Bytes, ServerBytesTest,
+    testing::Values(
+        BytesCase{"Garbage", "\x01\x02\x03 garbage\r\n\r\n", "HTTP/1.1 400"},
+        BytesCase{"NoHost", "GET / HTTP/1.1\r\n\r\n", "HTTP/1.1 400"},
+        BytesCase{"BadLength",
+                  "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: no\r\n\r\n",
+                  "HTTP/1.1 400"},
+        BytesCase{"BadChunk",
+                  "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked"
+                  "\r\n\r\nzz\r\nbody\r\n",
+                  "HTTP/1.1 400"},
+        BytesCase{"HugeHeader",
+                  "GET / HTTP/1.1\r\nHost: x\r\nX-Big: " +
+                      std::string(100000, 'a') + "\r\n\r\n",
+                  "HTTP/1.1 431"},
+        BytesCase{"Oversized",
+                  "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 65\r\n\r\n" +
+                      std::string(65, 'a'),
+                  "HTTP/1.1 413"},
+        BytesCase{"OversizedChunks",
+                  "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked"
+                  "\r\n\r\n41\r\n" +
+                      std::string(65, 'a') + "\r\n0\r\n\r\n",
+                  "HTTP/1.1 413"},
+        BytesCase{"FarOversized",
+                  "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 9999999\r\n"
+                  "\r\n" +
+                      std::string(2000, 'a'),
+                  ""},
+        BytesCase{"HalfBody",
+                  "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\nab",
+                  ""}),
+    [](const auto& each) { return each.param.name; });
+
+TEST(HttpServerTest, OversizedBodyIsToldItsResultCode) {
+  EchoServer echo({.max_body_bytes = 10});
+  const HttpAnswer answer = Post(echo.Url("/"), "eleven byte");
+  EXPECT_EQ(answer.status, 413);
+  EXPECT_NE(answer.body.find("\"code\":101"), std::string::npos);
+  EXPECT_EQ(echo.calls(), 0);
+}
+
+struct SlowCase {
+  const char* name;
+  std::string start;
+  std::string drip;  // sent again and again until the server closes
+};
+
+class SlowSenderTest : public testing::TestWithParam<SlowCase> {};
+
+TEST_P(SlowSenderTest, IsClosedByTheIdleTimeout) {
+  EchoServer echo({.idle_timeout = milliseconds(100)});
+  const int fd = ConnectTo(echo.server().port());
+  WriteAll(fd, GetParam().start);
+  const timeval pause{.tv_sec = 0, .tv_usec = 10000};
+  setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &pause, sizeof(pause));
+  char byte = 0;
+  while (recv(fd, &byte, 1, 0) < 0 && errno == EAGAIN) {
+    WriteAll(fd, GetParam().drip);
+  }
+  close(fd);
+  EXPECT_EQ(echo.server().counts().timed_out, 1U);
+  EXPECT_EQ(echo.calls(), 0);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Senders, SlowSenderTest,
+    testing::Values(SlowCase{"Silent", "", ""},
+                    SlowCase{"SilentInHeaders", "GET / HT", ""},
+                    SlowCase{"DripsHeaders", "GET / HTTP/1.1\r\nX-Slow: ", "a"},
+                    SlowCase{"DripsBody",
+                             "POST / HTTP/1.1\r\nHost: x\r\n"
+                             "Content-Length: 100000\r\n\r\n",
+                             "a"}),
+    [](const auto& each) { return each.param.name; });
+
+TEST(HttpServerTest, AddressInUseIsToldAndIsFreeAgainAfterStop) {
+  HttpServer first({});
+  ASSERT_TRUE(first.Start([](const HttpCall&) {}));
+  const std::string address = "127.0.0.1:" + std::to_string(first.port());
+  HttpServer second({.address = address});
+  const Status refused = second.Start([](const HttpCall&) {});
+  ASSERT_FALSE(refused);
+  EXPECT_EQ(refused.error().code, ResultCode::kAddressInUse);
+  const int open = ConnectTo(first.port());
+  first.Stop();
+  EXPECT_TRUE(second.Start([](const HttpCall&) {}));
+  close(open);
+}
+
+class BadAddressTest : public testing::TestWithParam<const char*> {};
+
+TEST_P(BadAddressTest, IsABadSetting) {
+  HttpServer server({.address = GetParam()});
+  const Status refused = server.Start([](const HttpCall&) {});
+  ASSERT_FALSE(refused);
+  EXPECT_EQ(refused.error().code, ResultCode::kBadSettings);
+}
+
+INSTANTIATE_TEST_SUITE_P(Addresses, BadAddressTest,
+                         testing::Values("", "127.0.0.1", "localhost:1",
+                                         "127.0.0.1:70000", "127.0.0.1:x",
+                                         "192.0.2.1:1"));
+
+TEST(HttpServerTest, StopAnswersWhatWaitsAsUnknown) {
+  HttpServer server({});
+  std::promise<void> called;
+  ASSERT_TRUE(server.Start([&](const HttpCall&) { called.set_value(); }));
+  std::thread stopping([&] {
+    called.get_future().wait();
+    server.Stop();
+  });
+  const HttpAnswer answer = Get(LoopbackUrl(server.port(), "/"));
+  stopping.join();
+  EXPECT_EQ(answer.status, 504);
+  EXPECT_NE(answer.body.find("\"outcome\":\"unknown\""), std::string::npos);
+}
+
+TEST(HttpServerTest, StopAcceptingKeepsOpenCallsAndRefusesNewConnections) {
+  HttpServer server({});
+  std::promise<std::uint64_t> called;
+  ASSERT_TRUE(
+      server.Start([&](const HttpCall& call) { called.set_value(call.id); }));
+  const std::string url = LoopbackUrl(server.port(), "/");
+  std::thread answering([&] {
+    const std::uint64_t id = called.get_future().get();
+    server.StopAccepting();
+    EXPECT_EQ(Get(url).fault, HttpFault::kConnect);
+    server.Answer(id, {.body = "finished"});
+  });
+  HttpClient client;
+  const HttpAnswer answer = SendAndWait(client, {.url = url});
+  answering.join();
+  EXPECT_EQ(answer.body, "finished");
+  EXPECT_EQ(answer.Header("connection"), "close");
+}
+
+TEST(HttpServerTest, CutAnswerIsNotTakenForAWholeOne) {
+  HttpServer server({});
+  ASSERT_TRUE(server.Start([&](const HttpCall& call) {
+    server.Answer(call.id, {.body = "whole answer", .cut_after = 5});
+  }));
+  EXPECT_EQ(Get(LoopbackUrl(server.port(), "/")).fault,
+            HttpFault::kConnectionLost);
+}
+
+TEST(HttpServerTest, NumbersConnections) {
+  HttpServer server({});
+  std::vector<std::uint64_t> numbers;
+  ASSERT_TRUE(server.Start([&](const HttpCall& call) {
+    numbers.push_back(call.connection);
+    server.Answer(call.id, {});
+  }));
+  HttpClient client;
+  const std::string url = LoopbackUrl(server.port(), "/");
+  for (const bool fresh : {false, false, true}) {
+    SendAndWait(client, {.url = url, .fresh_connection = fresh});
+  }
+  EXPECT_EQ(numbers, (std::vector<std::uint64_t>{1, 1, 2}));
+}
+
+}  // namespace
+}  // namespace chivewing
--- /dev/null
+++ b/tests/standins/standin_main.cc
@@ -0,0 +1,1 @@
+int main() { return 0; }
