--- /dev/null
+++ b/src/catalogue/catalogue_messages.cc
@@ -0,0 +1,210 @@
+#include "catalogue/catalogue_messages.h"
+
+#include <nlohmann/json.hpp>
+#include <set>
+#include <utility>
+
+#include "catalogue/entry_reader.h"
+#include "catalogue/entry_writer.h"
+#include "schema/json_parser.h"
+
+namespace chivewing {
+namespace {
+
+using Json = nlohmann::ordered_json;
+
+constexpr int kIndent = 2;
+constexpr std::size_t kLongestChangedBy = 200;
+
+Json EntryJson(const std::optional<CatalogueEntry>& entry) {
+  if (!entry) return nullptr;
+  return Json::parse(WriteEntry(*entry, JsonLayout::kCompact));
+}
+
+Json EditJson(const CatalogueEdit& edit) {
+  Json json = Json::object();
+  json["version"] = edit.version;
+  json["changed_by"] = edit.changed_by;
+  json["entry"] = EntryJson(edit.entry);
+  return json;
+}
+
+std::optional<std::uint64_t> ReadVersion(const JsonNode& object,
+                                         const std::string& prefix,
+                                         FaultCollector& faults) {
+  const JsonNode* node = object.Find("version");
+  if (node == nullptr) return std::nullopt;
+  if (node->kind == JsonKind::kInteger && node->integer >= 0) {
+    return static_cast<std::uint64_t>(node->integer);
+  }
+  faults.Add(node->line, prefix + "version", "must be an integer from 0");
+  return std::nullopt;
+}
+
+void ReadEditHead(const JsonNode& root, CatalogueEdit& edit,
+                  FaultCollector& faults) {
+  const std::optional<std::uint64_t> version = ReadVersion(root, "", faults);
+  if (root.Find("version") == nullptr) {
+    faults.Add(root.line, "version", "is missing");
+  }
+  edit.version = version.value_or(0);
+  const JsonNode* by = root.Find("changed_by");
+  if (by == nullptr || by->kind != JsonKind::kText || by->text.empty() ||
+      by->text.size() > kLongestChangedBy) {
+    faults.Add(root.line, "changed_by", "must be 1 to 200 characters");
+    return;
+  }
+  edit.changed_by = by->text;
+}
+
+void RefuseOtherKeys(const JsonNode& root, FaultCollector& faults) {
+  const std::set<std::string> known = {"version", "changed_by", "entry"};
+  for (const JsonNode& member : root.items) {
+    if (known.contains(member.key)) continue;
+    faults.Add(member.line, member.key, "unknown key");
+  }
+}
+
+CatalogueEdit ReadEditNode(const EntryName& name, const JsonNode& root,
+                           FaultCollector& faults) {
+  CatalogueEdit edit;
+  edit.name = name;
+  RefuseOtherKeys(root, faults);
+  ReadEditHead(root, edit, faults);
+  const JsonNode* entry = root.Find("entry");
+  if (entry == nullptr) {
+    faults.Add(root.line, "entry", "is missing");
+    return edit;
+  }
+  if (entry->kind == JsonKind::kNull) return edit;
+  edit.entry = ReadEntryNode(*entry, "entry.", faults);
+  if (edit.entry->name != name) {
+    faults.Add(entry->line, "entry.name", "is not " + name.value());
+  }
+  return edit;
+}
+
+EntryDraft ReadDraft(JsonNode object, const std::string& prefix,
+                     FaultCollector& faults) {
+  EntryDraft draft;
+  draft.version = ReadVersion(object, prefix, faults);
+  std::erase_if(object.items,
+                [](const JsonNode& item) { return item.key == "version"; });
+  draft.entry = ReadEntryNode(object, prefix, faults);
+  return draft;
+}
+
+void RefuseEqualNames(const std::vector<EntryDraft>& drafts,
+                      FaultCollector& faults) {
+  std::set<EntryName> names;
+  for (const EntryDraft& draft : drafts) {
+    const EntryName& name = draft.entry.name;
+    if (name.empty() || names.insert(name).second) continue;
+    faults.Add(0, "name", name.value() + " is given by two entries");
+  }
+}
+
+}  // namespace
+
+std::string WriteListing(const CatalogueListing& listing) {
+  std::string text = R"({"age_ms":)" + std::to_string(listing.age.count());
+  text += R"(,"entries":[)";
+  bool first = true;
+  for (const CatalogueRecord& record : listing.records) {
+    if (!first) text += ",";
+    first = false;
+    text += WriteRecordView(record);
+  }
+  return text + "]}";
+}
+
+Result<CatalogueListing> ReadListing(std::string_view text) {
+  const Checked<JsonNode> root = ParseJson(text, "answer");
+  if (!root) return ToError(ResultCode::kBadAnswer, root.error());
+  const JsonNode* age = root.value().Find("age_ms");
+  const JsonNode* entries = root.value().Find("entries");
+  if (age == nullptr || entries == nullptr) {
+    return Error{ResultCode::kBadAnswer, "the answer is no catalogue listing"};
+  }
+  CatalogueListing listing;
+  listing.age = std::chrono::milliseconds(age->integer);
+  FaultCollector faults("answer");
+  for (const JsonNode& item : entries->items) {
+    listing.records.push_back(ReadRecordView(item, faults));
+  }
+  if (!faults.empty()) return ToError(ResultCode::kBadAnswer, faults.Take());
+  return listing;
+}
+
+std::string WriteEdit(const CatalogueEdit& edit) {
+  return EditJson(edit).dump();
+}
+
+Checked<CatalogueEdit> ReadEdit(const EntryName& name, std::string_view text) {
+  const Checked<JsonNode> root = ParseJson(text, "body");
+  if (!root) return root.error();
+  FaultCollector faults("body");
+  if (root.value().kind != JsonKind::kObject) {
+    faults.Add(root.value().line, "", "must be an object");
+    return faults.Take();
+  }
+  CatalogueEdit edit = ReadEditNode(name, root.value(), faults);
+  if (!faults.empty()) return faults.Take();
+  return edit;
+}
+
+std::string WriteConflict(const CatalogueConflict& conflict) {
+  Json json = Json::object();
+  json["code"] = static_cast<int>(ResultCode::kConflict);
+  json["name"] = std::string(Name(ResultCode::kConflict));
+  json["detail"] = conflict.present.name.value() + " was changed by " +
+                   conflict.present.changed_by + " to version " +
+                   std::to_string(conflict.present.version);
+  json["present"] = Json::parse(WriteRecordView(conflict.present));
+  json["yours"] = EditJson(conflict.yours);
+  return json.dump();
+}
+
+Result<CatalogueConflict> ReadConflict(std::string_view text) {
+  const Checked<JsonNode> root = ParseJson(text, "answer");
+  if (!root) return ToError(ResultCode::kBadAnswer, root.error());
+  const JsonNode* present = root.value().Find("present");
+  const JsonNode* yours = root.value().Find("yours");
+  if (present == nullptr || yours == nullptr) {
+    return Error{ResultCode::kBadAnswer, "the answer shows no conflict"};
+  }
+  FaultCollector faults("answer");
+  CatalogueConflict conflict;
+  conflict.present = ReadRecordView(*present, faults);
+  conflict.yours = ReadEditNode(conflict.present.name, *yours, faults);
+  if (!faults.empty()) return ToError(ResultCode::kBadAnswer, faults.Take());
+  return conflict;
+}
+
+Checked<std::vector<EntryDraft>> ReadDrafts(std::string_view text,
+                                            const std::string& file) {
+  const Checked<JsonNode> root = ParseJson(text, file);
+  if (!root) return root.error();
+  FaultCollector faults(file);
+  std::vector<EntryDraft> drafts;
+  if (root.value().kind != JsonKind::kList) {
+    drafts.push_back(ReadDraft(root.value(), "", faults));
+  } else {
+    for (const JsonNode& item : root.value().items) {
+      const std::string index = std::to_string(drafts.size());
+      drafts.push_back(ReadDraft(item, "[" + index + "].", faults));
+    }
+  }
+  RefuseEqualNames(drafts, faults);
+  if (!faults.empty()) return faults.Take();
+  return drafts;
+}
+
+std::string WriteDraft(const EntryDraft& draft) {
+  Json json = Json::object();
+  if (draft.version) json["version"] = *draft.version;
+  json.update(EntryJson(draft.entry));
+  return json.dump(kIndent);
+}
+
+}  // namespace chivewing
--- a/src/catalogue/catalogue_record.cc
+++ b/src/catalogue/catalogue_record.cc
@@ -94,6 +94,21 @@
   return record;
 }
 
+CatalogueRecord ReadRecordView(const JsonNode& object, FaultCollector& faults) {
+  CatalogueRecord record;
+  const JsonNode* name = FindKind(object, "name", JsonKind::kText);
+  const JsonNode* version = FindKind(object, "version", JsonKind::kInteger);
+  if (name == nullptr || version == nullptr) {
+    faults.Add(object.line, "", "lacks name or version");
+    return record;
+  }
+  record.name = EntryName(name->text);
+  record.version = static_cast<std::uint64_t>(version->integer);
+  ReadChange(object, record, faults);
+  ReadRecordEntry(object, record, faults);
+  return record;
+}
+
 std::string WriteRecord(const CatalogueRecord& record) {
   Json json = Json::object();
   AddChange(record, json);
--- a/src/catalogue/catalogue_record.h
+++ b/src/catalogue/catalogue_record.h
@@ -9,6 +9,8 @@
 #include "base/id.h"
 #include "base/result.h"
 #include "catalogue/catalogue_entry.h"
+#include "schema/fault.h"
+#include "schema/json_node.h"
 
 namespace chivewing {
 
@@ -35,6 +37,9 @@
                                    std::string_view value,
                                    std::uint64_t version);
 
+// Reads a record as operators see it.
+CatalogueRecord ReadRecordView(const JsonNode& object, FaultCollector& faults);
+
 // The value of a row.
 std::string WriteRecord(const CatalogueRecord& record);
 
--- /dev/null
+++ b/src/cli/catalogue_applier.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+
+#include "cli/arguments.h"
+#include "cli/catalogue_client.h"
+#include "cli/exit_status.h"
+#include "cli/verb.h"
+
+namespace chivewing {
+
+// Newest records by name, as an entry host knows them.
+class PresentRecords {
+ public:
+  explicit PresentRecords(const CatalogueListing& listing);
+
+  // 0 for a name that is not in force.
+  std::uint64_t VersionOf(const EntryName& name) const;
+  std::optional<CatalogueEntry> EntryOf(const EntryName& name) const;
+
+ private:
+  std::map<EntryName, CatalogueRecord> records_;
+};
+
+// Applies drafts one by one and writes what became of each. Refers to what it
+// is made of.
+class CatalogueApplier {
+ public:
+  CatalogueApplier(const CatalogueClient& client,
+                   const PresentRecords& present, const Arguments& arguments,
+                   const CliHooks& hooks, std::string changed_by);
+
+  ExitStatus Apply(const EntryDraft& draft);
+
+  // Sends an edit and writes what became of it; `done` is the word for success.
+  ExitStatus Send(const CatalogueEdit& edit, const std::string& done);
+
+ private:
+  std::uint64_t BaseVersion(const EntryDraft& draft) const;
+  ExitStatus ReportConflict(const CatalogueConflict& conflict);
+  void Write(const EntryName& name, const std::string& what,
+             std::uint64_t version);
+
+  const CatalogueClient& client_;
+  const PresentRecords& present_;
+  bool overwrite_;
+  bool json_;
+  const CliHooks& hooks_;
+  std::string changed_by_;
+};
+
+}  // namespace chivewing
--- /dev/null
+++ b/src/cli/entry_host_client.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <chrono>
+#include <string>
+#include <vector>
+
+#include "base/result.h"
+#include "cli/arguments.h"
+#include "cli/http_call.h"
+#include "cli/verb.h"
+
+namespace chivewing {
+
+// Whether a call may be sent again when it is not known to have arrived.
+enum class Repeat { kAllowed, kForbidden };
+
+// Calls one of several entry hosts.
+class EntryHostClient {
+ public:
+  EntryHostClient(std::vector<std::string> addresses, std::string key,
+                  HttpCall call);
+
+  // Sends to the first address, and on to each next one once while no address
+  // was reached. `url` of the request is a path.
+  HttpAnswer Send(HttpRequest request, Repeat repeat) const;
+
+  // Sends to one address only.
+  HttpAnswer SendTo(const std::string& address, HttpRequest request) const;
+
+  const std::vector<std::string>& addresses() const { return addresses_; }
+
+ private:
+  std::vector<std::string> addresses_;
+  std::string key_;  // empty: no Authorization header
+  HttpCall call_;
+};
+
+// The options that every verb with a client has.
+std::vector<OptionSpec> CallerOptions();    // --address, --timeout-ms
+std::vector<OptionSpec> OperatorOptions();  // and --key-file
+
+// Makes a client from the options given.
+Result<EntryHostClient> MakeClient(const Arguments& arguments,
+                                   const CliHooks& hooks);
+
+// The time limit that --timeout-ms asks for.
+Result<std::chrono::milliseconds> TimeoutOf(const Arguments& arguments);
+
+}  // namespace chivewing
--- /dev/null
+++ b/src/cli/process_verbs.cc
@@ -0,0 +1,91 @@
+// The verbs of one process: serve, check-settings and version.
+
+#include <ostream>
+
+#include "cli/report.h"
+#include "cli/verb.h"
+#include "cli/version.h"
+#include "settings/settings_fields.h"
+#include "settings/settings_reader.h"
+
+namespace chivewing {
+namespace {
+
+Checked<Settings> ReadGivenSettings(const Arguments& arguments) {
+  if (!arguments.Has("settings")) {
+    return Faults{Fault{"", 0, "--settings", "FILE is needed"}};
+  }
+  return ReadSettingsFile(arguments.Value("settings"));
+}
+
+ExitStatus Serve(const Arguments& arguments, const CliHooks& hooks) {
+  const Checked<Settings> settings = ReadGivenSettings(arguments);
+  if (!settings) {
+    return ReportFaults(ResultCode::kBadSettings, settings.error(), hooks);
+  }
+  return static_cast<ExitStatus>(hooks.serve(settings.value()));
+}
+
+ExitStatus CheckSettingsFile(const Arguments& arguments,
+                             const CliHooks& hooks) {
+  if (arguments.Has("list-keys")) {
+    *hooks.out << SettingsTable() << "\n" << PeerTable();
+    return ExitStatus::kOk;
+  }
+  const Checked<Settings> settings = ReadGivenSettings(arguments);
+  if (!settings) {
+    return ReportFaults(ResultCode::kBadSettings, settings.error(), hooks);
+  }
+  *hooks.out << arguments.Value("settings") << ": good; host "
+             << settings.value().host.value() << " in zone "
+             << settings.value().zone.value() << ", "
+             << settings.value().peers.size() << " peers\n";
+  return ExitStatus::kOk;
+}
+
+ExitStatus ShowVersion(const Arguments& /*arguments*/, const CliHooks& hooks) {
+  *hooks.out << "chivewing " << kVersion << "\n";
+  return ExitStatus::kOk;
+}
+
+Verb ServeVerb() {
+  Verb verb;
+  verb.name = "serve";
+  verb.summary =
+      "Runs the process of an entry host until SIGTERM or SIGINT, which let "
+      "running requests finish.";
+  verb.options = {{"settings", "FILE", "settings of this process"}};
+  verb.examples = "  chivewing serve --settings entry-1.json\n";
+  verb.run = Serve;
+  return verb;
+}
+
+Verb CheckSettingsVerb() {
+  Verb verb;
+  verb.name = "check-settings";
+  verb.summary = "Checks a settings file and reports every fault in it.";
+  verb.options = {{"settings", "FILE", "the file to check"},
+                  {"list-keys", "", "lists all keys with their defaults"}};
+  verb.examples =
+      "  chivewing check-settings --settings entry-1.json\n"
+      "  chivewing check-settings --list-keys\n";
+  verb.run = CheckSettingsFile;
+  return verb;
+}
+
+Verb VersionVerb() {
+  Verb verb;
+  verb.name = "version";
+  verb.summary = "Shows the version of the program.";
+  verb.examples = "  chivewing version\n";
+  verb.run = ShowVersion;
+  return verb;
+}
+
+}  // namespace
+
+std::vector<Verb> ProcessVerbs() {
+  return {ServeVerb(), CheckSettingsVerb(), VersionVerb()};
+}
+
+}  // namespace chivewing
--- /dev/null
+++ b/src/cli/url.h
@@ -0,0 +1,11 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+
+namespace chivewing {
+
+// The text with all but unreserved characters percent-encoded.
+std::string EscapeUrl(std::string_view text);
+
+}  // namespace chivewing
--- /dev/null
+++ b/src/cli/verb.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <cstddef>
+#include <functional>
+#include <ostream>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "cli/arguments.h"
+#include "cli/exit_status.h"
+#include "cli/http_call.h"
+#include "settings/settings.h"
+
+namespace chivewing {
+
+// What verbs reach outside for.
+struct CliHooks {
+  HttpCall call;
+  // Runs the process of an entry host until it is stopped; gives the exit
+  // status.
+  std::function<int(const Settings&)> serve;
+  std::function<std::string(const std::string&)> environment;
+  std::ostream* out = nullptr;
+  std::ostream* err = nullptr;
+};
+
+// One verb of the command line.
+struct Verb {
+  std::string_view name;      // "catalogue apply"
+  std::string_view operands;  // "FILE..."; for --help
+  std::size_t least_operands = 0;
+  std::size_t most_operands = 0;
+  std::string_view summary;  // one sentence
+  std::vector<OptionSpec> options;
+  std::string_view examples;  // one command a line
+  std::function<ExitStatus(const Arguments&, const CliHooks&)> run;
+};
+
+inline constexpr std::size_t kAnyNumber = 1000;
+
+// All verbs, in the order of --help.
+const std::vector<Verb>& Verbs();
+
+// The verbs of each group.
+std::vector<Verb> ProcessVerbs();    // serve, check-settings, version
+std::vector<Verb> CatalogueVerbs();  // catalogue ...
+std::vector<Verb> JobVerbs();        // submit, cancel, jobs, where
+std::vector<Verb> RequestVerbs();    // request, state
+
+}  // namespace chivewing
