Codec test follows the renamed load reports

Cause: the merge of peers left the test naming the former structs. Ruled out: keeping aliases, which would hide two shapes behind one name. Change: the test builds PeerLoadReport. Before: peer test did not compile. Conclusion: none further.

--- a/tests/peer/codec_test.cc
+++ b/tests/peer/codec_test.cc
@@ -19,7 +19,10 @@
   return ResultCodes()[*rc::gen::inRange<std::size_t>(0, ResultCodes().size())]
       .code;
 }
-EntryLoad AnyLoad() { return {EntryName(AnyText()), AnyNumber(), AnyNumber()}; }
+PeerEntryLoad AnyLoad() {
+  return {EntryName(AnyText()), AnyNumber(), AnyNumber(), AnyNumber()};
+}
+PeerLoadReport AnyReport() { return {AnyNumber(), {AnyLoad(), AnyLoad()}}; }
 TableRow AnyRow() {
   TableRow row{AnyText(), std::nullopt, AnyNumber(), AnyText()};
   if (*rc::gen::arbitrary<bool>()) row.value = AnyText();
@@ -47,9 +50,10 @@
                      true,
                      false};
     case 4:
-      return ForwardAnswer{AnyNumber(), AnyCode(), AnyText(), AnyLoad()};
+      return ForwardAnswer{AnyNumber(), AnyCode(), AnyNumber(), AnyText(),
+                           AnyReport()};
     case 5:
-      return LoadReport{{AnyLoad(), AnyLoad()}};
+      return AnyReport();
     case 6:
       return RowsPush{{AnyRow(), AnyRow(), AnyRow()}};
     case 7:
