--- /dev/null
+++ b/src/entry/duty_thread.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include <algorithm>
+#include <functional>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include "base/ring.h"
+#include "base/time.h"
+
+namespace chivewing {
+
+// The thread of one duty: hands the events of its ring to a handler, in order.
+template <typename Event>
+class DutyThread {
+ public:
+  // Handles the events, which may be none, and what is due at `now`; returns
+  // when it is to be called again at the latest.
+  using Handler =
+      std::function<TimePoint(TimePoint now, std::vector<Event>& events)>;
+
+  explicit DutyThread(std::size_t capacity) : ring_(capacity) {}
+  ~DutyThread() { Stop(); }
+  DutyThread(const DutyThread&) = delete;
+  DutyThread& operator=(const DutyThread&) = delete;
+
+  void Start(TimeSource clock, Handler handler) {
+    thread_ =
+        std::thread([this, clock = std::move(clock),
+                     handler = std::move(handler)] { Run(clock, handler); });
+  }
+
+  // Hands over an event; false when the ring is full or the duty has ended.
+  bool TryPost(Event event) { return ring_.Push(std::move(event)); }
+
+  // Hands over an event that must not be lost, such as the end of something
+  // that this duty began; waits while the ring is full. Never called by a duty
+  // that this one may wait for.
+  void Post(Event event) {
+    if (std::this_thread::get_id() == thread_.get_id()) {
+      own_.push_back(std::move(event));
+      return;
+    }
+    while (!ring_.Push(std::move(event)) && !ring_.closed()) {
+      std::this_thread::yield();
+    }
+  }
+
+  // Ends the thread after the events that it has taken.
+  void Stop() {
+    ring_.Close();
+    if (thread_.joinable()) thread_.join();
+  }
+
+  std::size_t waiting() const { return ring_.size(); }
+  std::size_t refused() const { return ring_.refused(); }
+
+ private:
+  void Run(const TimeSource& clock, const Handler& handler) {
+    std::vector<Event> events;
+    TimePoint wake = clock();
+    while (!ring_.closed()) {
+      events.swap(own_);
+      const Duration patience = events.empty() ? wake - clock() : Duration(0);
+      ring_.Drain(events, events.empty() ? std::max(patience, kLeastPatience)
+                                         : patience);
+      wake = handler(clock(), events);
+      events.clear();
+    }
+  }
+
+  // Keeps a handler that is always due from spinning.
+  static constexpr Duration kLeastPatience = std::chrono::microseconds(50);
+
+  Ring<Event> ring_;
+  std::vector<Event> own_;  // posted by the duty itself
+  std::thread thread_;
+};
+
+}  // namespace chivewing
--- /dev/null
+++ b/src/entry/entry_host.cc
@@ -0,0 +1,427 @@
+#include "entry/entry_host.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <thread>
+#include <utility>
+
+#include "base/log.h"
+#include "base/time.h"
+#include "entry/caller_codec.h"
+#include "entry/control_flow.h"
+#include "entry/flow_settings.h"
+#include "entry/placer_flow.h"
+#include "entry/request_flow.h"
+#include "workers/worker_codec.h"
+
+namespace chivewing {
+namespace {
+
+constexpr std::size_t kBytesPerKb = 1024;
+constexpr std::size_t kChangesPage = 2000;  // rows
+// Room in the rings beyond what callers may fill, for ends that must not be
+// lost.
+constexpr std::size_t kRingCapacity = 65536;
+constexpr std::chrono::milliseconds kControlTick{50};
+constexpr std::chrono::milliseconds kRequestTick{100};
+constexpr std::chrono::milliseconds kStopPoll{10};
+
+HttpServerOptions ServerOptions(const Settings& settings,
+                                const std::string& address) {
+  HttpServerOptions out;
+  out.address = address;
+  out.max_body_bytes =
+      static_cast<std::size_t>(settings.limits.body_kb) * kBytesPerKb;
+  out.max_header_bytes =
+      static_cast<std::size_t>(settings.limits.header_kb) * kBytesPerKb;
+  out.max_connections = static_cast<unsigned>(settings.limits.connections);
+  out.idle_timeout = settings.limits.idle;
+  return out;
+}
+
+HttpServerOptions CallerOptions(const Settings& settings) {
+  HttpServerOptions out = ServerOptions(settings, settings.caller_address);
+  out.threads = static_cast<unsigned>(settings.http_threads);
+  return out;
+}
+
+HttpServerOptions OperatorOptions(const Settings& settings) {
+  HttpServerOptions out = ServerOptions(settings, settings.operator_address);
+  out.bearer_key = settings.shared_key;
+  return out;
+}
+
+TableClientOptions TableOptions(const Settings& settings) {
+  TableClientOptions out;
+  out.addresses = settings.platform.addresses;
+  out.host = settings.host.value();
+  out.timeout = settings.platform.timeout;
+  out.connect_timeout = std::min(out.connect_timeout, out.timeout);
+  return out;
+}
+
+// Rises with each process of the host, as long as its clock of day does.
+std::uint64_t NewIncarnation() {
+  return static_cast<std::uint64_t>(WallTime().count());
+}
+
+}  // namespace
+
+EntryHost::EntryHost(Settings settings)
+    : settings_(std::move(settings)),
+      incarnation_(NewIncarnation()),
+      table_(platform_http_, TableOptions(settings_)),
+      caller_server_(CallerOptions(settings_)),
+      operator_server_(OperatorOptions(settings_)),
+      requests_(kRingCapacity),
+      control_(kRingCapacity),
+      placer_(kRingCapacity) {}
+
+EntryHost::~EntryHost() = default;
+
+// --- Start ---
+
+Status EntryHost::Start() {
+  // The peers' address goes first: binding it shows that no earlier process of
+  // this host is left.
+  Result<std::unique_ptr<PeerMesh>> mesh = StartMesh();
+  if (!mesh) return mesh.error();
+  mesh_ = std::move(mesh).value();
+  MakeFlows(BootClock::now());
+  const Status servers = StartServers();
+  if (!servers) return servers;
+  StartDuties();
+  return Ok();
+}
+
+Result<std::unique_ptr<PeerMesh>> EntryHost::StartMesh() {
+  return PeerMesh::Start(
+      MakeMeshSettings(settings_, incarnation_),
+      [this](PeerEvent event) { OnPeerEvent(std::move(event)); });
+}
+
+void EntryHost::MakeFlows(TimePoint now) {
+  request_flow_ = std::make_unique<RequestFlow>(
+      MakeRequestFlowSettings(settings_, incarnation_), MakeRequestPorts());
+  control_flow_ = std::make_unique<ControlFlow>(
+      MakeControlFlowSettings(settings_, incarnation_), MakeControlPorts());
+  placer_flow_ = std::make_unique<PlacerFlow>(
+      now, MakePlacerFlowSettings(settings_, incarnation_), MakePlacerPorts());
+}
+
+Status EntryHost::StartServers() {
+  const Status callers = caller_server_.Start(
+      [this](HttpCall call) { OnCallerCall(std::move(call)); });
+  if (!callers) return callers;
+  return operator_server_.Start([this](HttpCall call) {
+    const std::uint64_t id = call.id;
+    if (control_.TryPost(OperatorCalled{std::move(call)})) return;
+    operator_server_.Answer(
+        id, MakeErrorReply({ResultCode::kOverloaded, "too many calls"}));
+  });
+}
+
+void EntryHost::StartDuties() {
+  requests_.Start(&BootClock::now, [this](TimePoint now, auto& events) {
+    for (RequestEvent& event : events) request_flow_->Handle(now, event);
+    request_flow_->Tick(now);
+    requests_idle_ = request_flow_->IsIdle();
+    const TimePoint wake = request_flow_->NextWake().value_or(TimePoint::max());
+    return std::min(wake, now + kRequestTick);
+  });
+  control_.Start(&BootClock::now, [this](TimePoint now, auto& events) {
+    for (ControlEvent& event : events) control_flow_->Handle(now, event);
+    control_flow_->Tick(now);
+    control_stopped_ = control_flow_->IsStopped();
+    return now + kControlTick;
+  });
+  placer_.Start(&BootClock::now, [this](TimePoint now, auto& events) {
+    for (PlacerEvent& event : events) placer_flow_->Handle(now, event);
+    placer_flow_->Tick(now);
+    placer_stopped_ = placer_flow_->IsStopped();
+    return placer_flow_->NextWake(now);
+  });
+}
+
+// --- Ports ---
+
+RequestPorts EntryHost::MakeRequestPorts() {
+  RequestPorts ports;
+  ports.call_target = [this](DispatchId dispatch, HttpRequest request) {
+    CallTarget(dispatch, std::move(request));
+  };
+  ports.probe_target = [this](ProbeId probe, HttpRequest request) {
+    const bool taken =
+        target_http_.Send(std::move(request), [this, probe](HttpAnswer answer) {
+          requests_.Post(ProbeReplied{probe, std::move(answer)});
+        });
+    if (!taken)
+      requests_.Post(ProbeReplied{probe, {.fault = HttpFault::kStopped}});
+  };
+  ports.send_peer = [this](const HostId& to, const PeerMessage& message) {
+    return mesh_->Send(to, message);
+  };
+  ports.commit_claims = [this](const TableTransaction& transaction) {
+    table_.Commit(transaction,
+                  [this, id = transaction.write_id](CommitAnswer answer) {
+                    requests_.Post(ClaimsCommitted{id, std::move(answer)});
+                  });
+  };
+  ports.answer_caller = [this](std::uint64_t call, HttpReply reply) {
+    caller_server_.Answer(call, std::move(reply));
+  };
+  ports.instance_drained = [this](const InstanceId& instance) {
+    control_.Post(InstanceDrained{instance});
+  };
+  return ports;
+}
+
+void EntryHost::CallTarget(DispatchId dispatch, HttpRequest request) {
+  const bool taken = target_http_.Send(
+      std::move(request), [this, dispatch](HttpAnswer answer) {
+        requests_.Post(TargetReplied{dispatch, std::move(answer)});
+      });
+  if (taken) return;
+  requests_.Post(TargetReplied{dispatch, {.fault = HttpFault::kStopped}});
+}
+
+ControlPorts EntryHost::MakeControlPorts() {
+  ControlPorts ports;
+  ports.ask_changes = [this](std::uint64_t since,
+                             const std::vector<std::string>& prefixes) {
+    table_.Changes(since, prefixes, kChangesPage, [this](ChangesAnswer answer) {
+      control_.Post(ChangesArrived{std::move(answer)});
+    });
+  };
+  ports.ask_hosts = [this] {
+    const TimePoint asked_at = BootClock::now();
+    table_.Hosts([this, asked_at](HostListAnswer answer) {
+      control_.Post(HostsArrived{std::move(answer), asked_at});
+    });
+  };
+  ports.read_rows = [this](std::uint64_t read,
+                           const std::vector<std::string>& keys) {
+    table_.Read(keys, [this, read](ReadAnswer answer) {
+      control_.Post(RowsArrived{read, std::move(answer)});
+    });
+  };
+  ports.commit = [this](CommitSender sender,
+                        const TableTransaction& transaction) {
+    table_.Commit(transaction, [this, sender, id = transaction.write_id](
+                                   CommitAnswer answer) {
+      control_.Post(ControlCommitted{sender, id, std::move(answer)});
+    });
+  };
+  ports.send_peer = [this](const HostId& to, const PeerMessage& message) {
+    return mesh_->Send(to, message);
+  };
+  ports.broadcast = [this](const PeerMessage& message) {
+    mesh_->Broadcast(message);
+  };
+  ports.tell_requests = [this](RequestEvent event) {
+    requests_.Post(std::move(event));
+  };
+  ports.tell_placer = [this](PlacerEvent event) {
+    placer_.Post(std::move(event));
+  };
+  ports.answer_operator = [this](std::uint64_t call, HttpReply reply) {
+    operator_server_.Answer(call, std::move(reply));
+  };
+  ports.answer_caller = [this](std::uint64_t call, HttpReply reply) {
+    caller_server_.Answer(call, std::move(reply));
+  };
+  ports.collect_state = [this](std::uint64_t call) { CollectState(call); };
+  return ports;
+}
+
+PlacerPorts EntryHost::MakePlacerPorts() {
+  PlacerPorts ports;
+  ports.commit = [this](const TableTransaction& transaction) {
+    table_.Commit(transaction,
+                  [this, id = transaction.write_id](CommitAnswer answer) {
+                    placer_.Post(PlacerCommitted{id, std::move(answer)});
+                  });
+  };
+  ports.call_worker = [this](const WorkerCall& call) { CallWorker(call); };
+  ports.rows_committed = [this](std::vector<TableRow> rows) {
+    control_.Post(RowsCommitted{std::move(rows)});
+  };
+  ports.ask_refresh = [this](std::uint64_t token) {
+    control_.Post(RefreshAsked{token});
+  };
+  ports.wall_time = &WallTime;
+  return ports;
+}
+
+void EntryHost::CallWorker(const WorkerCall& call) {
+  HttpRequest request;
+  request.method = call.kind == WorkerCallKind::kList ? "GET" : "POST";
+  request.url = "http://" + call.address + std::string(PathOf(call.kind));
+  request.headers = {{"X-Host", settings_.host.value()}};
+  request.body = EncodeWorkerCall(call);
+  request.timeout = call.timeout;
+  request.connect_timeout = std::min(request.connect_timeout, call.timeout);
+  WorkerReply reply;
+  reply.worker = call.worker;
+  reply.call = call.call;
+  auto done = [this, kind = call.kind,
+               reply](const HttpAnswer& answer) mutable {
+    reply.status = answer.maybe_sent ? WorkerReplyStatus::kNoAnswer
+                                     : WorkerReplyStatus::kNotSent;
+    if (answer.ok()) DecodeWorkerReply(kind, answer.status, answer.body, reply);
+    placer_.Post(WorkerReplied{std::move(reply)});
+  };
+  if (worker_http_.Send(std::move(request), done)) return;
+  reply.status = WorkerReplyStatus::kNotSent;
+  placer_.Post(WorkerReplied{std::move(reply)});
+}
+
+// --- Calls and peers ---
+
+void EntryHost::OnCallerCall(HttpCall call) {
+  const std::uint64_t id = call.id;
+  const bool post = call.method == "POST";
+  const bool request = post && (call.path.starts_with("/v1/requests/") ||
+                                call.path == "/v1/tickets");
+  const bool job =
+      call.path == "/v1/jobs" || call.path.starts_with("/v1/jobs/");
+  bool taken = false;
+  if (request) {
+    taken = requests_.TryPost(CallerArrived{std::move(call)});
+  } else if (job) {
+    taken = control_.TryPost(JobCalled{std::move(call)});
+  } else if (call.path == "/healthz") {
+    HttpReply reply;
+    reply.status = stopping_ ? 503 : 200;
+    reply.body = stopping_ ? R"({"state":"stopping"})" : R"({"state":"up"})";
+    caller_server_.Answer(id, std::move(reply));
+    return;
+  } else {
+    caller_server_.Answer(
+        id, MakeErrorReply({ResultCode::kNotFound, "no such call"}));
+    return;
+  }
+  if (taken) return;
+  caller_server_.Answer(
+      id, MakeErrorReply({ResultCode::kOverloaded, "too many requests wait"}));
+}
+
+void EntryHost::OnPeerEvent(PeerEvent event) {
+  const auto* received = std::get_if<PeerMessageReceived>(&event);
+  if (received == nullptr) {
+    requests_.Post(event);
+    control_.Post(std::move(event));
+    return;
+  }
+  const PeerMessage& message = received->message;
+  const bool rows = std::holds_alternative<RowsPush>(message) ||
+                    std::holds_alternative<RowsAsk>(message) ||
+                    std::holds_alternative<Leaving>(message);
+  if (rows) {
+    control_.Post(std::move(event));
+  } else {
+    requests_.Post(std::move(event));
+  }
+}
+
+// --- State ---
+
+void EntryHost::CollectState(std::uint64_t call) {
+  const auto part = [this, call](std::string name) {
+    return StateAsked{[this, call, name = std::move(name)](std::string json) {
+      control_.Post(StatePart{call, name, std::move(json)});
+    }};
+  };
+  requests_.Post(part("requests"));
+  placer_.Post(part("placer"));
+  control_.Post(StatePart{call, "traffic", TrafficState()});
+}
+
+std::string EntryHost::TrafficState() const {
+  const HttpClientCounts targets = target_http_.counts();
+  const HttpClientCounts workers = worker_http_.counts();
+  const TableClientCounts table = table_.counts();
+  const HttpServerCounts callers = caller_server_.counts();
+  const HttpServerCounts operators = operator_server_.counts();
+  const PeerMeshCounters peers = mesh_->counters();
+  const nlohmann::json out = {
+      {"targets",
+       {{"requests", targets.requests},
+        {"faults", targets.faults},
+        {"bytes_sent", targets.bytes_sent},
+        {"bytes_received", targets.bytes_received}}},
+      {"workers",
+       {{"requests", workers.requests},
+        {"faults", workers.faults},
+        {"bytes_sent", workers.bytes_sent},
+        {"bytes_received", workers.bytes_received}}},
+      {"table",
+       {{"reads", table.reads},
+        {"writes", table.writes},
+        {"failures", table.failures},
+        {"bytes_sent", table.bytes_sent},
+        {"bytes_received", table.bytes_received}}},
+      {"callers",
+       {{"connections", callers.connections},
+        {"calls", callers.calls},
+        {"refused", callers.refused},
+        {"timed_out", callers.timed_out}}},
+      {"operators",
+       {{"calls", operators.calls}, {"refused", operators.refused}}},
+      {"peers",
+       {{"bytes_sent", peers.bytes_sent},
+        {"bytes_received", peers.bytes_received},
+        {"frames_sent", peers.frames_sent},
+        {"frames_received", peers.frames_received},
+        {"bad_frames", peers.bad_frames},
+        {"unauthorised", peers.unauthorised},
+        {"silent", peers.silent},
+        {"closed", peers.closed},
+        {"refused_full", peers.refused_full}}},
+      {"rings",
+       {{"requests", requests_.waiting()},
+        {"control", control_.waiting()},
+        {"placer", placer_.waiting()},
+        {"refused",
+         requests_.refused() + control_.refused() + placer_.refused()}}}};
+  return out.dump();
+}
+
+// --- Planned stop ---
+
+bool EntryHost::WaitFor(const std::atomic<bool>& done,
+                        TimePoint give_up) const {
+  while (!done && BootClock::now() < give_up) {
+    std::this_thread::sleep_for(kStopPoll);
+  }
+  return done;
+}
+
+void EntryHost::Stop() {
+  const TimePoint give_up = BootClock::now() + settings_.stop_within;
+  stopping_ = true;
+  placer_.Post(PlacerStop{});
+  requests_idle_ = false;
+  requests_.Post(RequestsStop{});
+  if (!WaitFor(requests_idle_, give_up)) {
+    LogWarning(LogPart::kMain, "requests were still running at the stop");
+  }
+  control_.Post(ControlStop{});
+  if (!WaitFor(control_stopped_, give_up)) {
+    LogWarning(LogPart::kShare, "shares were not given back in time");
+  }
+  if (!WaitFor(placer_stopped_, give_up)) {
+    LogWarning(LogPart::kLease, "the placer lease was not given back in time");
+  }
+  caller_server_.Stop();
+  operator_server_.Stop();
+  mesh_.reset();
+  target_http_.Stop();
+  worker_http_.Stop();
+  platform_http_.Stop();
+  requests_.Stop();
+  control_.Stop();
+  placer_.Stop();
+}
+
+}  // namespace chivewing
--- /dev/null
+++ b/src/entry/instance_directory.cc
@@ -0,0 +1,72 @@
+#include "entry/instance_directory.h"
+
+#include <utility>
+
+namespace chivewing {
+namespace {
+
+bool Serves(const TaskRow& row, const Catalogue& catalogue) {
+  const bool up = row.state == TaskRowState::kRunning ||
+                  row.state == TaskRowState::kLeaving;
+  if (!up || row.address.empty()) return false;
+  const CatalogueEntry* entry = catalogue.Find(row.entry);
+  // An instance whose entry was removed finishes what it runs.
+  return entry == nullptr || entry->work_class == WorkClass::kService;
+}
+
+}  // namespace
+
+InstanceDirectory::Change InstanceDirectory::OnTaskRow(
+    const TaskId& task, const std::optional<TaskRow>& row,
+    const Catalogue& catalogue) {
+  const InstanceId instance(task.value());
+  const auto found = rows_.find(instance);
+  const bool known = found != rows_.end();
+  if (!row || !Serves(*row, catalogue)) {
+    if (!known) return Change::kNone;
+    rows_.erase(found);
+    return Change::kRemoved;
+  }
+  rows_[instance] = *row;
+  return known ? Change::kChanged : Change::kAdded;
+}
+
+std::optional<InstanceView> InstanceDirectory::View(
+    const InstanceId& instance, const Catalogue& catalogue) const {
+  const auto found = rows_.find(instance);
+  if (found == rows_.end()) return std::nullopt;
+  const TaskRow& row = found->second;
+  InstanceView view;
+  view.id = instance;
+  view.entry = row.entry;
+  view.address = row.address;
+  const CatalogueEntry* entry = catalogue.Find(row.entry);
+  if (entry != nullptr) {
+    view.slots = static_cast<std::uint32_t>(entry->limits.slots);
+    view.connections = static_cast<std::uint32_t>(entry->limits.connections);
+  }
+  const bool blocked =
+      catalogue.IsOutOfUse(SubjectKind::kTarget, instance.value()) ||
+      catalogue.IsOutOfUse(SubjectKind::kWorker, row.worker.value());
+  const bool leaving = entry == nullptr ||
+                       row.state == TaskRowState::kLeaving ||
+                       leaving_workers_.contains(row.worker);
+  if (leaving) view.state = InstanceState::kLeaving;
+  if (blocked) view.state = InstanceState::kBlocked;
+  return view;
+}
+
+std::vector<InstanceId> InstanceDirectory::Instances() const {
+  std::vector<InstanceId> out;
+  for (const auto& [id, row] : rows_) out.push_back(id);
+  return out;
+}
+
+std::optional<EntryName> InstanceDirectory::EntryOf(
+    const InstanceId& instance) const {
+  const auto found = rows_.find(instance);
+  if (found == rows_.end()) return std::nullopt;
+  return found->second.entry;
+}
+
+}  // namespace chivewing
--- /dev/null
+++ b/src/entry/job_desk.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "base/id.h"
+#include "base/result.h"
+#include "base/time.h"
+#include "catalogue/catalogue.h"
+#include "entry/job_row.h"
+#include "http/http_server.h"
+#include "platform/commit_resolver.h"
+#include "platform/row_cache.h"
+#include "platform/table.h"
+
+namespace chivewing {
+
+// What the desk reaches outside for.
+struct JobDeskPorts {
+  std::function<void(const TableTransaction&)> commit;
+  std::function<void(std::uint64_t call, HttpReply)> answer;
+  std::function<void(const std::vector<TableRow>&)> rows_committed;
+};
+
+struct JobDeskSettings {
+  std::string name;  // makes the write ids of this process unique
+  ZoneId zone;       // home of the jobs submitted here
+  // A caller is told that a write is in doubt after this long.
+  Duration patience = std::chrono::seconds(10);
+};
+
+// Serves the callers' calls about jobs. A job is accepted once its row is
+// committed; the placer of its zone does the rest.
+class JobDesk {
+ public:
+  JobDesk(JobDeskSettings settings, JobDeskPorts ports);
+
+  void Handle(TimePoint now, const HttpCall& call, const Catalogue& catalogue,
+              const RowCache& rows);
+  void OnCommit(TimePoint now, const std::string& write_id,
+                CommitAnswer answer);
+  void Tick(TimePoint now);
+
+ private:
+  struct OpenWrite {
+    std::uint64_t call = 0;
+    JobRow row;
+    TimePoint give_up;
+    bool answered = false;
+    std::uint64_t flight = 0;  // id at the resolver
+  };
+
+  void Submit(TimePoint now, const HttpCall& call, const Catalogue& catalogue,
+              const RowCache& rows);
+  Result<JobRow> ReadSubmission(const HttpCall& call,
+                                const Catalogue& catalogue) const;
+  void Cancel(TimePoint now, const HttpCall& call, const JobId& job,
+              const RowCache& rows);
+  void List(const HttpCall& call, const RowCache& rows);
+  void Show(const HttpCall& call, const JobId& job, const RowCache& rows);
+  void Write(TimePoint now, std::uint64_t call, const JobRow& row,
+             std::uint64_t version);
+  void Apply(TimePoint now, std::vector<CommitEffect>& effects);
+  void Finish(const CommitResolved& end);
+  void Accept(const OpenWrite& write, const CommitResolved& end);
+  void Refuse(std::uint64_t call, const Error& error);
+
+  JobDeskSettings settings_;
+  JobDeskPorts ports_;
+  CommitResolver resolver_;
+  std::map<std::string, OpenWrite> writes_;  // by write id
+  std::uint64_t next_write_ = 1;
+};
+
+}  // namespace chivewing
--- /dev/null
+++ b/src/entry/job_specs.cc
@@ -0,0 +1,110 @@
+#include "entry/job_specs.h"
+
+namespace chivewing {
+namespace {
+
+// Callers' job ids cannot hold a colon.
+constexpr std::string_view kServicePrefix = "service:";
+constexpr std::string_view kSingletonPrefix = "singleton:";
+constexpr std::chrono::hours kDay{24};
+
+JobClass ClassOf(WorkClass work_class) {
+  switch (work_class) {
+    case WorkClass::kService:
+      return JobClass::kService;
+    case WorkClass::kSingleton:
+      return JobClass::kSingleton;
+    case WorkClass::kGang:
+      return JobClass::kGang;
+    default:
+      return JobClass::kBatch;
+  }
+}
+
+JobSpec MakeSpec(const CatalogueEntry& entry, const ClockPair& clock) {
+  JobSpec spec;
+  spec.entry = entry.name;
+  spec.owner = entry.owner;
+  spec.job_class = ClassOf(entry.work_class);
+  spec.per_task = ResourcesOf(entry.limits);
+  spec.priority = entry.policy.priority;
+  spec.urgent = entry.policy.urgent;
+  spec.run_time = entry.policy.expected_run;
+  spec.spread = entry.policy.spread_racks;
+  spec.checkpointable = entry.policy.checkpoint;
+  spec.submitted = clock.now;
+  return spec;
+}
+
+}  // namespace
+
+JobId ServiceJobId(const EntryName& entry) {
+  return JobId(std::string(kServicePrefix) + entry.value());
+}
+
+JobId SingletonJobId(const EntryName& entry) {
+  return JobId(std::string(kSingletonPrefix) + entry.value());
+}
+
+bool IsCatalogueJob(const JobId& job) {
+  return job.value().find(':') != std::string::npos;
+}
+
+Resources ResourcesOf(const EntryLimits& limits) {
+  return {limits.processors_milli, limits.memory_mb, limits.accelerators};
+}
+
+JobSpec MakeCatalogueJob(const CatalogueEntry& entry, const ClockPair& clock) {
+  JobSpec spec = MakeSpec(entry, clock);
+  const bool service = entry.work_class == WorkClass::kService;
+  spec.id = service ? ServiceJobId(entry.name) : SingletonJobId(entry.name);
+  spec.tasks = service ? entry.limits.instances : 1;
+  spec.run_time = Duration(0);
+  return spec;
+}
+
+JobSpec MakeSubmittedJob(const CatalogueEntry& entry, const JobRow& row,
+                         const ClockPair& clock) {
+  JobSpec spec = MakeSpec(entry, clock);
+  spec.id = row.job;
+  spec.tasks = row.tasks;
+  spec.run_time = row.run_time;
+  const std::chrono::milliseconds submitted(row.submitted_ms);
+  spec.submitted = clock.now - (clock.wall - submitted);
+  if (const auto hour = FinishBy(entry.policy)) {
+    spec.finish_by = NextTimeOfDay(*hour, {spec.submitted, submitted});
+  }
+  return spec;
+}
+
+StartOrder MakeStartOrder(const TaskId& task, const CatalogueEntry& entry,
+                          std::chrono::milliseconds run_time) {
+  StartOrder order;
+  order.task = task;
+  order.entry = entry.name;
+  order.service = entry.work_class == WorkClass::kService;
+  order.processors_milli = entry.limits.processors_milli;
+  order.memory_mb = entry.limits.memory_mb;
+  order.accelerators = entry.limits.accelerators;
+  order.priority = entry.policy.priority;
+  order.slots = entry.limits.slots;
+  order.connections = entry.limits.connections;
+  const bool endless =
+      order.service || entry.work_class == WorkClass::kSingleton;
+  order.run_time = endless ? std::chrono::milliseconds(0) : run_time;
+  return order;
+}
+
+bool Lapses(const CatalogueEntry& entry) {
+  return entry.work_class == WorkClass::kSingleton &&
+         entry.policy.when_cut_off == CutOffPolicy::kLapse;
+}
+
+TimePoint NextTimeOfDay(std::chrono::minutes hour, const ClockPair& clock) {
+  const std::chrono::milliseconds since_midnight = clock.wall % kDay;
+  std::chrono::milliseconds left = hour - since_midnight;
+  if (left.count() <= 0) left += kDay;
+  return clock.now + left;
+}
+
+}  // namespace chivewing
--- /dev/null
+++ b/src/entry/job_specs.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <chrono>
+#include <optional>
+
+#include "base/id.h"
+#include "base/time.h"
+#include "catalogue/catalogue_entry.h"
+#include "entry/job_row.h"
+#include "placement/job_spec.h"
+#include "placement/resources.h"
+#include "workers/worker_call.h"
+
+namespace chivewing {
+
+// The present time on both clocks, for hours of the day.
+struct ClockPair {
+  TimePoint now;
+  std::chrono::milliseconds wall{0};
+};
+
+// The jobs that the catalogue itself asks for: the instances of a service, and
+// a singleton. Their ids cannot be submitted by callers.
+JobId ServiceJobId(const EntryName& entry);
+JobId SingletonJobId(const EntryName& entry);
+bool IsCatalogueJob(const JobId& job);
+
+Resources ResourcesOf(const EntryLimits& limits);
+
+// What the placer is to know of a job: of a service or singleton entry, or of a
+// submitted job of a batch or gang entry.
+JobSpec MakeCatalogueJob(const CatalogueEntry& entry, const ClockPair& clock);
+JobSpec MakeSubmittedJob(const CatalogueEntry& entry, const JobRow& row,
+                         const ClockPair& clock);
+
+// What a worker is to know of a task of the entry.
+StartOrder MakeStartOrder(const TaskId& task, const CatalogueEntry& entry,
+                          std::chrono::milliseconds run_time);
+
+// Whether leases of the entry's tasks may run out while their zone is cut off.
+bool Lapses(const CatalogueEntry& entry);
+
+// The next time at which the clock of day shows `hour` minutes after midnight.
+TimePoint NextTimeOfDay(std::chrono::minutes hour, const ClockPair& clock);
+
+}  // namespace chivewing
--- /dev/null
+++ b/src/entry/lease_keeper.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <vector>
+
+#include "base/id.h"
+#include "base/time.h"
+#include "entry/placer_view.h"
+#include "workers/worker_call.h"
+
+namespace chivewing {
+
+// Renews the leases of running tasks while no placer does, so that they outlive
+// both the placer and an outage of the platform. Renewing starts nothing, so
+// any entry host of the zone may do it, with the epoch on record; a worker that
+// has seen the epoch of a newer placer refuses it. Tasks of entries that lapse
+// are left out: only a placer with a valid lease renews those.
+class LeaseKeeper {
+ public:
+  struct Settings {
+    std::chrono::milliseconds task_lease{15000};
+    std::chrono::milliseconds call_timeout{1000};
+  };
+
+  explicit LeaseKeeper(Settings settings) : settings_(settings) {}
+
+  // The calls to be made now.
+  std::vector<WorkerCall> Decide(TimePoint now, const PlacerView& view);
+
+ private:
+  Settings settings_;
+  TimePoint next_;
+  // Numbered apart from the calls of a WorkerLink.
+  std::uint64_t next_call_ = std::uint64_t{1} << 63U;
+};
+
+}  // namespace chivewing
--- /dev/null
+++ b/src/entry/placer_event.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "base/id.h"
+#include "base/time.h"
+#include "entry/request_event.h"
+#include "platform/table.h"
+#include "workers/worker_call.h"
+
+namespace chivewing {
+
+// Rows of a higher version than before.
+struct RowsSeen {
+  std::vector<TableRow> rows;
+};
+
+// The platform's list of the zone's workers, asked for at `asked_at`.
+struct WorkersSeen {
+  TimePoint asked_at;
+  Duration lag{0};
+  std::vector<PlatformHost> workers;
+};
+
+// All rows committed before the refresh was asked for have been seen.
+struct PlacerRefreshed {
+  std::uint64_t token = 0;
+};
+
+// Position of this host among the live entry hosts of the zone; the first one
+// renews task leases while nobody is the placer.
+struct RankChanged {
+  std::size_t rank = 0;
+};
+
+struct PlacerCommitted {
+  std::string write_id;
+  CommitAnswer answer;
+};
+
+struct WorkerReplied {
+  WorkerReply reply;
+};
+
+struct PlacerStop {};
+
+using PlacerEvent =
+    std::variant<RowsSeen, WorkersSeen, PlacerRefreshed, RankChanged,
+                 PlacerCommitted, WorkerReplied, PlacerStop, StateAsked>;
+
+}  // namespace chivewing
--- /dev/null
+++ b/src/entry/placer_ports.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <vector>
+
+#include "platform/table.h"
+#include "workers/worker_call.h"
+
+namespace chivewing {
+
+// What the placer flow reaches outside for. Each call returns at once; ends
+// come back as events.
+struct PlacerPorts {
+  std::function<void(const TableTransaction&)> commit;
+  std::function<void(const WorkerCall&)> call_worker;
+  // Rows that this host has committed, to be told to everybody.
+  std::function<void(std::vector<TableRow>)> rows_committed;
+  // Ends in PlacerRefreshed.
+  std::function<void(std::uint64_t token)> ask_refresh;
+  // The time of day as milliseconds since 1970 (UTC).
+  std::function<std::chrono::milliseconds()> wall_time;
+};
+
+}  // namespace chivewing
--- /dev/null
+++ b/src/entry/placer_view.cc
@@ -0,0 +1,60 @@
+#include "entry/placer_view.h"
+
+#include <utility>
+
+namespace chivewing {
+namespace {
+
+constexpr std::string_view kSingletonPrefix = "singleton/";
+constexpr std::string_view kLeasePrefix = "placer/";
+
+template <typename Value>
+std::optional<Value> Decode(const TableRow& row,
+                            Result<Value> (*decode)(std::string_view,
+                                                    std::string_view)) {
+  if (!row.value) return std::nullopt;
+  Result<Value> value = decode(row.key, *row.value);
+  if (!value) return std::nullopt;
+  return std::move(value).value();
+}
+
+}  // namespace
+
+std::string PlacerView::SingletonKey(const EntryName& entry) {
+  return std::string(kSingletonPrefix) + entry.value();
+}
+
+std::string PlacerView::LeaseKey(const ZoneId& zone) {
+  return std::string(kLeasePrefix) + zone.value();
+}
+
+template <typename Key, typename Value>
+void PlacerView::Put(std::map<Key, Value>& rows, const Key& key,
+                     std::optional<Value> value) {
+  if (value) {
+    rows.insert_or_assign(key, *std::move(value));
+  } else {
+    rows.erase(key);
+  }
+}
+
+void PlacerView::OnRow(TimePoint now, const TableRow& row) {
+  const std::string name = row.key.substr(row.key.rfind('/') + 1);
+  if (row.key.starts_with(kJobRowPrefix)) {
+    Put(jobs_, JobId(name), Decode(row, &DecodeJobRow));
+  } else if (row.key.starts_with(kJobStatusRowPrefix)) {
+    Put(statuses_, JobId(name), Decode(row, &DecodeJobStatusRow));
+  } else if (row.key.starts_with(TaskRowPrefix(zone_))) {
+    Put(tasks_, TaskId(name), Decode(row, &DecodeTaskRow));
+  } else if (row.key.starts_with(kSingletonPrefix)) {
+    std::optional<SingletonHome> home;
+    if (row.value) home = SingletonHome{ZoneId(*row.value), row.version};
+    Put(homes_, EntryName(name), std::move(home));
+  } else if (row.key.starts_with(kLeasePrefix)) {
+    leases_[ZoneId(name)] = {row.version, now};
+  } else {
+    static_cast<void>(catalogue_.Apply(row.key, row.value, row.version));
+  }
+}
+
+}  // namespace chivewing
--- /dev/null
+++ b/src/entry/singleton_claims.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "base/id.h"
+#include "base/time.h"
+#include "entry/placer_view.h"
+#include "platform/table.h"
+
+namespace chivewing {
+
+struct SingletonClaimSettings {
+  std::string name;           // makes the write ids of this process unique
+  std::vector<ZoneId> zones;  // all zones of the cell
+  // Longest time for which a singleton may run on after the last renewal of its
+  // placer's lease: the lease, the task's lease, and all margins.
+  Duration longest_life = std::chrono::seconds(30);
+  Duration retry_interval = std::chrono::seconds(1);
+};
+
+// Decides in which zone each singleton runs. A row singleton/ENTRY names it:
+// the first zone of the entry at first; another zone takes it over only if the
+// entry may lapse, and when the lease row of the home zone's placer has not
+// changed for so long that the singleton's lease has run out there. The
+// take-over is conditional on that lease row, so that it fails if the home zone
+// came back.
+class SingletonClaims {
+ public:
+  explicit SingletonClaims(SingletonClaimSettings settings);
+
+  // Transactions to be committed now. Their answers need no handling: rows tell
+  // what took effect.
+  std::vector<TableTransaction> Decide(TimePoint now, const PlacerView& view);
+
+ private:
+  std::vector<ZoneId> ZonesOf(const CatalogueEntry& entry) const;
+  bool IsTakeOverDue(TimePoint now, const CatalogueEntry& entry,
+                     const ZoneLease& lease) const;
+  TableTransaction MakeClaim(const EntryName& entry, std::uint64_t version,
+                             const ZoneId& zone);
+
+  SingletonClaimSettings settings_;
+  std::map<EntryName, TimePoint> next_try_;
+  std::uint64_t next_write_ = 1;
+};
+
+}  // namespace chivewing
--- /dev/null
+++ b/src/entry/worker_directory.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/id.h"
+#include "base/time.h"
+#include "entry/placer_event.h"
+#include "platform/table.h"
+
+namespace chivewing {
+
+// The zone's workers, from the platform's list. A worker counts as gone for
+// certain once the list has said so, or has left it out, for longer than the
+// list may lag.
+class WorkerDirectory {
+ public:
+  void OnList(const WorkersSeen& list);
+
+  // Workers that are not gone for certain.
+  const std::map<WorkerId, PlatformHost>& workers() const { return workers_; }
+  // Takes the workers that have become gone for certain by `now`.
+  std::vector<WorkerId> TakeGone(TimePoint now);
+  // IP:PORT; empty when the worker is not known.
+  std::string Address(const WorkerId& worker) const;
+  bool has_list() const { return has_list_; }
+
+ private:
+  std::map<WorkerId, PlatformHost> workers_;
+  std::map<WorkerId, TimePoint> gone_at_;  // when that becomes certain
+  bool has_list_ = false;
+};
+
+}  // namespace chivewing
--- /dev/null
+++ b/src/entry/zone_placer.cc
@@ -0,0 +1,627 @@
+#include "entry/zone_placer.h"
+
+#include <algorithm>
+#include <array>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "base/log.h"
+
+namespace chivewing {
+namespace {
+
+constexpr std::chrono::minutes kSweepInterval{1};
+constexpr std::string_view kProbePrefix = "probe:";
+constexpr std::chrono::milliseconds kProbeRunTime{1};
+
+WorkerState StateOf(const PlatformHost& host, const Catalogue& catalogue) {
+  // A worker that is listed as gone is removed once that is certain.
+  if (host.state != HostState::kLive) return WorkerState::kLeaving;
+  const bool out = catalogue.IsOutOfUse(SubjectKind::kWorker, host.id);
+  return out ? WorkerState::kOutOfUse : WorkerState::kLive;
+}
+
+TaskState StateOf(TaskRowState state) {
+  if (state == TaskRowState::kStarting) return TaskState::kLaunched;
+  if (state == TaskRowState::kLeaving) return TaskState::kStopping;
+  return TaskState::kRunning;
+}
+
+TaskEnd EndOf(WorkerTaskState state) {
+  switch (state) {
+    case WorkerTaskState::kDone:
+      return TaskEnd::kDone;
+    case WorkerTaskState::kFailed:
+      return TaskEnd::kFailed;
+    case WorkerTaskState::kCheckpointed:
+      return TaskEnd::kCheckpointed;
+    default:
+      return TaskEnd::kStopped;
+  }
+}
+
+nlohmann::json ToJson(const Resources& amount) {
+  return {{"processors_milli", amount.processors_milli},
+          {"memory_mb", amount.memory_mb},
+          {"accelerators", amount.accelerators}};
+}
+
+}  // namespace
+
+ZonePlacer::ZonePlacer(const ClockPair& clock, ZonePlacerSettings settings,
+                       PlacerPorts ports, std::uint64_t epoch,
+                       const PlacerView& view)
+    : settings_(std::move(settings)),
+      ports_(std::move(ports)),
+      epoch_(epoch),
+      view_(view),
+      placer_(settings_.options, epoch),
+      statuses_(view.statuses()),
+      next_explain_(clock.now),
+      next_sweep_(clock.now) {
+  Load(clock);
+}
+
+ZonePlacer::~ZonePlacer() = default;
+
+// --- Loading ---
+
+void ZonePlacer::Load(const ClockPair& clock) {
+  OnWorkers(clock.now);
+  LoadEntries(clock);
+  for (const auto& [job, row] : view_.jobs()) SyncJob(clock, job);
+  LoadTasks(clock.now);
+  LogInfo(LogPart::kPlacer,
+          "epoch " + std::to_string(epoch_) + " loaded " +
+              std::to_string(view_.workers().workers().size()) + " workers, " +
+              std::to_string(tasks_.size()) + " tasks");
+}
+
+void ZonePlacer::LoadEntries(const ClockPair& clock) {
+  std::vector<EntryName> names;
+  view_.catalogue().ForEach([&names](const CatalogueRecord& record) {
+    names.push_back(record.name);
+  });
+  for (const EntryName& name : names) SyncEntry(clock, name);
+}
+
+void ZonePlacer::LoadTasks(TimePoint now) {
+  Effects effects;
+  for (const auto& [id, row] : view_.tasks()) {
+    if (row.state == TaskRowState::kDone) {
+      placer_.RestoreDoneTask(row.job);
+      continue;
+    }
+    const CatalogueEntry* entry = view_.catalogue().Find(row.entry);
+    TaskRecord& record = tasks_[id];
+    record.row = row;
+    record.lapses = entry != nullptr && Lapses(*entry);
+    if (WorkerLink* link = LinkOf(row.worker)) {
+      link->Adopt(now, id, record.lapses);
+    }
+    CommittedTask task;
+    task.id = id;
+    task.job = row.job;
+    task.entry = row.entry;
+    task.owner = row.owner;
+    task.worker = row.worker;
+    task.resources = {row.processors_milli, row.memory_mb, row.accelerators};
+    task.state = StateOf(row.state);
+    task.since = now;
+    placer_.RestoreTask(now, task, effects);
+    if (row.state == TaskRowState::kLeaving) {
+      record.stop_at = now + settings_.drain;
+    }
+  }
+  Apply(now, effects);
+}
+
+void ZonePlacer::OnRow(const ClockPair& clock, const TableRow& row) {
+  const std::string name = row.key.substr(row.key.rfind('/') + 1);
+  if (row.key.starts_with(kJobRowPrefix)) {
+    SyncJob(clock, JobId(name));
+  } else if (row.key.starts_with("catalogue/") ||
+             row.key == PlacerView::SingletonKey(EntryName(name))) {
+    SyncEntry(clock, EntryName(name));
+  }
+}
+
+bool ZonePlacer::BelongsHere(const CatalogueEntry& entry) const {
+  if (entry.work_class == WorkClass::kSingleton) {
+    const auto home = view_.homes().find(entry.name);
+    return home != view_.homes().end() && home->second.zone == view_.zone();
+  }
+  if (entry.work_class != WorkClass::kService) return false;
+  const std::vector<ZoneId>& zones = entry.policy.zones;
+  return zones.empty() ||
+         std::find(zones.begin(), zones.end(), view_.zone()) != zones.end();
+}
+
+void ZonePlacer::SyncEntry(const ClockPair& clock, const EntryName& name) {
+  const CatalogueEntry* entry = view_.catalogue().Find(name);
+  const bool here = entry != nullptr && BelongsHere(*entry);
+  if (!here || entry->work_class != WorkClass::kService) {
+    DropJob(clock.now, ServiceJobId(name));
+  }
+  if (!here || entry->work_class != WorkClass::kSingleton) {
+    DropJob(clock.now, SingletonJobId(name));
+  }
+  if (entry == nullptr || entry->work_class == WorkClass::kOutOfUse) {
+    OnWorkers(clock.now);
+    return;
+  }
+  if (entry->work_class == WorkClass::kOwner) SyncQuota(*entry);
+  if (!here) return;
+  Effects effects;
+  placer_.SubmitJob(clock.now, MakeCatalogueJob(*entry, clock), effects);
+  Apply(clock.now, effects);
+}
+
+void ZonePlacer::SyncQuota(const CatalogueEntry& entry) {
+  placer_.SetQuota(entry.owner, ResourcesOf(entry.limits));
+}
+
+void ZonePlacer::DropJob(TimePoint now, const JobId& job) {
+  Effects effects;
+  const std::array<JobId, 1> jobs = {job};
+  placer_.CancelJobs(now, jobs, effects);
+  Apply(now, effects);
+}
+
+void ZonePlacer::SyncJob(const ClockPair& clock, const JobId& job) {
+  const auto row = view_.jobs().find(job);
+  if (row == view_.jobs().end() || row->second.zone != view_.zone()) return;
+  const auto status = statuses_.find(job);
+  if (status != statuses_.end() && HasEnded(status->second.state)) return;
+  if (row->second.cancel_asked) {
+    // A job that the placer never heard of has nothing to stop.
+    Effects effects;
+    const std::array<JobId, 1> jobs = {job};
+    placer_.CancelJobs(clock.now, jobs, effects);
+    if (effects.empty()) {
+      WriteStatus(job, JobState::kCancelled, "cancelled before it started");
+    }
+    Apply(clock.now, effects);
+    return;
+  }
+  const CatalogueEntry* entry = view_.catalogue().Find(row->second.entry);
+  if (entry == nullptr) return;
+  Effects effects;
+  placer_.SubmitJob(clock.now, MakeSubmittedJob(*entry, row->second, clock),
+                    effects);
+  Apply(clock.now, effects);
+}
+
+// --- Workers ---
+
+WorkerLink* ZonePlacer::LinkOf(const WorkerId& worker) {
+  const auto found = links_.find(worker);
+  return found == links_.end() ? nullptr : &found->second;
+}
+
+void ZonePlacer::OnWorkers(TimePoint now) {
+  for (const auto& [id, host] : view_.workers().workers()) {
+    UpsertWorker(now, host);
+  }
+}
+
+void ZonePlacer::UpsertWorker(TimePoint now, const PlatformHost& host) {
+  WorkerSpec spec;
+  spec.id = WorkerId(host.id);
+  spec.rack = host.rack;
+  spec.address = host.address;
+  spec.capacity = {host.processors_milli, host.memory_mb, host.accelerators};
+  spec.state = StateOf(host, view_.catalogue());
+  const auto link = links_.try_emplace(spec.id, spec.id, host.address, epoch_,
+                                       settings_.link);
+  link.first->second.set_address(host.address);
+  Effects effects;
+  placer_.UpsertWorker(now, spec, effects);
+  Apply(now, effects);
+}
+
+void ZonePlacer::OnWorkerGone(TimePoint now, const WorkerId& worker) {
+  links_.erase(worker);
+  Effects effects;
+  placer_.RemoveWorker(now, worker, effects);
+  std::vector<TaskId> ended;
+  for (const auto& [id, record] : tasks_) {
+    if (record.row.worker == worker) ended.push_back(id);
+  }
+  for (const TaskId& id : ended) EraseTask(id);
+  Apply(now, effects);
+  LogInfo(LogPart::kWorker, "worker " + worker.value() + " is gone with " +
+                                std::to_string(ended.size()) + " tasks");
+}
+
+void ZonePlacer::OnWorkerReply(TimePoint now, const WorkerReply& reply) {
+  WorkerLink* link = LinkOf(reply.worker);
+  if (link == nullptr) return;
+  WorkerLink::Effects effects;
+  link->OnReply(now, reply, effects);
+  Apply(now, reply.worker, effects);
+}
+
+void ZonePlacer::TalkToWorkers(TimePoint now) {
+  for (auto& [id, link] : links_) {
+    WorkerLink::Effects effects;
+    link.Tick(now, effects);
+    Apply(now, id, effects);
+  }
+}
+
+void ZonePlacer::Apply(TimePoint now, const WorkerId& worker,
+                       WorkerLink::Effects& effects) {
+  for (WorkerEffect& effect : effects) {
+    std::visit([&](auto& each) { OnWorker(now, worker, each); }, effect);
+  }
+}
+
+void ZonePlacer::OnWorker(TimePoint /*now*/, const WorkerId& /*worker*/,
+                          WorkerCall& effect) {
+  ports_.call_worker(effect);
+}
+
+bool ZonePlacer::IsProbe(const TaskId& task) const {
+  return probes_.contains(task);
+}
+
+void ZonePlacer::OnWorker(TimePoint now, const WorkerId& worker,
+                          TaskRuns& effect) {
+  Effects effects;
+  if (probes_.erase(effect.task) > 0) {
+    if (WorkerLink* link = LinkOf(worker)) link->Stop(effect.task, false);
+    placer_.ProbeEnded(now, worker, true, effects);
+    Apply(now, effects);
+    return;
+  }
+  const auto task = tasks_.find(effect.task);
+  if (task == tasks_.end()) return;
+  placer_.TaskStarted(now, effect.task, effects);
+  TaskRow& row = task->second.row;
+  const bool news =
+      row.state == TaskRowState::kStarting || row.address != effect.address;
+  // Only instances of services have an address that others need to know.
+  if (news && !effect.address.empty()) {
+    if (row.state == TaskRowState::kStarting)
+      row.state = TaskRowState::kRunning;
+    row.address = effect.address;
+    WriteTask(row);
+  }
+  Apply(now, effects);
+}
+
+void ZonePlacer::OnWorker(TimePoint now, const WorkerId& worker,
+                          TaskRefused& effect) {
+  Effects effects;
+  if (probes_.erase(effect.task) > 0) {
+    placer_.ProbeEnded(now, worker, false, effects);
+    Apply(now, effects);
+    return;
+  }
+  if (!tasks_.contains(effect.task)) return;
+  EraseTask(effect.task);
+  placer_.TaskStartFailed(
+      now, effect.task,
+      effect.no_room ? StartFailure::kNoRoom : StartFailure::kFailed, effects);
+  Apply(now, effects);
+}
+
+void ZonePlacer::OnWorker(TimePoint now, const WorkerId& /*worker*/,
+                          TaskOver& effect) {
+  const auto task = tasks_.find(effect.task);
+  if (task == tasks_.end()) return;
+  const TaskEnd end = EndOf(effect.state);
+  const bool keep =
+      end == TaskEnd::kDone && !IsCatalogueJob(task->second.row.job);
+  if (keep) {
+    // Counts as done for a placer that takes over, until the job has ended.
+    task->second.row.state = TaskRowState::kDone;
+    WriteTask(task->second.row);
+    tasks_.erase(task);
+  } else {
+    EraseTask(effect.task);
+  }
+  Effects effects;
+  placer_.TaskEnded(now, effect.task, end, effects);
+  Apply(now, effects);
+}
+
+void ZonePlacer::OnWorker(TimePoint now, const WorkerId& /*worker*/,
+                          TaskSilent& effect) {
+  Effects effects;
+  placer_.TaskLost(now, effect.task, effects);
+  Apply(now, effects);
+}
+
+void ZonePlacer::OnWorker(TimePoint now, const WorkerId& /*worker*/,
+                          TaskLeaseOver& effect) {
+  if (!tasks_.contains(effect.task)) return;
+  EraseTask(effect.task);
+  Effects effects;
+  placer_.TaskLeaseExpired(now, effect.task, effects);
+  Apply(now, effects);
+}
+
+void ZonePlacer::OnWorker(TimePoint now, const WorkerId& /*worker*/,
+                          TaskUsage& effect) {
+  if (!tasks_.contains(effect.task)) return;
+  Effects effects;
+  const Resources used{effect.processors_milli, effect.memory_mb, 0};
+  placer_.ReportUsage(now, effect.task, used, effects);
+  Apply(now, effects);
+}
+
+void ZonePlacer::OnWorker(TimePoint /*now*/, const WorkerId& worker,
+                          WorkerFenced& effect) {
+  LogWarning(LogPart::kWorker, "worker " + worker.value() + " has seen epoch " +
+                                   std::to_string(effect.epoch) + ", ours is " +
+                                   std::to_string(epoch_));
+}
+
+// --- Effects of the placer ---
+
+void ZonePlacer::Apply(TimePoint now, Effects& effects) {
+  for (Effect& effect : effects) {
+    std::visit([this, now](auto& each) { Do(now, each); }, effect);
+  }
+}
+
+void ZonePlacer::Do(TimePoint /*now*/, StartTask& effect) {
+  TaskRecord& record = tasks_[effect.task];
+  TaskRow& row = record.row;
+  row.task = effect.task;
+  row.job = effect.job;
+  row.entry = effect.entry;
+  row.owner = effect.owner;
+  row.worker = effect.worker;
+  row.epoch = epoch_;
+  row.processors_milli = effect.resources.processors_milli;
+  row.memory_mb = effect.resources.memory_mb;
+  row.accelerators = effect.resources.accelerators;
+  const CatalogueEntry* entry = view_.catalogue().Find(effect.entry);
+  record.lapses = entry != nullptr && Lapses(*entry);
+  WriteTask(row);
+}
+
+void ZonePlacer::Do(TimePoint now, LaunchTask& effect) {
+  const auto task = tasks_.find(effect.task);
+  const CatalogueEntry* entry =
+      task == tasks_.end() ? nullptr
+                           : view_.catalogue().Find(task->second.row.entry);
+  WorkerLink* link = LinkOf(effect.worker);
+  if (entry == nullptr || link == nullptr) {
+    // Its entry or worker went away meanwhile: the order is never sent.
+    EraseTask(effect.task);
+    Effects effects;
+    placer_.TaskStartFailed(now, effect.task, StartFailure::kFailed, effects);
+    Apply(now, effects);
+    return;
+  }
+  const auto job = view_.jobs().find(effect.job);
+  const std::chrono::milliseconds run_time = job == view_.jobs().end()
+                                                 ? entry->policy.expected_run
+                                                 : job->second.run_time;
+  link->Start(MakeStartOrder(effect.task, *entry, run_time),
+              task->second.lapses);
+}
+
+void ZonePlacer::Do(TimePoint /*now*/, DropTask& effect) {
+  EraseTask(effect.task);
+}
+
+void ZonePlacer::Do(TimePoint now, StopTask& effect) {
+  const auto task = tasks_.find(effect.task);
+  if (task == tasks_.end()) return;
+  TaskRecord& record = task->second;
+  record.checkpoint = effect.mode == StopMode::kCheckpoint;
+  record.stop_at = now;
+  if (record.row.address.empty()) return;
+  // An instance that serves: everybody is told first, requests finish.
+  record.stop_at = now + settings_.drain;
+  record.row.state = TaskRowState::kLeaving;
+  WriteTask(record.row);
+}
+
+void ZonePlacer::StopDrained(TimePoint now) {
+  for (auto& [id, record] : tasks_) {
+    if (!record.stop_at || now < *record.stop_at) continue;
+    record.stop_at.reset();
+    if (WorkerLink* link = LinkOf(record.row.worker)) {
+      link->Stop(id, record.checkpoint);
+    }
+  }
+}
+
+void ZonePlacer::Do(TimePoint /*now*/, ThrottleTask& effect) {
+  if (WorkerLink* link = LinkOf(effect.worker)) link->Throttle(effect.task);
+}
+
+void ZonePlacer::Do(TimePoint /*now*/, JobFinished& effect) {
+  for (const auto& [id, row] : view_.tasks()) {
+    if (row.job == effect.job) EraseTask(id);
+  }
+  // Rows of the open batch are not in the view yet.
+  for (auto& [key, value] : writes_) {
+    if (!value || !key.starts_with(TaskRowPrefix(view_.zone()))) continue;
+    const Result<TaskRow> row = DecodeTaskRow(key, *value);
+    if (row && row.value().job == effect.job) value.reset();
+  }
+  if (IsCatalogueJob(effect.job)) return;
+  WriteStatus(effect.job,
+              effect.cancelled ? JobState::kCancelled : JobState::kDone,
+              effect.cancelled ? "cancelled" : "all tasks ended well");
+}
+
+void ZonePlacer::Do(TimePoint /*now*/, JobRefused& effect) {
+  LogWarning(LogPart::kPlacer,
+             "job " + effect.job.value() + " refused: " + effect.detail);
+  if (IsCatalogueJob(effect.job)) return;
+  WriteStatus(effect.job, JobState::kRefused, effect.detail);
+}
+
+void ZonePlacer::Do(TimePoint /*now*/, JobUnplaceable& effect) {
+  if (IsCatalogueJob(effect.job)) return;
+  WriteStatus(effect.job, JobState::kWaiting, effect.detail);
+}
+
+void ZonePlacer::Do(TimePoint /*now*/, JobHeldBack& effect) {
+  LogWarning(LogPart::kPlacer,
+             "job " + effect.job.value() + " held back: " + effect.detail);
+  if (IsCatalogueJob(effect.job)) return;
+  WriteStatus(effect.job, JobState::kWaiting, effect.detail);
+}
+
+void ZonePlacer::Do(TimePoint now, ProbeWorker& effect) {
+  WorkerLink* link = LinkOf(effect.worker);
+  if (link == nullptr || link->is_silent()) {
+    Effects effects;
+    placer_.ProbeEnded(now, effect.worker, false, effects);
+    Apply(now, effects);
+    return;
+  }
+  // A probe holds nothing, so it has no row.
+  StartOrder order;
+  order.task = TaskId(std::string(kProbePrefix) + std::to_string(epoch_) + "." +
+                      std::to_string(next_probe_++));
+  order.run_time = kProbeRunTime;
+  probes_[order.task] = effect.worker;
+  link->Start(order, true);
+}
+
+void ZonePlacer::Do(TimePoint /*now*/, WorkerQuarantined& effect) {
+  LogWarning(LogPart::kWorker, "worker " + effect.worker.value() +
+                                   " is in quarantine: " + effect.detail);
+}
+
+void ZonePlacer::Do(TimePoint /*now*/, WorkerReadmitted& effect) {
+  LogInfo(LogPart::kWorker,
+          "worker " + effect.worker.value() + " takes tasks again");
+}
+
+// --- Rows to be written ---
+
+void ZonePlacer::WriteTask(const TaskRow& row) {
+  TaskRow copy = row;
+  copy.since_ms = ports_.wall_time().count();
+  writes_[TaskRowKey(view_.zone(), row.task)] = EncodeTaskRow(copy);
+}
+
+void ZonePlacer::EraseTask(const TaskId& task) {
+  tasks_.erase(task);
+  writes_[TaskRowKey(view_.zone(), task)] = std::nullopt;
+}
+
+void ZonePlacer::WriteStatus(const JobId& job, JobState state,
+                             const std::string& detail) {
+  JobStatusRow& status = statuses_[job];
+  if (status.state == state && status.detail == detail && status.job == job) {
+    return;
+  }
+  status.job = job;
+  status.state = state;
+  status.detail = detail;
+  status.ended_ms = HasEnded(state) ? ports_.wall_time().count() : 0;
+  writes_[JobStatusRowKey(job)] = EncodeJobStatusRow(status);
+}
+
+std::vector<TableWrite> ZonePlacer::TakeWrites(TimePoint now) {
+  if (batch_open_) return {};
+  Effects effects;
+  batch_ = placer_.Decide(now, settings_.starts_max, effects);
+  Apply(now, effects);
+  std::vector<TableWrite> out;
+  for (auto& [key, value] : writes_) {
+    out.push_back({key, std::move(value)});
+  }
+  writes_.clear();
+  batch_open_ = !out.empty();
+  return out;
+}
+
+void ZonePlacer::OnBatchCommitted(TimePoint now) {
+  batch_open_ = false;
+  if (!batch_) return;
+  Effects effects;
+  placer_.CommitSucceeded(now, *std::exchange(batch_, std::nullopt), effects);
+  Apply(now, effects);
+}
+
+// --- Time ---
+
+void ZonePlacer::Tick(const ClockPair& clock) {
+  StopDrained(clock.now);
+  if (clock.now >= next_explain_) {
+    next_explain_ = clock.now + settings_.explain_interval;
+    ExplainJobs(clock.now);
+  }
+  if (clock.now >= next_sweep_) {
+    next_sweep_ = clock.now + kSweepInterval;
+    SweepEnded(clock);
+  }
+}
+
+void ZonePlacer::ExplainJobs(TimePoint now) {
+  std::size_t explained = 0;
+  for (const auto& [job, row] : view_.jobs()) {
+    if (row.zone != view_.zone() || row.cancel_asked) continue;
+    const auto status = statuses_.find(job);
+    if (status != statuses_.end() && HasEnded(status->second.state)) continue;
+    if (++explained > settings_.explain_max) return;
+    const WaitReason reason = placer_.Why(now, job);
+    const bool waits = reason.code != ResultCode::kOk;
+    WriteStatus(job, waits ? JobState::kWaiting : JobState::kRunning,
+                waits ? reason.sentence : "all its tasks are placed");
+  }
+}
+
+void ZonePlacer::SweepEnded(const ClockPair& clock) {
+  for (const auto& [job, status] : view_.statuses()) {
+    const auto row = view_.jobs().find(job);
+    if (row == view_.jobs().end() || row->second.zone != view_.zone()) continue;
+    const std::chrono::milliseconds ended(status.ended_ms);
+    if (!HasEnded(status.state)) continue;
+    if (clock.wall - ended < settings_.keep_ended) continue;
+    writes_[JobRowKey(job)] = std::nullopt;
+    writes_[JobStatusRowKey(job)] = std::nullopt;
+    statuses_.erase(job);
+  }
+}
+
+std::string ZonePlacer::State(TimePoint now) const {
+  const PlacerSummary summary = placer_.Summary();
+  nlohmann::json out = {{"epoch", epoch_},
+                        {"workers", summary.workers},
+                        {"live_workers", summary.live_workers},
+                        {"quarantined_workers", summary.quarantined_workers},
+                        {"jobs", summary.jobs},
+                        {"waiting_jobs", summary.waiting_jobs},
+                        {"tasks", summary.tasks},
+                        {"capacity", ToJson(summary.capacity)},
+                        {"reserved", ToJson(summary.reserved)},
+                        {"unwritten_rows", writes_.size()}};
+  for (const WorkerView& worker : placer_.Workers()) {
+    const auto link = links_.find(worker.spec.id);
+    out["worker"][worker.spec.id.value()] = {
+        {"rack", worker.spec.rack},
+        {"reserved", ToJson(worker.reserved)},
+        {"capacity", ToJson(worker.spec.capacity)},
+        {"tasks", worker.tasks},
+        {"quarantined", worker.quarantined},
+        {"silent", link != links_.end() && link->second.is_silent()}};
+  }
+  for (const auto& [id, record] : tasks_) {
+    out["task"][id.value()] = {{"job", record.row.job.value()},
+                               {"worker", record.row.worker.value()},
+                               {"address", record.row.address}};
+  }
+  for (const auto& [job, row] : view_.jobs()) {
+    const WaitReason reason = placer_.Why(now, job);
+    if (reason.code != ResultCode::kOk) {
+      out["waiting"][job.value()] = reason.sentence;
+    }
+  }
+  return out.dump();
+}
+
+}  // namespace chivewing
--- a/src/lease/lease_holder.h
+++ b/src/lease/lease_holder.h
@@ -86,6 +86,8 @@
   // Nothing when the lease is not held or another transaction with the lease
   // row is under way. Its sender resends it while in doubt and gives the
   // definite answer to OnCommit: committed, conflict, or certainly not taken.
+  // CanBeginBatch tells beforehand.
+  bool CanBeginBatch(TimePoint now) const { return IsHeld(now) && !flight_; }
   std::optional<LeaseGuard> BeginBatch(TimePoint now,
                                        const std::string& write_id);
 
