--- a/src/catalogue/catalogue_entry.cc
+++ b/src/catalogue/catalogue_entry.cc
@@ -22,6 +22,10 @@
   return entry.work_class == WorkClass::kSingleton && entry.limits.slots > 0;
 }
 
+const EntryName& ServiceOf(const CatalogueEntry& entry) {
+  return entry.served_by.empty() ? entry.name : entry.served_by;
+}
+
 std::optional<std::chrono::minutes> FinishBy(const EntryPolicy& policy) {
   if (policy.finish_by.empty()) return std::nullopt;
   const int hours = std::stoi(policy.finish_by.substr(0, 2));
--- a/src/catalogue/catalogue_entry.h
+++ b/src/catalogue/catalogue_entry.h
@@ -51,7 +51,9 @@
   int priority = 500;                        // 0 to 1000, higher goes first
   std::chrono::milliseconds deadline{1000};  // of a request, waiting included
   std::chrono::milliseconds request_timeout{
-      1000};                             // of one attempt at a target
+      1000};  // of one attempt at a target
+  // Longest time that an instance goes on with a request, answered or not.
+  std::chrono::milliseconds longest_run{10000};
   bool idempotent = false;               // may run more than once
   int retry_budget_percent = 10;         // retries per hundred requests
   std::vector<ZoneId> zones;             // where it may run; empty: everywhere
@@ -75,7 +77,8 @@
   EntryName name;
   OwnerId owner;
   WorkClass work_class = WorkClass::kService;
-  std::string note;  // for people: what it is for, whom to ask
+  EntryName served_by;  // service whose instances take the requests; empty: own
+  std::string note;     // for people: what it is for, whom to ask
   EntryLimits limits;
   EntryPolicy policy;
   EntrySubject subject;
@@ -90,6 +93,9 @@
 // Whether requests can be sent to the entry.
 bool TakesRequests(const CatalogueEntry& entry);
 
+// The entry whose instances take this entry's requests: itself or served_by.
+const EntryName& ServiceOf(const CatalogueEntry& entry);
+
 // Minutes after midnight UTC of finish_by.
 std::optional<std::chrono::minutes> FinishBy(const EntryPolicy& policy);
 
--- a/src/catalogue/entry_check.cc
+++ b/src/catalogue/entry_check.cc
@@ -25,6 +25,13 @@
     Require(entry_.policy.request_timeout <= entry_.policy.deadline,
             "policy.request_timeout_ms", "policy.deadline_ms",
             "must be at most policy.deadline_ms");
+    Require(entry_.policy.longest_run >= entry_.policy.request_timeout,
+            "policy.longest_run_ms", "policy.request_timeout_ms",
+            "must be at least policy.request_timeout_ms");
+    Require(entry_.served_by.empty() || limits.instances == 0,
+            "limits.instances", "served_by", "must be 0 with served_by");
+    Require(entry_.served_by != entry_.name, "served_by", "name",
+            "must be another entry");
   }
 
   void CheckJob() {
--- a/src/catalogue/entry_fields.cc
+++ b/src/catalogue/entry_fields.cc
@@ -140,6 +140,15 @@
   return Bind(&CatalogueEntry::policy, member);
 }
 
+FieldSpec ServedBySpec() {
+  FieldSpec spec =
+      Spec("served_by", FieldKind::kName,
+           "service whose instances take the requests of this entry; empty: "
+           "its own; entries of one service share its slots by priority");
+  spec.allows_empty = true;
+  return spec;
+}
+
 std::vector<EntryField> HeadFields() {
   return {
       {Required("name", FieldKind::kName, "name of the entry"),
@@ -147,6 +156,7 @@
       {Required("owner", FieldKind::kName, "owner of the work"),
        Bind(&CatalogueEntry::owner), kEvery},
       {ClassSpec(), Bind(&CatalogueEntry::work_class), kEvery},
+      {ServedBySpec(), Bind(&CatalogueEntry::served_by), {WorkClass::kService}},
       {Spec("note", FieldKind::kNote,
             "for people: what it is for, whom to ask, why it is as it is"),
        Bind(&CatalogueEntry::note), kEvery},
@@ -178,7 +188,7 @@
 std::vector<EntryField> ServingFields() {
   return {
       {Count("limits.instances", "instances", 0, 10000,
-             "instances in each zone"),
+             "instances in each zone; 0 with served_by"),
        BindLimit(&EntryLimits::instances),
        {WorkClass::kService}},
       {Count("limits.slots", "requests", 0, 10000,
@@ -201,6 +211,10 @@
              "longest wait for one answer of an instance; at most "
              "policy.deadline_ms"),
        BindPolicy(&EntryPolicy::request_timeout), kServed},
+      {Count("policy.longest_run_ms", "ms", 1, kHourMs,
+             "longest time that an instance goes on with a request, answered "
+             "or not; at least policy.request_timeout_ms"),
+       BindPolicy(&EntryPolicy::longest_run), kServed},
       {Spec("policy.idempotent", FieldKind::kFlag,
             "whether a request may run more than once; false: it is claimed "
             "first and runs at most once"),
--- a/src/cli/arguments.cc
+++ b/src/cli/arguments.cc
@@ -27,6 +27,7 @@
 // getopt_long wants a mutable argv that starts with the program's name.
 std::vector<char*> MutableWords(std::vector<std::string>& words) {
   std::vector<char*> pointers;
+  pointers.reserve(words.size() + 1);
   for (std::string& word : words) pointers.push_back(word.data());
   pointers.push_back(nullptr);
   return pointers;
--- a/src/cli/catalogue_applier.cc
+++ b/src/cli/catalogue_applier.cc
@@ -77,15 +77,14 @@
   return overwrite_ ? present_.VersionOf(draft.entry.name) : 0;
 }
 
-ExitStatus CatalogueApplier::ReportConflict(
-    const CatalogueConflict& conflict) {
+ExitStatus CatalogueApplier::ReportConflict(const CatalogueConflict& conflict) {
   const CatalogueRecord& present = conflict.present;
-  const Error error{
-      ResultCode::kConflict,
-      present.name.value() + ": changed by " + present.changed_by +
-          " to version " + std::to_string(present.version) + ", and you edited " +
-          "version " + std::to_string(conflict.yours.version) +
-          "; show it, merge and apply again"};
+  const Error error{ResultCode::kConflict,
+                    present.name.value() + ": changed by " +
+                        present.changed_by + " to version " +
+                        std::to_string(present.version) + ", and you edited " +
+                        "version " + std::to_string(conflict.yours.version) +
+                        "; show it, merge and apply again"};
   const ExitStatus status = ReportError(error, hooks_);
   if (json_) {
     *hooks_.out << WriteConflict(conflict) << "\n";
--- a/src/cli/catalogue_applier.h
+++ b/src/cli/catalogue_applier.h
@@ -29,9 +29,9 @@
 // is made of.
 class CatalogueApplier {
  public:
-  CatalogueApplier(const CatalogueClient& client,
-                   const PresentRecords& present, const Arguments& arguments,
-                   const CliHooks& hooks, std::string changed_by);
+  CatalogueApplier(const CatalogueClient& client, const PresentRecords& present,
+                   const Arguments& arguments, const CliHooks& hooks,
+                   std::string changed_by);
 
   ExitStatus Apply(const EntryDraft& draft);
 
--- a/src/cli/catalogue_apply.cc
+++ b/src/cli/catalogue_apply.cc
@@ -43,7 +43,8 @@
   const Result<CatalogueListing> listing = client.List();
   if (!listing) return ReportError(listing.error(), hooks);
   const PresentRecords present(listing.value());
-  CatalogueApplier applier(client, present, arguments, hooks, changed_by.value());
+  CatalogueApplier applier(client, present, arguments, hooks,
+                           changed_by.value());
   ExitStatus status = ExitStatus::kOk;
   for (const EntryDraft& draft : drafts) {
     status = Gravest(status, applier.Apply(draft));
@@ -113,7 +114,8 @@
   const Result<std::uint64_t> version =
       RemovedVersion(arguments, present, name);
   if (!version) return ReportError(version.error(), hooks);
-  CatalogueApplier applier(client, present, arguments, hooks, changed_by.value());
+  CatalogueApplier applier(client, present, arguments, hooks,
+                           changed_by.value());
   return applier.Send({name, version.value(), changed_by.value(), std::nullopt},
                       "removed");
 }
--- a/src/cli/cli.cc
+++ b/src/cli/cli.cc
@@ -38,8 +38,22 @@
 }
 
 bool AsksForHelp(const std::vector<std::string>& words) {
-  if (words.empty()) return false;
-  return words[0] == "--help" || words[0] == "-h" || words[0] == "help";
+  return std::any_of(words.begin(), words.end(), [](const std::string& word) {
+    return word == "--help" || word == "-h" || word == "help";
+  });
+}
+
+// Why no verb was found: "catalogue" alone names only a group of verbs.
+std::string WhyNoVerb(const std::vector<std::string>& words) {
+  if (words.empty()) return "no verb given";
+  std::string group;
+  for (const Verb& verb : Verbs()) {
+    const std::vector<std::string> name = NameWords(verb);
+    if (name.size() < 2 || name[0] != words[0]) continue;
+    group += (group.empty() ? "" : ", ") + name[1];
+  }
+  if (group.empty()) return "unknown verb " + words[0];
+  return words[0] + " must be followed by one of " + group;
 }
 
 std::vector<OptionSpec> OptionsOf(const Verb& verb) {
@@ -105,16 +119,14 @@
 }
 
 int RunCli(const std::vector<std::string>& words, const CliHooks& hooks) {
-  if (AsksForHelp(words)) {
+  const Verb* verb = FindVerb(words);
+  if (verb == nullptr && AsksForHelp(words)) {
     *hooks.out << GeneralHelp();
     return static_cast<int>(ExitStatus::kOk);
   }
-  const Verb* verb = FindVerb(words);
   if (verb == nullptr) {
-    const std::string what =
-        words.empty() ? "no verb given" : "unknown verb " + words[0];
     const Error error{ResultCode::kBadUsage,
-                      what + "; chivewing --help lists them"};
+                      WhyNoVerb(words) + "; chivewing --help lists all verbs"};
     return static_cast<int>(ReportError(error, hooks));
   }
   const auto used = static_cast<std::ptrdiff_t>(NameWords(*verb).size());
--- a/src/cli/entry_host_client.cc
+++ b/src/cli/entry_host_client.cc
@@ -53,7 +53,8 @@
       key_(std::move(key)),
       call_(std::move(call)) {}
 
-HttpAnswer EntryHostClient::Send(HttpRequest request, Repeat repeat) const {
+HttpAnswer EntryHostClient::Send(const HttpRequest& request,
+                                 Repeat repeat) const {
   HttpAnswer answer;
   bool maybe_sent = false;
   for (const std::string& address : addresses_) {
--- a/src/cli/entry_host_client.h
+++ b/src/cli/entry_host_client.h
@@ -22,7 +22,7 @@
 
   // Sends to the first address, and on to each next one once while no address
   // was reached. `url` of the request is a path.
-  HttpAnswer Send(HttpRequest request, Repeat repeat) const;
+  HttpAnswer Send(const HttpRequest& request, Repeat repeat) const;
 
   // Sends to one address only.
   HttpAnswer SendTo(const std::string& address, HttpRequest request) const;
--- a/src/cli/job_verbs.cc
+++ b/src/cli/job_verbs.cc
@@ -24,11 +24,11 @@
 const std::string kJobsPath = "/v1/jobs";
 
 std::string NewJobId() {
-  constexpr std::string_view kLetters = "abcdefghijklmnopqrstuvwxyz0123456789";
+  constexpr std::string_view letters = "abcdefghijklmnopqrstuvwxyz0123456789";
   std::random_device device;
-  std::uniform_int_distribution<std::size_t> pick(0, kLetters.size() - 1);
+  std::uniform_int_distribution<std::size_t> pick(0, letters.size() - 1);
   std::string id = "job-";
-  for (int i = 0; i < kIdCharacters; ++i) id += kLetters[pick(device)];
+  for (int i = 0; i < kIdCharacters; ++i) id += letters[pick(device)];
   return id;
 }
 
--- a/src/cli/request_verbs.cc
+++ b/src/cli/request_verbs.cc
@@ -141,8 +141,7 @@
   verb.summary =
       "Dumps the state of the process at each address: queues, leases, "
       "shares, peers, workers, targets, catalogue and histograms.";
-  verb.options =
-      With(OperatorOptions(), {kJsonOption});
+  verb.options = With(OperatorOptions(), {kJsonOption});
   verb.examples =
       "  chivewing state --address 127.0.0.1:7002 --address 127.0.0.1:7102 "
       "--key-file key\n";
--- a/src/schema/field.h
+++ b/src/schema/field.h
@@ -38,6 +38,7 @@
   double least = 0;                           // of counts and numbers
   double most = 0;                            // of counts and numbers
   bool required = false;                      // has no default
+  bool allows_empty = false;                  // of kName
   std::span<const std::string_view> choices;  // of kChoice
   std::string_view meaning;                   // one sentence for the docs
 };
--- a/src/schema/field_reader.cc
+++ b/src/schema/field_reader.cc
@@ -68,6 +68,7 @@
   switch (spec.kind) {
     case FieldKind::kName:
       if (IsName(node.text)) return {node.text, ""};
+      if (node.text.empty() && spec.allows_empty) return {node.text, ""};
       return Wrong(
           "must be a name: 1 to 64 letters, digits, '-', '_' or '.', the "
           "first a letter or digit");
