The program serves entry hosts

Cause: main had no serve. Ruled out: a library dependency of the command line on the entry host; the hook stays. Change: main passes RunServe. Before: serve printed that it is not built in. Conclusion: none yet.

--- a/src/chivewing/main.cc
+++ b/src/chivewing/main.cc
@@ -3,8 +3,8 @@
 #include <string>
 #include <vector>
 
-#include "base/log.h"
 #include "cli/cli.h"
+#include "entry/serve.h"
 
 namespace {
 
@@ -13,19 +13,12 @@
   return value == nullptr ? "" : value;
 }
 
-// The process of an entry host is not part of this program yet.
-int Serve(const chivewing::Settings& settings) {
-  chivewing::StartLog(settings.log_level);
-  chivewing::LogError(chivewing::LogPart::kMain, "serve is not built in");
-  return static_cast<int>(chivewing::ExitStatus::kFailed);
-}
-
 }  // namespace
 
 int main(int argc, char** argv) {
   chivewing::CliHooks hooks;
   hooks.call = chivewing::MakeHttpCall();
-  hooks.serve = Serve;
+  hooks.serve = chivewing::RunServe;
   hooks.environment = Environment;
   hooks.out = &std::cout;
   hooks.err = &std::cerr;
