Router under random schedules of faults; three faults it found mended

Cause: the promises of the router (slots, one answer, not run, at most once, leaving) only count if they hold with hosts killed and paused, messages lost and reordered, connections silent and shares moving.

Change: tests/routing/fake_zone joins four Routers and eight instances by a fake network on a fake clock; a RapidCheck property draws schedules of twelve faults.

Ruled out: faults of the fake network itself (a late answer had been given to the successor process; the fake now carries the incarnation).

--- a/src/routing/instance.cc
+++ b/src/routing/instance.cc
@@ -76,8 +76,7 @@
   return true;
 }
 
-void Instance::End(TimePoint now, TargetOutcome outcome, bool fresh,
-                   TimePoint run_end) {
+void Instance::End(TargetOutcome outcome, bool fresh, const LeftBehind& left) {
   --in_flight_;
   const bool never_opened = outcome == TargetOutcome::kNotSent && fresh;
   if (KeepsConnection(outcome) ||
@@ -86,33 +85,32 @@
   } else {
     --open_;
   }
-  if (MayStillRun(outcome)) LeaveBehind(now, run_end);
+  if (MayStillRun(outcome)) LeaveBehind(left);
 }
 
-void Instance::LeaveBehind(TimePoint now, TimePoint until) {
-  if (until <= now) return;
+void Instance::LeaveBehind(const LeftBehind& left) {
   if (in_flight_ + left_behind_.size() >= view_.slots) return;
-  left_behind_.push_back({now, until});
+  left_behind_.push_back(left);
 }
 
-void Instance::LeaveAllBehind(TimePoint now, TimePoint until) {
+void Instance::LeaveAllBehind(const LeftBehind& left) {
   while (in_flight_ + left_behind_.size() < view_.slots) {
-    left_behind_.push_back({now, until});
+    left_behind_.push_back(left);
   }
   foreign_ = view_.connections - std::min(view_.connections, open_ + 1);
-  foreign_span_ = {now, until};
+  foreign_span_ = left;
 }
 
 void Instance::ApplyStatus(const TargetStatus& status, TimePoint asked_at) {
   std::uint32_t kept = 0;
   const auto is_over = [&](const LeftBehind& each) {
-    if (each.since > asked_at) return false;
+    if (each.arrived_by > asked_at) return false;
     return ++kept > status.running;
   };
   left_behind_.erase(
       std::remove_if(left_behind_.begin(), left_behind_.end(), is_over),
       left_behind_.end());
-  if (foreign_span_.since > asked_at) return;
+  if (foreign_span_.arrived_by > asked_at) return;
   foreign_ = std::min(foreign_, status.connections);
 }
 
--- a/src/routing/instance.h
+++ b/src/routing/instance.h
@@ -14,6 +14,12 @@
 
 namespace chivewing {
 
+// Work without an answer that may still use a slot.
+struct LeftBehind {
+  TimePoint arrived_by;  // a status asked for later counts it
+  TimePoint until;       // it has ended by then
+};
+
 // Slots, connections and health of one instance, as far as this host knows.
 //
 // A slot is free, in flight (a dispatch of ours has no outcome yet) or left
@@ -44,12 +50,12 @@
   // Takes a slot and a connection; returns whether the connection is a new one.
   bool Start();
   // Gives both back. Work that may still run stays counted until `run_end`.
-  void End(TimePoint now, TargetOutcome outcome, bool fresh, TimePoint run_end);
-  // Counts one more slot as used by unknown work until `until`.
-  void LeaveBehind(TimePoint now, TimePoint until);
+  void End(TargetOutcome outcome, bool fresh, const LeftBehind& left);
+  // Counts one more slot as used by unknown work.
+  void LeaveBehind(const LeftBehind& left);
   // Counts every slot and connection as used by a former holder's work.
-  void LeaveAllBehind(TimePoint now, TimePoint until);
-  // Lowers what was left behind before `asked_at` to what the instance reports.
+  void LeaveAllBehind(const LeftBehind& left);
+  // Lowers what had arrived by `asked_at` to what the instance reports.
   void ApplyStatus(const TargetStatus& status, TimePoint asked_at);
   // Forgets left-behind work whose time is over.
   void Expire(TimePoint now);
@@ -81,11 +87,6 @@
   std::uint32_t AddProbe(bool good);
 
  private:
-  struct LeftBehind {
-    TimePoint since;
-    TimePoint until;
-  };
-
   bool dispatchable() const;
   std::uint32_t ConnectionBound() const;
 
--- a/src/routing/instance_table.cc
+++ b/src/routing/instance_table.cc
@@ -22,7 +22,9 @@
   instance.set_view(view);
   instance.set_removed(false);
   instance.set_idle_told(false);
-  if (busy_until) instance.LeaveAllBehind(now, *busy_until);
+  if (busy_until)
+    instance.LeaveAllBehind(
+        {now + settings_.arrival_bound, *busy_until + settings_.arrival_bound});
   Settle(now, ref, out);
 }
 
@@ -32,6 +34,7 @@
   if (found == ids_.end()) return;
   const InstanceRef ref = found->second;
   Mutable(ref).set_removed(true);
+  CloseIdle(ref, out);
   Settle(now, ref, out);
 }
 
@@ -92,11 +95,17 @@
 
 void InstanceTable::End(TimePoint now, const InstanceRef& ref,
                         const DispatchEnd& end, RouterEffects& out) {
-  Mutable(ref).End(now, end.outcome, end.fresh_connection, end.run_end);
+  Mutable(ref).End(end.outcome, end.fresh_connection, LeftBy(end));
+  Mutable(ref).Expire(now);
   Judge(now, ref, end, out);
   Settle(now, ref, out);
 }
 
+LeftBehind InstanceTable::LeftBy(const DispatchEnd& end) const {
+  const TimePoint arrived_by = end.sent_at + settings_.arrival_bound;
+  return {arrived_by, arrived_by + end.longest_run};
+}
+
 void InstanceTable::Judge(TimePoint now, const InstanceRef& ref,
                           const DispatchEnd& end, RouterEffects& out) {
   Instance& instance = Mutable(ref);
@@ -107,7 +116,7 @@
     case TargetOutcome::kNotSent:
       return;
     case TargetOutcome::kRefusedFull:
-      instance.LeaveBehind(now, end.run_end);
+      instance.LeaveBehind(LeftBy(end));
       return;
     case TargetOutcome::kRefusedLeaving:
       instance.set_state(InstanceState::kLeaving);
@@ -156,13 +165,18 @@
 
 void InstanceTable::Suspect(const InstanceRef& ref, RouterEffects& out) {
   Instance& instance = Mutable(ref);
-  instance.DropIdleConnections();
-  out.emplace_back(CloseConnections{instance.view().id});
+  CloseIdle(ref, out);
   if (instance.health() == Health::kPutAside) return;
   instance.set_health(Health::kSuspect);
   if (!instance.probe()) instance.set_probe_due(std::nullopt);
 }
 
+void InstanceTable::CloseIdle(const InstanceRef& ref, RouterEffects& out) {
+  Instance& instance = Mutable(ref);
+  instance.DropIdleConnections();
+  out.emplace_back(CloseConnections{instance.view().id});
+}
+
 bool InstanceTable::PutAside(TimePoint now, const InstanceRef& ref) {
   Instance& instance = Mutable(ref);
   pools_.at(ref.service).Refresh(ref.key);
--- a/src/routing/instance_table.h
+++ b/src/routing/instance_table.h
@@ -29,7 +29,7 @@
   TargetOutcome outcome = TargetOutcome::kDone;
   bool fresh_connection = false;
   TimePoint sent_at;
-  TimePoint run_end;  // until then the request may still run
+  Duration longest_run{};  // at the instance, answered or not
 };
 
 // All instances whose share this host holds: takes and returns their slots,
@@ -81,12 +81,14 @@
     TimePoint asked_at;
   };
 
+  LeftBehind LeftBy(const DispatchEnd& end) const;
   Instance& Mutable(const InstanceRef& ref);
   void Judge(TimePoint now, const InstanceRef& ref, const DispatchEnd& end,
              RouterEffects& out);
   void JudgeDone(TimePoint now, const InstanceRef& ref, Duration service);
   void JudgeFailure(TimePoint now, const InstanceRef& ref);
   void Suspect(const InstanceRef& ref, RouterEffects& out);
+  void CloseIdle(const InstanceRef& ref, RouterEffects& out);
   bool PutAside(TimePoint now, const InstanceRef& ref);
   void JudgeProbe(TimePoint now, const InstanceRef& ref, bool good);
   void SendProbe(TimePoint now, const InstanceRef& ref, RouterEffects& out);
--- a/src/routing/router.cc
+++ b/src/routing/router.cc
@@ -13,6 +13,9 @@
 // Service time assumed before the first answer.
 constexpr std::chrono::milliseconds kFirstServiceTime{10};
 
+// Low bits of a hop id that count; the others hold the incarnation.
+constexpr int kHopCounterBits = 36;
+
 // The end of a dispatch as the code that a caller would get.
 ResultCode CodeOf(TargetOutcome outcome) {
   switch (outcome) {
@@ -43,11 +46,12 @@
 
 }  // namespace
 
-Router::Router(const RouterSettings& settings)
+Router::Router(const RouterSettings& settings, std::uint64_t incarnation)
     : settings_(settings),
       instances_(settings),
       peers_(settings),
-      reporter_(settings.report_interval) {}
+      reporter_(settings.report_interval),
+      last_hop_(incarnation << kHopCounterBits) {}
 
 EntryName Router::ServiceOf(const RequestClass& policy) {
   return policy.service.empty() ? policy.entry : policy.service;
@@ -202,8 +206,7 @@
   const DispatchId dispatch{++last_dispatch_};
   const RequestClass& policy = *request.policy;
   dispatches_.emplace(
-      dispatch,
-      DispatchRecord{key, *chosen, now, now + policy.longest_run, fresh});
+      dispatch, DispatchRecord{key, *chosen, now, policy.longest_run, fresh});
   request.phase = Phase::kDispatched;
   request.dispatch = dispatch;
   request.avoid = chosen->key;
@@ -323,7 +326,7 @@
   dispatches_.erase(found);
   instances_.End(now, record.instance,
                  DispatchEnd{outcome, record.fresh_connection, record.sent_at,
-                             record.run_end},
+                             record.longest_run},
                  out);
   const ResultCode code = CodeOf(outcome);
   if (code == ResultCode::kOk) {
@@ -508,7 +511,7 @@
   dispatches_.erase(request.dispatch);
   instances_.End(now, record.instance,
                  DispatchEnd{TargetOutcome::kTimedOut, record.fresh_connection,
-                             record.sent_at, record.run_end},
+                             record.sent_at, record.longest_run},
                  out);
   AttemptFailed(now, key, ResultCode::kTimedOut, out);
 }
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -38,7 +38,10 @@
 // dispatch or forward of the request can have run.
 class Router {
  public:
-  explicit Router(const RouterSettings& settings = {});
+  // Hop ids hold the process's `incarnation`, so that an answer meant for an
+  // earlier process of the same host matches no hop of this one.
+  explicit Router(const RouterSettings& settings = {},
+                  std::uint64_t incarnation = 0);
 
   // Replaces all request classes. Requests in progress keep theirs.
   void SetClasses(TimePoint now, const std::vector<RequestClass>& classes,
@@ -128,7 +131,7 @@
     RequestKey request{};
     InstanceRef instance;
     TimePoint sent_at;
-    TimePoint run_end;
+    Duration longest_run{};
     bool fresh_connection = false;
   };
   struct HopRecord {
--- a/src/routing/router_settings.h
+++ b/src/routing/router_settings.h
@@ -36,6 +36,8 @@
   // Good probes in a row before an instance takes work again.
   std::uint32_t probes_to_readmit = 3;
 
+  // Longest time until what was sent has reached an instance or is lost.
+  std::chrono::milliseconds arrival_bound{50};
   // How long after its timeout a dispatch without any outcome is given up.
   std::chrono::milliseconds outcome_grace{1000};
 };
--- /dev/null
+++ b/tests/routing/fake_zone.h
@@ -0,0 +1,157 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <queue>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "routing/router.h"
+
+namespace chivewing {
+
+// One fault of a schedule.
+struct Fault {
+  enum class Kind : std::uint8_t {
+    kKillHost,      // its instances are taken over, a fresh host replaces it
+    kPauseHost,     // nothing happens in it for a while
+    kStopHost,      // planned stop; its instances are handed over
+    kCutPeers,      // both sides lose the connection, later it stands again
+    kLoseMessages,  // messages between peers vanish for a while
+    kKillTarget,    // its work ends without answers, connections are refused
+    kSilence,       // connections open by now are silent for good
+    kSlowTarget,
+    kBadTarget,  // crossed answers and refusals
+    kLeaveTarget,
+    kMoveShare,  // drained, then held by another host
+    kCancel,
+  };
+  static constexpr int kKinds = 12;
+  Kind kind{};
+  std::uint32_t at_ms = 0;
+  std::uint32_t subject = 0;
+  std::uint32_t length_ms = 0;
+};
+
+// Switches that break one mechanism, to show that the checks find it.
+struct ZoneSwitches {
+  bool count_left_behind = true;      // at a take-over
+  bool tell_leaving = true;           // to the holder of the share
+  bool report_timeouts_truly = true;  // else as never sent
+  bool finish_before_hand_over = true;
+};
+
+// Several Router objects, instances and a network with delay, loss and
+// reordering, on one fake clock. Collects broken invariants as sentences.
+class FakeZone {
+ public:
+  FakeZone(std::uint32_t seed, const RouterSettings& settings,
+           const ZoneSwitches& switches);
+
+  // Runs load under these faults, then without faults until all is quiet.
+  void Run(const std::vector<Fault>& faults);
+
+  const std::set<std::string>& violations() const { return violations_; }
+  std::uint64_t ran() const { return ran_; }
+  std::uint64_t answered(ResultCode code) const;
+
+ private:
+  struct Connection {
+    TimePoint opened;
+  };
+  struct Sent {
+    std::size_t host = 0;
+    std::uint64_t incarnation = 0;
+    std::size_t target = 0;
+    Dispatch effect;
+    Connection connection;
+  };
+  struct Host {
+    HostId id;
+    Router router;
+    std::uint64_t incarnation = 1;
+    TimePoint paused_until;
+    bool stopping = false;
+    std::map<std::size_t, std::vector<Connection>> idle;  // by target
+    std::set<RequestId> open;  // submitted by local callers, not answered
+  };
+  struct Target {
+    InstanceView view;
+    std::size_t holder = 0;
+    std::uint64_t move = 0;
+    bool moving = false;
+    bool dead = false;
+    bool told_leaving = false;
+    TimePoint silent_before;
+    TimePoint slow_until;
+    TimePoint bad_until;
+    std::uint32_t running = 0;
+  };
+  struct Logical {
+    bool idempotent = true;
+    std::uint32_t runs = 0;
+    std::optional<ResultCode> answer;
+  };
+  struct Event {
+    TimePoint at;
+    std::uint64_t number;
+    std::function<void()> action;
+    bool operator<(const Event& other) const {
+      return at != other.at ? at > other.at : number > other.number;
+    }
+  };
+
+  void At(TimePoint at, std::function<void()> action);
+  // Runs in the host, unless it died meanwhile; later if it is paused.
+  void AtHost(TimePoint at, std::size_t host, std::uint64_t incarnation,
+              const std::function<void(RouterEffects&)>& action);
+  Duration Delay();
+  std::uint32_t Draw(std::uint32_t bound);
+  void Check(bool holds, const std::string& what);
+
+  void StartHost(std::size_t index);
+  void Arrive();
+  void Inject(const Fault& fault);
+  void KillHost(std::size_t index);
+  void TakeOver(std::size_t index, bool taken_over);
+  void MoveShare(std::size_t index);
+  void HandOver(std::size_t index);
+  void CutPeers(std::size_t a, std::size_t b, Duration length);
+  void KillTarget(std::size_t index);
+  void LeaveTarget(std::size_t index);
+
+  void Perform(std::size_t host, const RouterEffects& effects);
+  void DoDispatch(std::size_t host, const Dispatch& effect);
+  void Reach(const Sent& sent);
+  void Serve(const Sent& sent);
+  void Answered(const Sent& sent, TargetOutcome outcome);
+  void DoForward(std::size_t host, const ForwardTo& effect);
+  void DoAnswer(std::size_t host, const Answer& effect);
+  void DoAnswerPeer(std::size_t host, const AnswerPeer& effect);
+  void DoReport(std::size_t host, const ReportLoad& effect);
+  void DoProbe(std::size_t host, const ProbeInstance& effect);
+  std::size_t HostIndex(const HostId& id) const;
+  std::size_t TargetIndex(const InstanceId& id) const;
+  void ArmTick(std::size_t host);
+
+  RouterSettings settings_;
+  ZoneSwitches switches_;
+  std::minstd_rand random_;
+  TimePoint now_{std::chrono::hours(1)};
+  TimePoint load_end_;
+  TimePoint lossy_until_;
+  std::priority_queue<Event> events_;
+  std::uint64_t last_event_ = 0;
+  std::uint64_t last_request_ = 0;
+  std::vector<Host> hosts_;
+  std::vector<Target> targets_;
+  std::map<std::string, Logical> requests_;
+  std::map<std::string, std::string> dispatched_;  // host/dispatch to request
+  std::set<std::string> violations_;
+  std::uint64_t ran_ = 0;
+};
+
+}  // namespace chivewing
--- /dev/null
+++ b/tests/routing/router_property_test.cc
@@ -0,0 +1,109 @@
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+#include <rapidcheck/gtest.h>
+
+#include <string>
+#include <vector>
+
+#include "routing/fake_zone.h"
+
+namespace rc {
+
+template <>
+struct Arbitrary<chivewing::Fault> {
+  static Gen<chivewing::Fault> arbitrary() {
+    using chivewing::Fault;
+    return gen::build<Fault>(
+        gen::set(&Fault::kind,
+                 gen::map(gen::inRange(0, Fault::kKinds),
+                          [](int kind) { return Fault::Kind(kind); })),
+        gen::set(&Fault::at_ms, gen::inRange(0U, 500U)),
+        gen::set(&Fault::subject, gen::inRange(0U, 32U)),
+        gen::set(&Fault::length_ms, gen::inRange(1U, 300U)));
+  }
+};
+
+}  // namespace rc
+
+namespace chivewing {
+
+// For RapidCheck's report of a failed schedule.
+void showValue(const Fault& fault, std::ostream& out) {  // NOLINT
+  out << "{kind " << static_cast<int>(fault.kind) << ", at " << fault.at_ms
+      << " ms, subject " << fault.subject << ", " << fault.length_ms << " ms}";
+}
+
+namespace {
+
+std::string Joined(const std::set<std::string>& sentences) {
+  std::string all;
+  for (const std::string& each : sentences) all += each + "; ";
+  return all;
+}
+
+RC_GTEST_PROP(RouterProperty, HoldsUnderRandomFaults,
+              (const std::vector<Fault>& faults)) {
+  RouterSettings settings;
+  settings.peer_choice =
+      *rc::gen::element(PeerChoice::kNone, PeerChoice::kFreest,
+                        PeerChoice::kTwoChoices, PeerChoice::kShortestDelay);
+  const std::uint32_t seed = *rc::gen::inRange(1U, 1000000U);
+  FakeZone zone(seed, settings, {});
+  zone.Run(faults);
+  RC_LOG() << Joined(zone.violations());
+  RC_ASSERT(zone.violations().empty());
+  RC_ASSERT(zone.ran() > 0U);
+}
+
+// With a mechanism off, the checks find the violation that it prevents.
+struct OffCase {
+  const char* name;
+  ZoneSwitches switches;
+  Fault::Kind fault;
+  const char* violation;
+};
+
+class MechanismOffTest : public testing::TestWithParam<OffCase> {};
+
+bool FindsViolation(const OffCase& param, const ZoneSwitches& switches) {
+  for (std::uint32_t seed = 1; seed <= 30; ++seed) {
+    FakeZone zone(seed, {}, switches);
+    std::vector<Fault> faults;
+    for (std::uint32_t i = 0; i < 8; ++i) {
+      faults.push_back({Fault::Kind::kSlowTarget, 50, i, 300});
+      faults.push_back({param.fault, 100 + 10 * i, i + seed, 250});
+    }
+    zone.Run(faults);
+    if (zone.violations().contains(param.violation)) return true;
+  }
+  return false;
+}
+
+TEST_P(MechanismOffTest, ViolationIsFoundOnlyWithItOff) {
+  const OffCase& param = GetParam();
+  EXPECT_TRUE(FindsViolation(param, param.switches));
+  EXPECT_FALSE(FindsViolation(param, {}));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Switches, MechanismOffTest,
+    testing::Values(OffCase{"LeftBehind",
+                            {.count_left_behind = false},
+                            Fault::Kind::kKillHost,
+                            "more work than slots"},
+                    OffCase{"Leaving",
+                            {.tell_leaving = false},
+                            Fault::Kind::kLeaveTarget,
+                            "new work for a leaving instance"},
+                    OffCase{"Timeouts",
+                            {.report_timeouts_truly = false},
+                            Fault::Kind::kSlowTarget,
+                            "said not run of what ran"},
+                    OffCase{"HandOver",
+                            {.finish_before_hand_over = false},
+                            Fault::Kind::kMoveShare,
+                            "more work than slots"}),
+    [](const auto& info) { return std::string(info.param.name); });
+
+}  // namespace
+}  // namespace chivewing
--- a/tests/routing/router_test.cc
+++ b/tests/routing/router_test.cc
@@ -106,5 +106,21 @@
         OutcomeCase{TargetOutcome::kConnectionLost, true, true, {}},
         OutcomeCase{TargetOutcome::kBadAnswer, true, true, {}}));
 
+// A request sent shortly before its deadline may reach the instance after a
+// status call that was made later.
+TEST_F(RouterTest, StatusAskedTooSoonDoesNotFreeASlot) {
+  Start(1);
+  Submit("r1");
+  Submit("r2");
+  const auto first = Take<Dispatch>();
+  now_ += milliseconds(1);
+  router_.TargetAnswered(now_, first->dispatch, TargetOutcome::kTimedOut, out_);
+  router_.SetBusyFromStatus(now_, first->instance, {}, now_, out_);
+  EXPECT_EQ(router_.State(now_).instances[0].left_behind, 1U);
+  now_ += milliseconds(100);
+  router_.SetBusyFromStatus(now_, first->instance, {}, now_, out_);
+  EXPECT_EQ(router_.State(now_).instances[0].left_behind, 0U);
+}
+
 }  // namespace
 }  // namespace chivewing
