Placement: random-schedule properties with a model of its own

tests/placement/zone_model runs a Placer through random events (submissions, cancel waves, decisions, commits that fail, lost and expired tasks, workers that leave, go and come back, take-overs of the placer lease) and keeps its own account of what runs where. Checked after each event: no worker over its capacity, no owner over its quota, no singleton twice, gangs launched whole, nothing cancelled started, nobody told to stop what never ran, and the sums of the Placer. A second property ends all faults and wants every job finished.

Failures found, each failing in this property first and passing after the change: a gang with several tasks on a worker that went away was told to stop tasks of that worker; an instance whose worker came back left its job in the lanes; a restored finished task did so too; a gang could be launched in part when one of its workers left between decision and commit.

--- a/src/placement/placer.cc
+++ b/src/placement/placer.cc
@@ -52,8 +52,9 @@
   task_events_->Restore(now, task, effects);
 }
 
-void Placer::RestoreDoneTask(const JobId& job) {
-  task_events_->RestoreDone(job);
+void Placer::RestoreDoneTask(TimePoint now, const JobId& job,
+                             Effects& effects) {
+  task_events_->RestoreDone(now, job, effects);
 }
 
 std::optional<BatchId> Placer::Decide(TimePoint now, std::size_t max_starts,
--- a/src/placement/placer.h
+++ b/src/placement/placer.h
@@ -83,7 +83,7 @@
   // that is not listed (yet). A task whose job is not known is stopped.
   void RestoreTask(TimePoint now, const CommittedTask& task, Effects& effects);
   // A task row that says that one task of a job ended well.
-  void RestoreDoneTask(const JobId& job);
+  void RestoreDoneTask(TimePoint now, const JobId& job, Effects& effects);
 
   // Decides up to `max_starts` starts (a gang may exceed it, so that it is
   // committed whole) and the stops that go with them. The starts form one
--- a/src/placement/task_events.cc
+++ b/src/placement/task_events.cc
@@ -47,9 +47,12 @@
   return state_.workers.Upsert(unlisted);
 }
 
-void TaskEvents::RestoreDone(const JobId& job) {
+void TaskEvents::RestoreDone(TimePoint now, const JobId& job,
+                             Effects& effects) {
   const JobIndex index = state_.jobs.Find(job);
-  if (index != kNoIndex) ++state_.jobs.at(index).done;
+  if (index == kNoIndex) return;
+  ++state_.jobs.at(index).done;
+  state_.FinishJobIfDone(now, index, effects);
 }
 
 void TaskEvents::CommitSucceeded(TimePoint now, BatchId batch,
@@ -61,6 +64,7 @@
   for (const TaskId& task : ready.dropped) {
     effects.emplace_back(DropTask{task});
   }
+  for (const TaskIndex index : ready.tasks) AbandonGangIfUnwanted(index);
   for (const TaskIndex index : ready.tasks) {
     Task& task = state_.tasks.at(index);
     if (!IsWanted(index)) {
@@ -157,12 +161,16 @@
                             Effects& effects) {
   const std::vector<TaskIndex> tasks = state_.workers.at(worker).tasks;
   for (const TaskIndex index : tasks) {
-    const Task& task = state_.tasks.at(index);
+    Task& task = state_.tasks.at(index);
     if (task.state == TaskState::kReserved) {
       Batch& batch = state_.batches[task.batch];
       std::erase(batch.tasks, index);
       batch.dropped.push_back(task.id);
     }
+    // Nobody is to be told to stop it.
+    task.state = TaskState::kStopping;
+  }
+  for (const TaskIndex index : tasks) {
     Finish(now, index, /*done=*/false, effects);
   }
 }
@@ -173,12 +181,16 @@
   for (const TaskIndex task : tasks) MoveAway(now, task, effects);
 }
 
-void TaskEvents::WorkerBack(WorkerIndex worker) {
+void TaskEvents::WorkerBack(TimePoint now, WorkerIndex worker,
+                            Effects& effects) {
   for (const TaskIndex index : state_.workers.at(worker).tasks) {
-    const TaskState state = state_.tasks.at(index).state;
+    const Task& task = state_.tasks.at(index);
     const bool runs =
-        state == TaskState::kRunning || state == TaskState::kLaunched;
-    if (runs) state_.UnmarkReplaced(index);
+        task.state == TaskState::kRunning || task.state == TaskState::kLaunched;
+    if (!runs || task.job == kNoIndex) continue;
+    state_.UnmarkReplaced(index);
+    TrimService(state_, now, task.job, effects);
+    state_.UpdateWaiting(now, task.job);
   }
 }
 
@@ -218,6 +230,13 @@
   return state_.workers.at(task.worker).spec.state == WorkerState::kLive;
 }
 
+void TaskEvents::AbandonGangIfUnwanted(TaskIndex index) {
+  const Task& task = state_.tasks.at(index);
+  if (task.job == kNoIndex || IsWanted(index)) return;
+  Job& job = state_.jobs.at(task.job);
+  if (job.spec.job_class == JobClass::kGang) job.restarting = true;
+}
+
 void TaskEvents::LearnFrom(TimePoint now, TaskIndex index, TaskEnd end,
                            Effects& effects) {
   const Task& task = state_.tasks.at(index);
--- a/src/placement/task_events.h
+++ b/src/placement/task_events.h
@@ -16,7 +16,7 @@
   explicit TaskEvents(ZoneState& state) : state_(state) {}
 
   void Restore(TimePoint now, const CommittedTask& row, Effects& effects);
-  void RestoreDone(const JobId& job);
+  void RestoreDone(TimePoint now, const JobId& job, Effects& effects);
   void CommitSucceeded(TimePoint now, BatchId batch, Effects& effects);
   void CommitFailed(TimePoint now, BatchId batch, Effects& effects);
 
@@ -32,13 +32,15 @@
   // The worker takes no new tasks: moves its tasks away.
   void WorkerLeaving(TimePoint now, WorkerIndex worker, Effects& effects);
   // The worker takes tasks again.
-  void WorkerBack(WorkerIndex worker);
+  void WorkerBack(TimePoint now, WorkerIndex worker, Effects& effects);
 
  private:
   WorkerIndex FindOrAddWorker(const WorkerId& id);
   void MoveAway(TimePoint now, TaskIndex index, Effects& effects);
   // Whether a committed task should still be launched.
   bool IsWanted(TaskIndex index) const;
+  // A gang of which one task is not wanted is not launched at all.
+  void AbandonGangIfUnwanted(TaskIndex index);
   void LearnFrom(TimePoint now, TaskIndex index, TaskEnd end, Effects& effects);
   // Frees the room of a task and lets its job go on.
   void Finish(TimePoint now, TaskIndex index, bool done, Effects& effects);
--- a/src/placement/wait_explainer.cc
+++ b/src/placement/wait_explainer.cc
@@ -34,6 +34,9 @@
 WaitReason ExplainGang(const ZoneState& state, TimePoint now, const Job& job) {
   const JobSpec& spec = job.spec;
   const std::int64_t room = CountRoom(state.workers, spec.per_task, spec.tasks);
+  if (room >= spec.tasks) {
+    return {ResultCode::kNotPlacedYet, "starts at the next decision"};
+  }
   std::string sentence =
       "waits for room for all " + std::to_string(spec.tasks) +
       " tasks at once; there is room for " + std::to_string(room) + " now";
--- a/src/placement/worker_events.cc
+++ b/src/placement/worker_events.cc
@@ -21,7 +21,7 @@
     state_.DropClaimsOn(index);
     tasks_.WorkerLeaving(now, index, effects);
   }
-  if (!was_live && is_live) tasks_.WorkerBack(index);
+  if (!was_live && is_live) tasks_.WorkerBack(now, index, effects);
 }
 
 void WorkerEvents::Remove(TimePoint now, const WorkerId& worker,
--- /dev/null
+++ b/tests/placement/zone_model.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+#include "placement/placer_harness.h"
+
+namespace chivewing {
+
+// One random event; the meaning of the numbers depends on the kind.
+struct RandomEvent {
+  unsigned kind = 0;
+  unsigned first = 0;
+  unsigned second = 0;
+};
+
+// Runs a Placer through random events against fake workers that know for
+// themselves what runs where, and checks after each event what must always
+// hold. Throws std::logic_error at the first violation.
+class ZoneModel {
+ public:
+  explicit ZoneModel(PlacerOptions options = {});
+
+  void Apply(const RandomEvent& event);
+  // Ends all faults, and lets everything run to its end; returns the jobs that
+  // never finished although a worker could hold them.
+  std::vector<std::string> Drain();
+
+  int launched() const { return launched_; }
+
+ private:
+  struct ModelWorker {
+    Resources capacity;
+    WorkerState state = WorkerState::kLive;
+  };
+  // A task whose row may be committed and that may run.
+  struct ModelTask {
+    JobId job;
+    OwnerId owner;
+    WorkerId worker;
+    Resources resources;
+    bool launched = false;
+    bool running = false;
+    bool stopping = false;
+  };
+
+  void SubmitRandomJob(unsigned first, unsigned second);
+  void CancelWave(unsigned first, unsigned second);
+  void Decide();
+  void ResolveCommit(bool succeeds);
+  void FinishStart(unsigned pick, unsigned outcome);
+  void EndRunning(unsigned pick, unsigned how);
+  void Cancel(const std::vector<JobId>& wave);
+  void ConfirmStop(unsigned pick);
+  void LoseTask(unsigned pick, bool expires);
+  void ChangeWorker(unsigned pick, unsigned what);
+  void UpsertWorker(int number, WorkerState state);
+  void RemoveWorker(const WorkerId& worker);
+  void TakeOver();
+
+  void TakeIn(const Effects& effects);
+  void TakeInStart(const StartTask& start);
+  void TakeInLaunch(const LaunchTask& launch);
+  void CheckAll() const;
+  void CheckGangs(const std::unordered_map<JobId, int>& launched) const;
+
+  std::vector<TaskId> Select(bool launched, bool running, bool stopping) const;
+  std::vector<TaskId> Launched() const;
+
+  PlacerOptions options_;
+  std::uint64_t epoch_ = 1;
+  std::unique_ptr<Placer> placer_;
+  TimePoint now_ = TimePoint(hours(1));
+  std::unordered_map<WorkerId, ModelWorker> workers_;
+  std::unordered_map<TaskId, ModelTask> tasks_;
+  std::unordered_map<JobId, JobSpec> jobs_;
+  std::unordered_map<JobId, int> done_;
+  std::unordered_set<JobId> cancelled_;
+  std::unordered_set<JobId> ended_;
+  std::vector<BatchId> batches_;
+  std::unordered_set<TaskId> dropped_;
+  std::unordered_map<OwnerId, Resources> quotas_;
+  int next_job_ = 0;
+  int launched_ = 0;
+};
+
+}  // namespace chivewing
