Random schedules for claims and tickets

Three entry hosts claim the same three keys over a table whose answers are lost, late or refused, while hosts are killed, replaced, paused and cut from each other.

--- /dev/null
+++ b/tests/outcome/fake_table.h
@@ -0,0 +1,110 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <iterator>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "platform/table.h"
+
+namespace chivewing {
+
+// One step of a random schedule: what happens, and to whom.
+using ScheduleStep = std::pair<std::uint8_t, std::uint8_t>;
+using Schedule = std::vector<ScheduleStep>;
+
+// The platform's table in memory.
+class FakeTable {
+ public:
+  CommitAnswer Commit(const TableTransaction& transaction) {
+    CommitAnswer answer{CommitStatus::kCommitted, 0, {}};
+    for (const TableCondition& condition : transaction.conditions) {
+      const TableRow row = Row(condition.key);
+      const std::uint64_t present = row.value ? row.version : 0;
+      if (present != condition.version) {
+        answer.status = CommitStatus::kConflict;
+      }
+      answer.rows.push_back(row);
+    }
+    if (answer.status == CommitStatus::kConflict) return answer;
+    answer.rows.clear();
+    answer.revision = ++revision_;
+    for (const TableWrite& write : transaction.writes) {
+      rows_[write.key] = {write.key, write.value, revision_,
+                          transaction.write_id};
+    }
+    return answer;
+  }
+  TableRow Row(const std::string& key) const {
+    const auto found = rows_.find(key);
+    return found == rows_.end() ? TableRow{key, std::nullopt, 0, ""}
+                                : found->second;
+  }
+  const std::map<std::string, TableRow>& rows() const { return rows_; }
+
+ private:
+  std::map<std::string, TableRow> rows_;
+  std::uint64_t revision_ = 0;
+};
+
+// Carries commits to the table, and loses, delays and reorders them.
+class FaultyLink {
+ public:
+  using Answer =
+      std::function<void(std::size_t process, const std::string& write_id,
+                         const CommitAnswer& answer)>;
+
+  void Send(std::size_t process, const TableTransaction& transaction) {
+    waiting_.push_back({process, transaction});
+  }
+  bool empty() const { return waiting_.empty(); }
+
+  // Lets one of the commits under way meet a fate out of `choice`.
+  void Step(FakeTable& table, std::uint8_t choice, const Answer& answer) {
+    if (choice % 5 == 4 && !late_.empty()) {
+      table.Commit(late_.back());
+      late_.pop_back();
+    }
+    if (waiting_.empty()) return;
+    const auto at =
+        std::next(waiting_.begin(),
+                  static_cast<std::ptrdiff_t>(choice % waiting_.size()));
+    const auto [process, transaction] = *at;
+    waiting_.erase(at);
+    CommitAnswer reply;
+    switch (choice / 16) {
+      case 0:  // the answer is lost
+        table.Commit(transaction);
+        break;
+      case 1:  // late: takes effect, or not, after it was given up
+        late_.push_back(transaction);
+        break;
+      case 2:
+        reply.status = CommitStatus::kUnavailable;
+        break;
+      case 3:  // lost on its way
+        break;
+      default:
+        reply = table.Commit(transaction);
+    }
+    answer(process, transaction.write_id, reply);
+  }
+  // Lets all commits through, to the end.
+  void Drain(FakeTable& table, const Answer& answer) {
+    constexpr std::uint8_t good = 0x50;
+    while (!waiting_.empty()) Step(table, good, answer);
+  }
+
+ private:
+  struct Waiting {
+    std::size_t process;
+    TableTransaction transaction;
+  };
+  std::vector<Waiting> waiting_;
+  std::vector<TableTransaction> late_;
+};
+
+}  // namespace chivewing
