--- a/src/entry/instance_directory.cc
+++ b/src/entry/instance_directory.cc
@@ -11,7 +11,7 @@
   if (!up || row.address.empty()) return false;
   const CatalogueEntry* entry = catalogue.Find(row.entry);
   // An instance whose entry was removed finishes what it runs.
-  return entry == nullptr || entry->work_class == WorkClass::kService;
+  return entry == nullptr || TakesRequests(*entry);
 }
 
 }  // namespace
--- a/src/entry/job_specs.cc
+++ b/src/entry/job_specs.cc
@@ -82,7 +82,7 @@
   StartOrder order;
   order.task = task;
   order.entry = entry.name;
-  order.service = entry.work_class == WorkClass::kService;
+  order.service = TakesRequests(entry);
   order.processors_milli = entry.limits.processors_milli;
   order.memory_mb = entry.limits.memory_mb;
   order.accelerators = entry.limits.accelerators;
--- a/src/entry/zone_placer.cc
+++ b/src/entry/zone_placer.cc
@@ -89,7 +89,7 @@
   Effects effects;
   for (const auto& [id, row] : view_.tasks()) {
     if (row.state == TaskRowState::kDone) {
-      placer_.RestoreDoneTask(row.job);
+      placer_.RestoreDoneTask(now, row.job, effects);
       continue;
     }
     const CatalogueEntry* entry = view_.catalogue().Find(row.entry);
