Stand-ins for the platform, workers and targets

Cause: the tests, the demo and the measurements need the outside systems, with their faults, in separate processes and in-process.

Faults come by POST /fault. A lost answer is a call left unanswered, and its connection is closed 20 s later, so that long runs do not pile up open calls.

--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -199,6 +199,8 @@
   std::atomic<std::uint64_t> bytes_received_{0};
   std::atomic<std::uint64_t> bytes_sent_{0};
   std::atomic<std::uint64_t> accepted_{0};
+  std::atomic<std::uint64_t> open_{0};
+  std::atomic<std::uint64_t> most_open_{0};
 };
 
 Status HttpServer::Daemon::Start(Handler handler) {
@@ -388,6 +390,7 @@
   if (code == MHD_CONNECTION_NOTIFY_CLOSED) {
     auto* const closed = static_cast<Connection*>(*socket_state);
     daemon->connections_.erase(closed);
+    daemon->open_ = daemon->connections_.size();
     delete closed;
     return;
   }
@@ -399,6 +402,9 @@
   opened->since = BootClock::now();
   daemon->connections_.insert(opened);
   ++daemon->accepted_;
+  const std::uint64_t open = daemon->connections_.size();
+  daemon->open_ = open;
+  if (open > daemon->most_open_) daemon->most_open_ = open;
   *socket_state = opened;
 }
 
@@ -461,6 +467,8 @@
 
 HttpServerCounts HttpServer::Daemon::counts() const {
   return {.connections = accepted_,
+          .open_connections = open_,
+          .most_connections = most_open_,
           .calls = calls_,
           .refused = refused_,
           .timed_out = timed_out_,
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -59,12 +59,14 @@
 
 // Counts since the start of a server.
 struct HttpServerCounts {
-  std::uint64_t connections = 0;
-  std::uint64_t calls = 0;           // handed to the handler
-  std::uint64_t refused = 0;         // 401 and 413, not handed to the handler
-  std::uint64_t timed_out = 0;       // connections closed by the idle timeout
-  std::uint64_t bytes_received = 0;  // bodies
-  std::uint64_t bytes_sent = 0;      // bodies
+  std::uint64_t connections = 0;  // accepted
+  std::uint64_t open_connections = 0;
+  std::uint64_t most_connections = 0;  // open at the same time
+  std::uint64_t calls = 0;             // handed to the handler
+  std::uint64_t refused = 0;           // 401 and 413, not handed to the handler
+  std::uint64_t timed_out = 0;         // connections closed by the idle timeout
+  std::uint64_t bytes_received = 0;    // bodies
+  std::uint64_t bytes_sent = 0;        // bodies
 };
 
 // HTTP/1.1 server. A call is handed to the handler when it is whole, and waits
--- a/src/platform/row_cache.cc
+++ b/src/platform/row_cache.cc
@@ -41,14 +41,18 @@
 }
 
 const TableRow* RowCache::Find(std::string_view key) const {
+  const TableRow* const row = FindVersioned(key);
+  return row != nullptr && row->value ? row : nullptr;
+}
+
+const TableRow* RowCache::FindVersioned(std::string_view key) const {
   const auto found = rows_.find(key);
-  if (found == rows_.end() || !found->second.value) return nullptr;
-  return &found->second;
+  return found == rows_.end() ? nullptr : &found->second;
 }
 
 std::uint64_t RowCache::version(std::string_view key) const {
-  const auto found = rows_.find(key);
-  return found == rows_.end() ? 0 : found->second.version;
+  const TableRow* const row = FindVersioned(key);
+  return row == nullptr ? 0 : row->version;
 }
 
 void RowCache::ForEach(std::string_view prefix, const Visitor& visit) const {
--- a/src/platform/row_cache.h
+++ b/src/platform/row_cache.h
@@ -37,6 +37,8 @@
 
   // The row, or null when it is absent or removed.
   const TableRow* Find(std::string_view key) const;
+  // The row, that of a removal included, or null when nothing is known.
+  const TableRow* FindVersioned(std::string_view key) const;
   // The version held for a key, that of its tombstone when it is removed, and 0
   // when nothing is known: what a condition on the row has to name.
   std::uint64_t version(std::string_view key) const;
--- a/tests/standins/blocking_http.cc
+++ b/tests/standins/blocking_http.cc
@@ -1,6 +1,7 @@
 #include "standins/blocking_http.h"
 
 #include <future>
+#include <memory>
 #include <utility>
 
 namespace chivewing {
--- /dev/null
+++ b/tests/standins/platform_standin.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include <atomic>
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "base/time.h"
+#include "platform/row_cache.h"
+#include "platform/table.h"
+#include "standins/standin_server.h"
+
+namespace chivewing {
+
+struct PlatformStandinOptions {
+  std::string listen = "127.0.0.1:0";
+  std::chrono::milliseconds list_lag{0};
+  std::uint64_t seed = 1;  // of the losses
+};
+
+// Counts of the calls that a platform stand-in served.
+struct PlatformCounts {
+  std::uint64_t reads = 0;
+  std::uint64_t commits = 0;
+  std::uint64_t conflicts = 0;
+};
+
+// Stands in for the platform: table, object store and host list of
+// docs/PROTOCOLS.md. Besides these it takes
+//   POST /hosts             registers the host in the body (a host of the list)
+//   DELETE /hosts/ID        marks it gone
+//   POST /hosts/ID/state    sets the state in {"state"}
+//   GET /counts             PlatformCounts and bytes
+// and, over the faults of every stand-in, {"lose_answer_percent":N (after the
+// write took effect), "lose_request_percent":N, "list_lag_ms":N}.
+class PlatformStandin {
+ public:
+  explicit PlatformStandin(const PlatformStandinOptions& options = {});
+  ~PlatformStandin();
+  PlatformStandin(const PlatformStandin&) = delete;
+  PlatformStandin& operator=(const PlatformStandin&) = delete;
+
+  Status Start();
+  void Stop() { server_.Stop(); }
+
+  std::string address() const { return server_.address(); }
+  bool SetFaults(const std::string& json) { return server_.SetFaults(json); }
+  void SetHost(const PlatformHost& host);
+  // The present row, that of a removal included; none if never written.
+  std::optional<TableRow> Row(const std::string& key);
+  std::vector<TableRow> Rows(const std::string& prefix);
+  // Commits as a caller would; for tests that prepare or disturb rows.
+  CommitAnswer Commit(const TableTransaction& transaction);
+  PlatformCounts counts();
+
+ private:
+  struct HostChange {
+    TimePoint at;
+    PlatformHost host;
+  };
+
+  void OnCall(const HttpCall& call);
+  bool OnFault(const std::string& json);
+  bool IsLost(int percent);
+  HttpReply Route(const HttpCall& call);
+  HttpReply ReplyToCommit(const HttpCall& call);
+  HttpReply ReplyToRead(const HttpCall& call);
+  HttpReply ReplyToChanges(const HttpCall& call);
+  HttpReply ReplyToObject(const HttpCall& call);
+  HttpReply ReplyToHosts(const HttpCall& call);
+  HttpReply ReplyToHostChange(const HttpCall& call);
+  HttpReply ReplyToCounts();
+  TableRow PresentRow(const std::string& key) const;
+  CommitAnswer CommitLocked(const TableTransaction& transaction);
+  std::vector<PlatformHost> ListedHosts(TimePoint now) const;
+
+  StandinServer server_;
+  std::mutex mutex_;
+  RowCache table_;
+  std::map<std::string, std::string, std::less<>> objects_;
+  std::map<std::string, std::vector<HostChange>, std::less<>> hosts_;
+  PlatformCounts counts_;
+  std::chrono::milliseconds list_lag_;
+  std::atomic<int> lose_answer_percent_ = 0;
+  std::atomic<int> lose_request_percent_ = 0;
+  std::mt19937_64 random_;
+};
+
+}  // namespace chivewing
--- /dev/null
+++ b/tests/standins/standin_server.cc
@@ -0,0 +1,99 @@
+#include "standins/standin_server.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace chivewing {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::chrono::seconds kHoldTime{20};
+
+}  // namespace
+
+StandinServer::StandinServer(HttpServerOptions options)
+    : ip_(options.address.substr(0, options.address.rfind(':'))),
+      server_(std::move(options)) {}
+
+StandinServer::~StandinServer() { Stop(); }
+
+Status StandinServer::Start(Handler handler, FaultHandler on_fault) {
+  handler_ = std::move(handler);
+  on_fault_ = std::move(on_fault);
+  return server_.Start([this](HttpCall call) { OnCall(std::move(call)); });
+}
+
+void StandinServer::Stop() {
+  timer_.Stop();
+  server_.Stop();
+}
+
+std::string StandinServer::address() const {
+  return ip_ + ":" + std::to_string(port());
+}
+
+void StandinServer::OnCall(HttpCall call) {
+  if (call.path == "/fault") {
+    const bool understood = SetFaults(call.body);
+    server_.Answer(call.id, {.status = understood ? 204 : 400});
+    return;
+  }
+  switch (Judge(call)) {
+    case Verdict::kPass:
+      handler_(std::move(call));
+      break;
+    case Verdict::kRefuse:
+      Answer(call.id, {.status = 503});
+      break;
+    case Verdict::kHold:
+      Hold(call.id);
+      break;
+  }
+}
+
+StandinServer::Verdict StandinServer::Judge(const HttpCall& call) {
+  const std::lock_guard lock(mutex_);
+  const bool is_cut = cut_hosts_.contains(call.Header("x-host"));
+  if (silent_ || (is_cut && drop_)) return Verdict::kHold;
+  return down_ || is_cut ? Verdict::kRefuse : Verdict::kPass;
+}
+
+void StandinServer::Answer(std::uint64_t id, HttpReply reply, Duration delay) {
+  const Duration wait = delay + slow_.load();
+  if (wait <= Duration(0)) {
+    server_.Answer(id, std::move(reply));
+    return;
+  }
+  timer_.After(wait, [this, id, reply = std::move(reply)] {
+    server_.Answer(id, reply);
+  });
+}
+
+void StandinServer::Hold(std::uint64_t id) {
+  timer_.After(kHoldTime, [this, id] {
+    server_.Answer(id, {.body = "held", .cut_after = 1});
+  });
+}
+
+bool StandinServer::SetFaults(const std::string& json) {
+  const Json faults = Json::parse(json, nullptr, /*allow_exceptions=*/false);
+  if (!faults.is_object()) return false;
+  try {
+    const std::lock_guard lock(mutex_);
+    down_ = faults.value("down", down_);
+    silent_ = faults.value("silent", silent_);
+    drop_ = faults.value("drop", drop_);
+    if (faults.contains("slow_ms")) {
+      slow_ = std::chrono::milliseconds(faults["slow_ms"].get<int>());
+    }
+    if (faults.contains("cut_hosts")) {
+      cut_hosts_ = faults["cut_hosts"].get<decltype(cut_hosts_)>();
+    }
+  } catch (const Json::exception&) {
+    return false;
+  }
+  return on_fault_(json);
+}
+
+}  // namespace chivewing
