--- a/src/entry/duty_thread.h
+++ b/src/entry/duty_thread.h
@@ -42,6 +42,8 @@
       own_.push_back(std::move(event));
       return;
     }
+    // A push that is refused leaves the event as it was.
+    // NOLINTNEXTLINE(bugprone-use-after-move)
     while (!ring_.Push(std::move(event)) && !ring_.closed()) {
       std::this_thread::yield();
     }
--- a/src/entry/entry_host.cc
+++ b/src/entry/entry_host.cc
@@ -88,7 +88,7 @@
   if (!mesh) return mesh.error();
   mesh_ = std::move(mesh).value();
   MakeFlows(BootClock::now());
-  const Status servers = StartServers();
+  Status servers = StartServers();
   if (!servers) return servers;
   StartDuties();
   return Ok();
@@ -110,7 +110,7 @@
 }
 
 Status EntryHost::StartServers() {
-  const Status callers = caller_server_.Start(
+  Status callers = caller_server_.Start(
       [this](HttpCall call) { OnCallerCall(std::move(call)); });
   if (!callers) return callers;
   return operator_server_.Start([this](HttpCall call) {
--- a/src/entry/placer_flow.cc
+++ b/src/entry/placer_flow.cc
@@ -181,7 +181,7 @@
 
 void PlacerFlow::On(TimePoint now, PlacerCommitted& event) {
   if (batch_ && batch_->transaction.write_id == event.write_id) {
-    OnBatchAnswer(now, std::move(event.answer));
+    OnBatchAnswer(now, event.answer);
     return;
   }
   LeaseHolder::Effects effects;
@@ -189,7 +189,7 @@
   Apply(effects);
 }
 
-void PlacerFlow::OnBatchAnswer(TimePoint now, CommitAnswer answer) {
+void PlacerFlow::OnBatchAnswer(TimePoint now, const CommitAnswer& answer) {
   const bool definite = answer.status == CommitStatus::kCommitted ||
                         answer.status == CommitStatus::kConflict;
   if (!definite) {
--- a/src/entry/placer_flow.h
+++ b/src/entry/placer_flow.h
@@ -66,7 +66,7 @@
   void EndLeading();
   void SendBatch(TimePoint now);
   void ResendBatch(TimePoint now);
-  void OnBatchAnswer(TimePoint now, CommitAnswer answer);
+  void OnBatchAnswer(TimePoint now, const CommitAnswer& answer);
   void PublishBatch(std::uint64_t revision);
   void KeepLeases(TimePoint now);
   ClockPair Clock(TimePoint now) const;
--- a/src/entry/request_flow.cc
+++ b/src/entry/request_flow.cc
@@ -216,7 +216,8 @@
   End(now, id, Outcome{StateOf(code), 0, {}, code});
 }
 
-void RequestFlow::End(TimePoint now, const RequestId& id, Outcome outcome) {
+void RequestFlow::End(TimePoint now, const RequestId& id,
+                      const Outcome& outcome) {
   const auto found = records_.find(id);
   if (found == records_.end()) return;
   const RequestRecord record = std::move(found->second);
@@ -331,7 +332,7 @@
     outcome.status = found->second.status;
     outcome.body = std::move(found->second.answer);
   }
-  End(now, effect.request, std::move(outcome));
+  End(now, effect.request, outcome);
 }
 
 void RequestFlow::Do(TimePoint /*now*/, AnswerPeer& effect) {
@@ -471,7 +472,7 @@
   const auto found = records_.find(effect.request);
   if (found == records_.end()) return;
   found->second.permit = RunPermit::kNotNeeded;
-  End(now, effect.request, std::move(effect.outcome));
+  End(now, effect.request, effect.outcome);
 }
 
 void RequestFlow::Do(TimePoint now, AskClaimHolder& effect) {
@@ -521,9 +522,9 @@
   if (found == ticket_hops_.end()) return;
   const RequestId id = found->second;
   ticket_hops_.erase(found);
-  Outcome outcome{StateOf(message.code), static_cast<int>(message.status),
-                  std::move(message.body), message.code};
-  End(now, id, std::move(outcome));
+  const Outcome outcome{StateOf(message.code), static_cast<int>(message.status),
+                        std::move(message.body), message.code};
+  End(now, id, outcome);
 }
 
 void RequestFlow::LoseTicketHost(TimePoint now, const HostId& host) {
--- a/src/entry/request_flow.h
+++ b/src/entry/request_flow.h
@@ -101,7 +101,7 @@
   void LoseTicketHost(TimePoint now, const HostId& host);
 
   // Ends the request: keeps its outcome where that is asked for and answers.
-  void End(TimePoint now, const RequestId& id, Outcome outcome);
+  void End(TimePoint now, const RequestId& id, const Outcome& outcome);
   void EndWith(TimePoint now, const RequestId& id, ResultCode code);
   void KeepOutcome(TimePoint now, const RequestId& id,
                    const RequestRecord& record, const Outcome& outcome);
--- a/src/entry/zone_placer.cc
+++ b/src/entry/zone_placer.cc
@@ -51,7 +51,7 @@
 ZonePlacer::ZonePlacer(const ClockPair& clock, ZonePlacerSettings settings,
                        PlacerPorts ports, std::uint64_t epoch,
                        const PlacerView& view)
-    : settings_(std::move(settings)),
+    : settings_(settings),
       ports_(std::move(ports)),
       epoch_(epoch),
       view_(view),
@@ -616,10 +616,13 @@
                                {"address", record.row.address}};
   }
   for (const auto& [job, row] : view_.jobs()) {
+    const auto status = statuses_.find(job);
+    const bool ended =
+        status != statuses_.end() && HasEnded(status->second.state);
+    if (ended || row.zone != view_.zone()) continue;
     const WaitReason reason = placer_.Why(now, job);
-    if (reason.code != ResultCode::kOk) {
-      out["waiting"][job.value()] = reason.sentence;
-    }
+    if (reason.code == ResultCode::kOk) continue;
+    out["waiting"][job.value()] = reason.sentence;
   }
   return out.dump();
 }
--- a/tests/standins/standin_main.cc
+++ b/tests/standins/standin_main.cc
@@ -4,6 +4,7 @@
 
 #include <getopt.h>
 #include <pthread.h>
+#include <unistd.h>
 
 #include <atomic>
 #include <csignal>
@@ -17,6 +18,7 @@
 #include <thread>
 #include <vector>
 
+#include "http/listen_socket.h"
 #include "standins/platform_standin.h"
 #include "standins/target_standin.h"
 #include "standins/worker_standin.h"
@@ -34,7 +36,8 @@
     "       standin worker [--listen IP:PORT] [--platform IP:PORT] [--id ID]\n"
     "           [--zone ZONE] [--rack RACK] [--processors-milli N]\n"
     "           [--memory-mb N] [--accelerators N] [--count N]\n"
-    "       standin target [--listen IP:PORT] [--id ID] [--slots N]\n";
+    "       standin target [--listen IP:PORT] [--id ID] [--slots N]\n"
+    "       standin ports [--count N]\n";
 
 using Options = std::map<std::string, std::string>;
 
@@ -112,6 +115,19 @@
   return 0;
 }
 
+// Prints free ports, one a line: all are bound at once, so that none is twice.
+int RunPorts(const Options& options) {
+  std::vector<int> sockets;
+  for (std::int64_t i = 0; i < Number(options, "count", 1); ++i) {
+    const auto opened = chivewing::OpenListenSocket("127.0.0.1:0");
+    if (!opened) return kBadUsage;
+    sockets.push_back(opened.value().fd);
+    std::cout << opened.value().port << "\n";
+  }
+  for (const int socket : sockets) close(socket);
+  return 0;
+}
+
 int RunTarget(const Options& options) {
   chivewing::TargetStandin target(
       {.listen = Text(options, "listen", "127.0.0.1:0"),
@@ -211,6 +227,7 @@
   if (verb == "platform") return RunPlatform(options);
   if (verb == "worker") return RunWorkers(options);
   if (verb == "target") return RunTarget(options);
+  if (verb == "ports") return RunPorts(options);
   std::cerr << kUsage;
   return kBadUsage;
 }
--- a/tests/standins/worker_standin.cc
+++ b/tests/standins/worker_standin.cc
@@ -22,6 +22,18 @@
           .body = json.dump(-1, ' ', false, Json::error_handler_t::replace)};
 }
 
+// The worker's own clock, which answers tell and orders refer to.
+std::int64_t ClockMs() {
+  return std::chrono::duration_cast<milliseconds>(
+             BootClock::now().time_since_epoch())
+      .count();
+}
+
+Json Stamp(Json answer) {
+  answer["clock_ms"] = ClockMs();
+  return answer;
+}
+
 std::string IpOf(const std::string& address) {
   return address.substr(0, address.rfind(':'));
 }
@@ -161,6 +173,10 @@
 }
 
 HttpReply WorkerStandin::Route(const HttpCall& call) {
+  // A lease that ran out while this process was paused has ended before the
+  // call is looked at, so that no late renewal brings it back.
+  const TimePoint now = BootClock::now();
+  for (auto& [id, task] : tasks_) TickTask(task, now);
   if (call.path == "/tasks/start") return ReplyToStart(call);
   if (call.path == "/tasks/renew") return ReplyToRenew(call);
   if (call.path == "/tasks/stop") return ReplyToStop(call);
@@ -169,20 +185,23 @@
   return {.status = 404};
 }
 
-bool WorkerStandin::AdmitEpoch(std::uint64_t epoch) {
+bool WorkerStandin::Admit(const Json& order) {
+  const auto epoch = order.at("epoch").get<std::uint64_t>();
   if (epoch < epoch_) {
     ++counts_.old_epochs;
     return false;
   }
+  if (order.value("not_after_ms", ClockMs()) < ClockMs()) {
+    ++counts_.late_orders;
+    return false;
+  }
   epoch_ = epoch;
   return true;
 }
 
 HttpReply WorkerStandin::ReplyToStart(const HttpCall& call) {
   const Json body = Json::parse(call.body);
-  if (!AdmitEpoch(body.at("epoch").get<std::uint64_t>())) {
-    return JsonReply(412, {{"epoch", epoch_}});
-  }
+  if (!Admit(body)) return JsonReply(412, Stamp({{"epoch", epoch_}}));
   const milliseconds lease(body.at("lease_ms").get<std::int64_t>());
   Json results = Json::array();
   for (const Json& each : body.at("tasks")) {
@@ -196,7 +215,7 @@
                        {"address", address},
                        {"detail", detail}});
   }
-  return JsonReply(200, {{"results", std::move(results)}});
+  return JsonReply(200, Stamp({{"results", std::move(results)}}));
 }
 
 std::string WorkerStandin::StartTask(const Order& order, std::string& address) {
@@ -249,9 +268,7 @@
 
 HttpReply WorkerStandin::ReplyToRenew(const HttpCall& call) {
   const Json body = Json::parse(call.body);
-  if (!AdmitEpoch(body.at("epoch").get<std::uint64_t>())) {
-    return JsonReply(412, {{"epoch", epoch_}});
-  }
+  if (!Admit(body)) return JsonReply(412, Stamp({{"epoch", epoch_}}));
   const milliseconds lease(body.at("lease_ms").get<std::int64_t>());
   Json unknown = Json::array();
   for (const Json& id : body.at("tasks")) {
@@ -262,14 +279,12 @@
     }
     found->second.lease_end = BootClock::now() + lease;
   }
-  return JsonReply(200, {{"unknown", std::move(unknown)}});
+  return JsonReply(200, Stamp({{"unknown", std::move(unknown)}}));
 }
 
 HttpReply WorkerStandin::ReplyToStop(const HttpCall& call) {
   const Json body = Json::parse(call.body);
-  if (!AdmitEpoch(body.at("epoch").get<std::uint64_t>())) {
-    return JsonReply(412, {{"epoch", epoch_}});
-  }
+  if (!Admit(body)) return JsonReply(412, Stamp({{"epoch", epoch_}}));
   const std::string mode = body.value("mode", "stop");
   const State end =
       mode == "checkpoint" ? State::kCheckpointed : State::kStopped;
@@ -283,7 +298,7 @@
       stopped.push_back(id);
     }
   }
-  return JsonReply(200, {{"stopped", std::move(stopped)}});
+  return JsonReply(200, Stamp({{"stopped", std::move(stopped)}}));
 }
 
 // A service with requests in its slots takes no new ones and ends when they
@@ -292,7 +307,11 @@
   const auto found = tasks_.find(id);
   if (found == tasks_.end()) return true;
   Task& task = found->second;
-  if (task.state != State::kRunning) return true;
+  if (task.state != State::kRunning) {
+    // The placer has seen its end.
+    tasks_.erase(found);
+    return true;
+  }
   if (task.target) {
     task.is_stopping = true;
     task.target->SetLeaving();
@@ -362,9 +381,9 @@
          {"memory_mb", task.memory_mb * percent / kPercent},
          {"usage_age_ms", age.count()}});
   }
-  return JsonReply(200, {{"worker", options_.id},
-                         {"epoch", epoch_},
-                         {"tasks", std::move(tasks)}});
+  return JsonReply(200, Stamp({{"worker", options_.id},
+                               {"epoch", epoch_},
+                               {"tasks", std::move(tasks)}}));
 }
 
 HttpReply WorkerStandin::ReplyToCounts() {
@@ -374,7 +393,8 @@
                          {"stopped", counts_.stopped},
                          {"lapsed", counts_.lapsed},
                          {"overcommits", counts_.overcommits},
-                         {"old_epochs", counts_.old_epochs}});
+                         {"old_epochs", counts_.old_epochs},
+                         {"late_orders", counts_.late_orders}});
 }
 
 }  // namespace chivewing
--- a/tests/standins/worker_standin.h
+++ b/tests/standins/worker_standin.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <nlohmann/json_fwd.hpp>
 #include <string>
 #include <vector>
 
@@ -36,7 +37,8 @@
   std::uint64_t lapsed = 0;
   // Starts that were ordered over what the worker holds, and refused.
   std::uint64_t overcommits = 0;
-  std::uint64_t old_epochs = 0;  // orders refused since a newer epoch was seen
+  std::uint64_t old_epochs = 0;   // orders refused since a newer epoch was seen
+  std::uint64_t late_orders = 0;  // orders refused past their not_after_ms
 };
 
 // Stands in for a worker: runs tasks under leases, with the calls of
@@ -101,8 +103,9 @@
   HttpReply ReplyToStop(const HttpCall& call);
   HttpReply ReplyToList();
   HttpReply ReplyToCounts();
-  // Refuses the order when a newer epoch was seen, else notes its epoch.
-  bool AdmitEpoch(std::uint64_t epoch);
+  // Refuses an order when a newer epoch was seen or its not_after_ms has
+  // passed, else notes its epoch.
+  bool Admit(const nlohmann::json& order);
   std::string StartTask(const Order& order, std::string& address);
   bool HasRoom(const Order& order) const;
   bool StopTask(const std::string& id, State end);
