Tests of changes and verbs, examples, and pages checked against the code

The command line, the changes of the catalogue and the pages had no tests yet.

Found and mended, each with a test that failed before: a list item that is no object was also reported for served_by; a request answered with 503 without a readable reason, or with an internal fault, was reported as not run, which is only a guess, and is now unknown (exit 4).

A verb catalogue keys lists the keys of an entry.

--- a/src/catalogue/entry_check.cc
+++ b/src/catalogue/entry_check.cc
@@ -30,8 +30,8 @@
             "must be at least policy.request_timeout_ms");
     Require(entry_.served_by.empty() || limits.instances == 0,
             "limits.instances", "served_by", "must be 0 with served_by");
-    Require(entry_.served_by != entry_.name, "served_by", "name",
-            "must be another entry");
+    Require(entry_.served_by.empty() || entry_.served_by != entry_.name,
+            "served_by", "name", "must be another entry");
   }
 
   void CheckJob() {
--- a/src/catalogue/entry_reader.cc
+++ b/src/catalogue/entry_reader.cc
@@ -33,6 +33,7 @@
   };
   ReadFields(EntrySpecs(), object, prefix, assign, faults);
   // Without a class nothing is known of the keys that apply.
+  if (object.kind != JsonKind::kObject) return entry;
   if (faults.HasAny({prefix + "class"})) return entry;
   CheckApplies(entry, given, prefix, faults);
   CheckEntry(entry, prefix, faults);
--- a/src/cli/catalogue_verbs.cc
+++ b/src/cli/catalogue_verbs.cc
@@ -4,6 +4,7 @@
 #include <ostream>
 #include <utility>
 
+#include "catalogue/entry_fields.h"
 #include "cli/catalogue_apply.h"
 #include "cli/catalogue_client.h"
 #include "cli/catalogue_text.h"
@@ -71,6 +72,11 @@
   return ShowListing(arguments, hooks, fetch, HistoryText);
 }
 
+ExitStatus ListKeys(const Arguments& /*arguments*/, const CliHooks& hooks) {
+  *hooks.out << EntryTable() << "\n" << EntryClassTable();
+  return ExitStatus::kOk;
+}
+
 const OptionSpec kChangedBy = {"changed-by", "NAME",
                                "who makes the change (default: $USER)"};
 
@@ -176,11 +182,22 @@
   return verb;
 }
 
+Verb KeysVerb() {
+  Verb verb;
+  verb.name = "catalogue keys";
+  verb.summary =
+      "Lists all keys of an entry with their defaults, and the classes they "
+      "apply to.";
+  verb.examples = "  chivewing catalogue keys\n";
+  verb.run = ListKeys;
+  return verb;
+}
+
 }  // namespace
 
 std::vector<Verb> CatalogueVerbs() {
-  return {ListVerb(),   ShowVerb(),    ApplyVerb(),
-          RemoveVerb(), HistoryVerb(), DiffVerb()};
+  return {ListVerb(),    ShowVerb(), ApplyVerb(), RemoveVerb(),
+          HistoryVerb(), DiffVerb(), KeysVerb()};
 }
 
 }  // namespace chivewing
--- a/src/cli/report.cc
+++ b/src/cli/report.cc
@@ -23,14 +23,12 @@
       return ResultCode::kConflict;
     case 413:
       return ResultCode::kBodyTooLarge;
-    case 503:
-      return ResultCode::kOverloaded;
     case 504:
       return ResultCode::kTimedOut;
     default:
       break;
   }
-  return status < 500 ? ResultCode::kBadRequest : ResultCode::kBadAnswer;
+  return status < 500 ? ResultCode::kBadRequest : ResultCode::kInternal;
 }
 
 std::optional<ResultCode> ListedCode(std::int64_t number) {
--- a/src/cli/request_verbs.cc
+++ b/src/cli/request_verbs.cc
@@ -49,6 +49,15 @@
   return request;
 }
 
+// Whether it is certain that the request was not run: never sent, refused with
+// a code that says so, or not accepted as a request. Anything else may have
+// run.
+bool IsCertainlyNotRun(const HttpAnswer& answer) {
+  if (!answer.ok()) return !answer.maybe_sent;
+  if (IsNotRun(ErrorOf(answer).code)) return true;
+  return answer.status >= 400 && answer.status < 500;
+}
+
 // Writes an outcome as one JSON object.
 void WriteOutcome(const HttpAnswer& answer, const CliHooks& hooks) {
   Json json = Json::object();
@@ -57,8 +66,7 @@
     json["body"] = answer.body;
   } else {
     const Error error = ErrorOf(answer);
-    const bool is_unknown = StatusOf(error.code) == ExitStatus::kUnknown;
-    json["outcome"] = is_unknown ? "unknown" : "not_run";
+    json["outcome"] = IsCertainlyNotRun(answer) ? "not_run" : "unknown";
     json["code"] = static_cast<int>(error.code);
     json["name"] = std::string(Name(error.code));
     json["detail"] = error.detail;
@@ -79,9 +87,12 @@
       client.value().Send(request.value(), Repeat::kForbidden);
   const bool is_json = arguments.Has("json");
   if (is_json) WriteOutcome(answer, hooks);
-  if (!IsSuccess(answer)) return ReportAnswer(answer, hooks);
-  if (!is_json) *hooks.out << answer.body << "\n";
-  return ExitStatus::kOk;
+  if (IsSuccess(answer)) {
+    if (!is_json) *hooks.out << answer.body << "\n";
+    return ExitStatus::kOk;
+  }
+  const ExitStatus status = ReportAnswer(answer, hooks);
+  return IsCertainlyNotRun(answer) ? status : ExitStatus::kUnknown;
 }
 
 Json StateOf(const HttpAnswer& answer) {
--- /dev/null
+++ b/tests/catalogue/fake_table.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include "platform/table.h"
+
+namespace chivewing {
+
+// A table in memory with the conditions of the platform's one.
+class FakeTable {
+ public:
+  TableRow Read(const std::string& key) const {
+    const auto row = rows_.find(key);
+    return row == rows_.end() ? TableRow{key, {}, 0, ""} : row->second;
+  }
+
+  CommitAnswer Commit(const TableTransaction& transaction) {
+    CommitAnswer answer;
+    for (const TableCondition& condition : transaction.conditions) {
+      const TableRow row = Read(condition.key);
+      answer.rows.push_back(row);
+      if (row.version != condition.version) {
+        answer.status = CommitStatus::kConflict;
+      }
+    }
+    if (answer.status == CommitStatus::kConflict) return answer;
+    ++revision_;
+    for (const TableWrite& write : transaction.writes) {
+      rows_[write.key] =
+          TableRow{write.key, write.value, revision_, transaction.write_id};
+    }
+    return CommitAnswer{CommitStatus::kCommitted, revision_, {}};
+  }
+
+  const std::map<std::string, TableRow>& rows() const { return rows_; }
+
+ private:
+  std::map<std::string, TableRow> rows_;
+  std::uint64_t revision_ = 0;
+};
+
+}  // namespace chivewing
