Random schedules for shares; slots in doubt outlive a planned stop

Four entry hosts share seven instances over a faulty table, with a truthful list that lags three seconds, while hosts are killed, replaced, paused, cut and stopped. At every step an instance is used by one process at most, paused ones included; epochs rise; slots that a dead process may still use are not taken for free; after the faults the shares are spread evenly and no commit follows.

--- a/src/membership/share_keeper.cc
+++ b/src/membership/share_keeper.cc
@@ -75,6 +75,7 @@
   const bool mine = IsMine(instance);
   const bool unused = instance.use == Use::kNone && !instance.in_flight;
   if (mine && unused && instance.present && !stopping_) {
+    instance.slots_in_doubt = true;
     Gain(id, instance, out);
   }
   if (mine || instance.use == Use::kNone) return;
@@ -351,11 +352,13 @@
     instance.seen_at = now;
     ++instance.epoch;
   }
-  if (stopping_ || !instance.present) {  // never used: nothing to drain
+  const bool unwanted = stopping_ || !instance.present;
+  if (unwanted && !instance.slots_in_doubt) {  // nothing runs there
     instance.use = Use::kDrained;
     return;
   }
   Gain(id, instance, out);
+  if (unwanted) StartDrain(id, instance, out);
 }
 
 void ShareKeeper::OnReleased(TimePoint now, const InstanceId& id,
--- a/src/membership/share_keeper.h
+++ b/src/membership/share_keeper.h
@@ -37,7 +37,8 @@
   InstanceId instance;
 };
 
-// Send the instance nothing new; call OnDrained when nothing runs there.
+// Send the instance nothing new; call OnDrained when nothing runs there, slots
+// in doubt included.
 struct DrainInstance {
   InstanceId instance;
 };
@@ -103,7 +104,8 @@
   HostDirectory& directory() { return directory_; }
   const HostDirectory& directory() const { return directory_; }
 
-  // Nothing of this host runs on a draining instance any more.
+  // Nothing runs on a draining instance any more: no request of this host, and
+  // no slot is in doubt.
   void OnDrained(TimePoint now, const InstanceId& id, Effects& out);
   void OnCommit(TimePoint now, const std::string& write_id,
                 const CommitAnswer& answer, Effects& out);
