--- a/src/placement/lane_queue.cc
+++ b/src/placement/lane_queue.cc
@@ -34,11 +34,15 @@
   lanes_[key].places.insert(place);
 }
 
+void LaneQueue::DropEmptyLanes() {
+  std::erase_if(lanes_,
+                [](const auto& lane) { return lane.second.places.empty(); });
+}
+
 void LaneQueue::Remove(const LaneKey& key, const LanePlace& place) {
   const auto lane = lanes_.find(key);
   Check(lane != lanes_.end(), "a waiting job has no lane");
   lane->second.places.erase(place);
-  if (lane->second.places.empty()) lanes_.erase(lane);
 }
 
 }  // namespace chivewing
--- a/src/placement/lane_queue.h
+++ b/src/placement/lane_queue.h
@@ -61,9 +61,11 @@
   static LaneKey KeyOf(const JobSpec& job);
 
   void Add(const LaneKey& key, const LanePlace& place);
-  // Removes a place; empty lanes are dropped.
+  // Removes a place; the lane stays, if need be empty.
   void Remove(const LaneKey& key, const LanePlace& place);
 
+  void DropEmptyLanes();
+
   Lanes& lanes() { return lanes_; }
   const Lanes& lanes() const { return lanes_; }
 
--- a/src/placement/placer_options.h
+++ b/src/placement/placer_options.h
@@ -46,6 +46,8 @@
   FitPolicy fit = FitPolicy::kBalanced;
   // Keep workers with accelerators for tasks that need them.
   bool keep_accelerators = true;
+  // Number of workers from which on an index is searched instead of all.
+  std::size_t workers_to_index = 256;
   // Priority points that a waiting batch job gains a step, and at most.
   Duration ageing_step = std::chrono::minutes(1);
   int ageing_limit = 20;
--- /dev/null
+++ b/src/placement/room_index.cc
@@ -0,0 +1,93 @@
+#include "placement/room_index.h"
+
+#include <algorithm>
+#include <bit>
+#include <numeric>
+
+namespace chivewing {
+namespace {
+
+// The smallest amount that has a step of its own, as a power of two: 64
+// thousandths of a processor, or 64 MB.
+constexpr int kFirstBit = 6;
+constexpr std::uint32_t kWordBits = 64;
+
+}  // namespace
+
+void RoomIndex::Update(WorkerIndex worker, const Resources& free,
+                       bool has_accelerators) {
+  Steps steps;
+  steps.processors = StepOf(free.processors_milli);
+  steps.memory = StepOf(free.memory_mb);
+  if (has_accelerators) steps.accelerators = AcceleratorStep(free.accelerators);
+  const std::uint32_t bucket = BucketOf(steps);
+  if (worker >= positions_.size()) positions_.resize(worker + 1);
+  if (positions_[worker].bucket == bucket) return;
+  Remove(worker);
+  std::vector<WorkerIndex>& workers = buckets_[bucket];
+  positions_[worker] = {bucket, static_cast<std::uint32_t>(workers.size())};
+  workers.push_back(worker);
+  occupied_[bucket / kWordBits] |= std::uint64_t{1} << (bucket % kWordBits);
+}
+
+void RoomIndex::Remove(WorkerIndex worker) {
+  if (worker >= positions_.size()) return;
+  Position& position = positions_[worker];
+  if (position.bucket == kNoIndex) return;
+  std::vector<WorkerIndex>& workers = buckets_[position.bucket];
+  const WorkerIndex last = workers.back();
+  workers[position.place] = last;
+  positions_[last].place = position.place;
+  workers.pop_back();
+  if (workers.empty()) {
+    occupied_[position.bucket / kWordBits] &=
+        ~(std::uint64_t{1} << (position.bucket % kWordBits));
+  }
+  position.bucket = kNoIndex;
+}
+
+std::size_t RoomIndex::StepOf(std::int64_t amount) {
+  if (amount < (std::int64_t{1} << kFirstBit)) return 0;
+  const auto bits = static_cast<std::uint64_t>(amount);
+  const auto width = static_cast<int>(std::bit_width(bits));
+  const auto half = static_cast<std::size_t>((bits >> (width - 2)) & 1U);
+  const auto octave = static_cast<std::size_t>(width - 1 - kFirstBit);
+  return std::min(kSteps - 1, 1 + 2 * octave + half);
+}
+
+const RoomIndex::Ranks& RoomIndex::PairRanks() {
+  static const Ranks ranks = [] {
+    Ranks made;
+    std::array<std::uint16_t, kSteps* kSteps>& pairs = made.pair_at;
+    std::iota(pairs.begin(), pairs.end(), std::uint16_t{0});
+    // Both dimensions nearly used up come first; a skewed rest comes late.
+    const auto weight = [](std::uint16_t pair) {
+      const std::size_t processors = pair / kSteps;
+      const std::size_t memory = pair % kSteps;
+      return std::max(processors, memory) * kSteps + processors + memory;
+    };
+    std::stable_sort(pairs.begin(), pairs.end(),
+                     [&weight](std::uint16_t a, std::uint16_t b) {
+                       return weight(a) < weight(b);
+                     });
+    for (std::size_t rank = 0; rank < pairs.size(); ++rank) {
+      made.rank_of.at(pairs.at(rank)) = static_cast<std::uint16_t>(rank);
+    }
+    return made;
+  }();
+  return ranks;
+}
+
+std::size_t RoomIndex::AcceleratorStep(std::int64_t accelerators) {
+  const auto most = static_cast<std::int64_t>(kAcceleratorSteps - 2);
+  const auto step = std::clamp<std::int64_t>(accelerators, 0, most);
+  return 1 + static_cast<std::size_t>(step);
+}
+
+std::uint32_t RoomIndex::BucketOf(const Steps& steps) const {
+  const std::size_t pair = steps.processors * kSteps + steps.memory;
+  return static_cast<std::uint32_t>(steps.accelerators * kPairs +
+                                    ranks_->rank_of.at(pair));
+}
+
+}  // namespace chivewing
--- a/src/placement/scheduler.cc
+++ b/src/placement/scheduler.cc
@@ -59,6 +59,7 @@
 }
 
 void Scheduler::RunLanes(Effects& effects) {
+  state_.queue.DropEmptyLanes();
   LaneQueue::Lanes& lanes = state_.queue.lanes();
   LaneHeap heap;
   const auto push = [this, &heap](LaneQueue::Lanes::iterator lane) {
@@ -67,24 +68,32 @@
     const Duration run_time = state_.ExpectedRunTime(first);
     heap.push({OrderOf(first, run_time, now_, state_.options), lane});
   };
-  for (auto lane = lanes.begin(); lane != lanes.end(); ++lane) push(lane);
+  for (auto lane = lanes.begin(); lane != lanes.end(); ++lane) {
+    if (MayFit(lane->first, lane->second)) push(lane);
+  }
   while (!heap.empty() && starts_left_ > 0) {
     const auto lane = heap.top().lane;
     heap.pop();
-    // Placing the last job of a lane removes the lane.
-    const LaneKey key = lane->first;
-    const Outcome outcome = PlaceFirst(key, lane->second, effects);
+    const Outcome outcome = PlaceFirst(lane->first, lane->second, effects);
     if (outcome != Outcome::kPlaced) continue;
-    const auto rest = lanes.find(key);
-    if (rest != lanes.end()) push(rest);
+    if (!lane->second.places.empty()) push(lane);
   }
 }
 
+bool Scheduler::MayFit(const LaneKey& key, Lane& lane) const {
+  if (lane.no_room_at == 0) return true;
+  const bool plain = key.gang_tasks == 0 && !key.urgent && key.job.empty();
+  if (!plain) return true;
+  if (state_.workers.MayFitSince(lane.no_room_at, key.per_task)) return true;
+  lane.no_room_at = state_.workers.growth();
+  return false;
+}
+
 Scheduler::Outcome Scheduler::PlaceFirst(const LaneKey& key, Lane& lane,
                                          Effects& effects) {
   const JobIndex index = lane.places.begin()->job;
   if (key.gang_tasks > 0) return PlaceGang(index, effects);
-  if (lane.no_room_at == state_.workers.growth()) return Outcome::kNoRoom;
+
   const Outcome outcome = PlaceTasks(index, effects);
   if (outcome == Outcome::kNoRoom) {
     lane.no_room_at = state_.workers.growth();
--- a/src/placement/scheduler.h
+++ b/src/placement/scheduler.h
@@ -34,6 +34,8 @@
   void RequeueHeldJobs(TimePoint now);
   void TickHealth(TimePoint now, Effects& effects);
   void RunLanes(Effects& effects);
+  // Whether room has grown that the lane could use since it last found none.
+  bool MayFit(const LaneKey& key, Lane& lane) const;
   Outcome PlaceFirst(const LaneKey& key, Lane& lane, Effects& effects);
   Outcome PlaceTasks(JobIndex index, Effects& effects);
   Outcome PlaceGang(JobIndex index, Effects& effects);
--- a/src/placement/worker_choice.cc
+++ b/src/placement/worker_choice.cc
@@ -10,6 +10,8 @@
 constexpr double kAcceleratorPenalty = 10;
 constexpr double kRackPenalty = 100;
 constexpr double kAvoidedPenalty = 1e6;
+// Fits that a search of the index compares before it is content.
+constexpr int kFitsToCompare = 32;
 
 // Shares of a worker's capacity in each dimension.
 struct Shares {
@@ -85,6 +87,38 @@
   return best;
 }
 
+template <ScoreFunction kScore>
+WorkerIndex SearchIndex(const WorkerPool& pool, const WorkerDemand& demand) {
+  double best_score = std::numeric_limits<double>::max();
+  WorkerIndex best = kNoIndex;
+  int found = 0;
+  const auto visit = [&](WorkerIndex index) {
+    const WorkerRoom& room = pool.rooms()[index];
+    if (!Fits(demand.resources, room.free)) return;
+    ++found;
+    const double score = kScore(room, demand.resources);
+    if (score >= best_score) return;
+    best_score = score;
+    best = index;
+  };
+  pool.index().Search(demand.resources, visit,
+                      [&found] { return found < kFitsToCompare; });
+  return best;
+}
+
+template <ScoreFunction kScore>
+WorkerIndex Choose(const WorkerPool& pool, const WorkerDemand& demand,
+                   const PlacerOptions& options) {
+  const bool plain =
+      demand.rack_instances == nullptr && demand.avoided == nullptr;
+  // The index always keeps workers with accelerators for last.
+  if (plain && options.keep_accelerators &&
+      pool.size() >= options.workers_to_index) {
+    return SearchIndex<kScore>(pool, demand);
+  }
+  return ScanAll<kScore>(pool, demand, options);
+}
+
 double ScoreNothing(const WorkerRoom& /*room*/, const Resources& /*demand*/) {
   return 0;
 }
@@ -97,11 +131,11 @@
     case FitPolicy::kFirstFit:
       return ScanAll<ScoreNothing>(pool, demand, options);
     case FitPolicy::kBestFit:
-      return ScanAll<ScoreBestFit>(pool, demand, options);
+      return Choose<ScoreBestFit>(pool, demand, options);
     case FitPolicy::kDotProduct:
       return ScanAll<ScoreDotProduct>(pool, demand, options);
     case FitPolicy::kBalanced:
-      return ScanAll<ScoreBalanced>(pool, demand, options);
+      return Choose<ScoreBalanced>(pool, demand, options);
   }
   return kNoIndex;
 }
--- a/src/placement/worker_pool.cc
+++ b/src/placement/worker_pool.cc
@@ -27,8 +27,11 @@
     index = workers_.Add(spec.id, Worker());
     rooms_.resize(workers_.end_index());
     rooms_[index].free = kClosed;
+    workers_.at(index).spec.state = WorkerState::kGone;
   }
   Worker& worker = workers_.at(index);
+  CountCapacity(worker.spec, -1);
+  CountCapacity(spec, 1);
   worker.spec = spec;
   worker.rack = FindRack(spec.rack);
   WorkerRoom& room = rooms_[index];
@@ -44,8 +47,10 @@
 void WorkerPool::Remove(WorkerIndex worker) {
   Check(workers_.at(worker).tasks.empty(),
         "a worker is removed while tasks hold room on it");
+  CountCapacity(workers_.at(worker).spec, -1);
   const WorkerId id = workers_.at(worker).spec.id;
   workers_.Remove(id);
+  index_.Remove(worker);
   rooms_[worker] = WorkerRoom();
   rooms_[worker].free = kClosed;
   ++fleet_version_;
@@ -100,6 +105,31 @@
   UpdateRoom(worker);
 }
 
+bool WorkerPool::MayFitSince(std::uint64_t since,
+                             const Resources& demand) const {
+  if (growth_ - since >= kGrownKept) return true;
+  for (std::uint64_t step = since + 1; step <= growth_; ++step) {
+    const WorkerIndex worker = grown_[step % kGrownKept];
+    const Resources& hold = workers_.at(worker).gang_hold;
+    if (Fits(demand, rooms_[worker].free + hold)) return true;
+  }
+  return false;
+}
+
+void WorkerPool::CountCapacity(const WorkerSpec& spec, std::int64_t change) {
+  if (spec.state != WorkerState::kLive) return;
+  const auto alike =
+      std::find_if(live_capacities_.begin(), live_capacities_.end(),
+                   [&spec](const CapacityCount& each) {
+                     return each.capacity == spec.capacity;
+                   });
+  if (alike != live_capacities_.end()) {
+    alike->workers += change;
+    return;
+  }
+  live_capacities_.push_back({spec.capacity, change});
+}
+
 RackIndex WorkerPool::FindRack(const std::string& name) {
   const auto next = static_cast<RackIndex>(racks_.size());
   return racks_.emplace(name, next).first->second;
@@ -112,7 +142,12 @@
   free = IsOpen(worker) ? known.spec.capacity - known.reserved -
                               known.gang_hold - known.urgent_hold
                         : kClosed;
-  if (HasGrown(before, free)) ++growth_;
+  if (HasGrown(before, free)) grown_[++growth_ % kGrownKept] = worker;
+  if (Fits(Resources(), free)) {
+    index_.Update(worker, free, known.spec.capacity.accelerators > 0);
+  } else {
+    index_.Remove(worker);
+  }
 }
 
 }  // namespace chivewing
--- a/src/placement/worker_pool.h
+++ b/src/placement/worker_pool.h
@@ -8,6 +8,7 @@
 #include "base/id.h"
 #include "placement/indices.h"
 #include "placement/resources.h"
+#include "placement/room_index.h"
 #include "placement/slot_table.h"
 #include "placement/worker_spec.h"
 
@@ -38,6 +39,12 @@
   RackIndex rack = 0;
 };
 
+// Number of workers that are alike.
+struct CapacityCount {
+  Resources capacity;
+  std::int64_t workers = 0;
+};
+
 // The workers of the zone and the sums of what is reserved on each.
 class WorkerPool {
  public:
@@ -66,19 +73,35 @@
 
   // Room of all workers, by index.
   const std::vector<WorkerRoom>& rooms() const { return rooms_; }
+  // Workers by room; closed workers are not in it.
+  const RoomIndex& index() const { return index_; }
   // Rises when the room of any worker has grown.
   std::uint64_t growth() const { return growth_; }
+  // Whether a worker whose room has grown since growth() was `since` could now
+  // take `demand`, holds for gangs left aside.
+  bool MayFitSince(std::uint64_t since, const Resources& demand) const;
+  // Number of live workers of each capacity, those in quarantine included.
+  const std::vector<CapacityCount>& live_capacities() const {
+    return live_capacities_;
+  }
   // Rises when workers come, go, or change their state or capacity.
   std::uint64_t fleet_version() const { return fleet_version_; }
   std::size_t rack_count() const { return racks_.size(); }
 
  private:
+  static constexpr std::uint64_t kGrownKept = 1024;
+
+  void CountCapacity(const WorkerSpec& spec, std::int64_t change);
   RackIndex FindRack(const std::string& name);
   void UpdateRoom(WorkerIndex worker);
 
   SlotTable<WorkerId, Worker> workers_;
   std::vector<WorkerRoom> rooms_;
+  RoomIndex index_;
   std::unordered_map<std::string, RackIndex> racks_;
+  // The workers whose room has grown lately, by growth().
+  std::vector<WorkerIndex> grown_ = std::vector<WorkerIndex>(kGrownKept);
+  std::vector<CapacityCount> live_capacities_;
   std::uint64_t growth_ = 1;
   std::uint64_t fleet_version_ = 1;
 };
--- a/src/placement/zone_state.cc
+++ b/src/placement/zone_state.cc
@@ -290,12 +290,11 @@
 }
 
 std::size_t ZoneState::CountLiveWorkers() const {
-  std::size_t live = 0;
-  for (WorkerIndex index = 0; index < workers.end_index(); ++index) {
-    if (!workers.Has(index)) continue;
-    if (workers.at(index).spec.state == WorkerState::kLive) ++live;
+  std::int64_t live = 0;
+  for (const CapacityCount& alike : workers.live_capacities()) {
+    live += alike.workers;
   }
-  return live;
+  return static_cast<std::size_t>(live);
 }
 
 std::size_t ZoneState::CountUsableRacks() const {
@@ -311,13 +310,12 @@
 std::string ZoneState::WhyNeverFits(const JobSpec& job) const {
   Resources largest;
   std::int64_t places = 0;
-  for (WorkerIndex index = 0; index < workers.end_index(); ++index) {
-    if (!workers.Has(index)) continue;
-    const WorkerSpec& spec = workers.at(index).spec;
-    if (spec.state != WorkerState::kLive) continue;
-    largest = Largest(largest, spec.capacity);
-    places += std::min<std::int64_t>(CountFits(job.per_task, spec.capacity),
-                                     job.tasks);
+  for (const CapacityCount& alike : workers.live_capacities()) {
+    if (alike.workers == 0) continue;
+    largest = Largest(largest, alike.capacity);
+    const std::int64_t each = std::min<std::int64_t>(
+        CountFits(job.per_task, alike.capacity), job.tasks);
+    places += each * alike.workers;
   }
   if (const auto lack = FirstLack(job.per_task, largest)) {
     return "no live worker has enough " + std::string(Name(*lack)) +
--- a/tests/placement/placer_property_test.cc
+++ b/tests/placement/placer_property_test.cc
@@ -40,6 +40,13 @@
   for (const RandomEvent& event : Events(300)) model.Apply(event);
 }
 
+RC_GTEST_PROP(PlacerProperty, HoldsWithTheIndexOfWorkers, ()) {
+  PlacerOptions options;
+  options.workers_to_index = 0;
+  ZoneModel model(options);
+  for (const RandomEvent& event : Events(300)) model.Apply(event);
+}
+
 RC_GTEST_PROP(PlacerProperty, FinishesAllThatFitsOnceFaultsEnd, ()) {
   ZoneModel model;
   for (const RandomEvent& event : Events(60)) model.Apply(event);
