Entries served by another one's instances, and their longest run

Cause: the catalogue names the service whose instances take an entry's requests and the longest run of a request; the entry host used neither. Ruled out: a second set of instances. Change: both go into the request class, and no instances are placed for such entries.

--- a/src/entry/request_flow.cc
+++ b/src/entry/request_flow.cc
@@ -22,15 +22,15 @@
 // Idle connections older than this are not used again by the HTTP client.
 constexpr std::chrono::seconds kIdleConnectionLife{20};
 
-RequestClass ToRequestClass(const CatalogueEntry& entry,
-                            std::chrono::milliseconds longest_request) {
+RequestClass ToRequestClass(const CatalogueEntry& entry) {
   RequestClass out;
   out.entry = entry.name;
+  out.service = ServiceOf(entry);
   out.owner = entry.owner;
   out.priority = entry.policy.priority;
   out.default_deadline = entry.policy.deadline;
   out.timeout = entry.policy.request_timeout;
-  out.longest_run = longest_request;
+  out.longest_run = entry.policy.longest_run;
   out.idempotent = entry.policy.idempotent;
   out.retry_budget_percent = entry.policy.retry_budget_percent;
   out.queue_bound = static_cast<std::uint32_t>(entry.limits.queue);
@@ -406,7 +406,7 @@
   std::unordered_map<EntryName, Service> services;
   std::vector<RequestClass> classes;
   for (CatalogueEntry& entry : event.entries) {
-    classes.push_back(ToRequestClass(entry, settings_.longest_request));
+    classes.push_back(ToRequestClass(entry));
     Service service{entry, {}};
     if (Service* before = FindService(entry.name)) {
       service.waiting = std::move(before->waiting);
--- a/src/entry/zone_placer.cc
+++ b/src/entry/zone_placer.cc
@@ -132,6 +132,8 @@
     return home != view_.homes().end() && home->second.zone == view_.zone();
   }
   if (entry.work_class != WorkClass::kService) return false;
+  // The instances of another entry serve its requests.
+  if (!entry.served_by.empty()) return false;
   const std::vector<ZoneId>& zones = entry.policy.zones;
   return zones.empty() ||
          std::find(zones.begin(), zones.end(), view_.zone()) != zones.end();
