--- /dev/null
+++ b/tests/process/entry_process.cc
@@ -0,0 +1,70 @@
+#include "process/entry_process.h"
+
+#include <fcntl.h>
+#include <spawn.h>
+#include <sys/wait.h>
+
+#include <array>
+#include <csignal>
+#include <cstdlib>
+#include <utility>
+
+extern char** environ;
+
+namespace chivewing {
+namespace {
+
+std::string ProgramPath() {
+  const char* folder = std::getenv("CHIVEWING_BIN");
+  return std::string(folder == nullptr ? "." : folder) + "/chivewing";
+}
+
+}  // namespace
+
+EntryProcess::EntryProcess(std::string settings_path, std::string log_path)
+    : settings_path_(std::move(settings_path)),
+      log_path_(std::move(log_path)) {}
+
+EntryProcess::~EntryProcess() { Kill(); }
+
+void EntryProcess::Start() {
+  const std::string program = ProgramPath();
+  std::string verb = "serve";
+  std::string option = "--settings";
+  std::string name = program;
+  std::array<char*, 5> words = {name.data(), verb.data(), option.data(),
+                                settings_path_.data(), nullptr};
+  posix_spawn_file_actions_t actions;
+  posix_spawn_file_actions_init(&actions);
+  constexpr int kMode = 0600;
+  for (const int fd : {1, 2}) {
+    posix_spawn_file_actions_addopen(&actions, fd, log_path_.c_str(),
+                                     O_WRONLY | O_CREAT | O_APPEND, kMode);
+  }
+  posix_spawn(&pid_, program.c_str(), &actions, nullptr, words.data(), environ);
+  posix_spawn_file_actions_destroy(&actions);
+}
+
+void EntryProcess::Signal(int signal) const {
+  if (pid_ > 0) kill(pid_, signal);
+}
+
+int EntryProcess::Reap() {
+  int status = 0;
+  waitpid(pid_, &status, 0);
+  pid_ = -1;
+  return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+}
+
+void EntryProcess::Kill() {
+  if (pid_ <= 0) return;
+  Signal(SIGKILL);
+  Reap();
+}
+
+int EntryProcess::StopPlanned() {
+  Signal(SIGTERM);
+  return Reap();
+}
+
+}  // namespace chivewing
--- /dev/null
+++ b/tests/process/entry_process.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <sys/types.h>
+
+#include <string>
+
+namespace chivewing {
+
+// A process `chivewing serve` that a test started.
+class EntryProcess {
+ public:
+  // `settings_path` names its settings file; its log goes to `log_path`.
+  EntryProcess(std::string settings_path, std::string log_path);
+  ~EntryProcess();  // kills and reaps it
+  EntryProcess(const EntryProcess&) = delete;
+  EntryProcess& operator=(const EntryProcess&) = delete;
+
+  void Start();
+  void Signal(int signal) const;
+  // Kills it at once and reaps it.
+  void Kill();
+  // Asks for a planned stop and waits for it; gives the exit status, -1 when it
+  // ended by a signal.
+  int StopPlanned();
+  bool is_running() const { return pid_ > 0; }
+
+ private:
+  int Reap();
+
+  std::string settings_path_;
+  std::string log_path_;
+  pid_t pid_ = -1;
+};
+
+}  // namespace chivewing
--- a/tests/standins/worker_standin.cc
+++ b/tests/standins/worker_standin.cc
@@ -125,6 +125,16 @@
   return ids;
 }
 
+std::map<std::string, int> WorkerStandin::ran() {
+  const std::lock_guard lock(mutex_);
+  std::map<std::string, int> out = ended_ran_;
+  for (const auto& [task_id, task] : tasks_) {
+    if (!task.target) continue;
+    for (const auto& [id, times] : task.target->ran()) out[id] += times;
+  }
+  return out;
+}
+
 std::shared_ptr<TargetStandin> WorkerStandin::Target(const std::string& task) {
   const std::lock_guard lock(mutex_);
   const auto found = tasks_.find(task);
@@ -323,7 +333,11 @@
 
 void WorkerStandin::End(Task& task, State state) {
   task.state = state;
-  if (task.target) ended_targets_.push_back(std::move(task.target));
+  if (task.target) {
+    task.target->SetLeaving();
+    for (const auto& [id, times] : task.target->ran()) ended_ran_[id] += times;
+    ended_targets_.push_back(std::move(task.target));
+  }
   task.target = nullptr;
   switch (state) {
     case State::kDone:
--- a/tests/standins/worker_standin.h
+++ b/tests/standins/worker_standin.h
@@ -68,6 +68,9 @@
   WorkerCounts counts();
   // Ids of the tasks that run now.
   std::vector<std::string> running();
+  // How often each request ran on the instances of this worker, ended ones
+  // included.
+  std::map<std::string, int> ran();
   // The instance of a running service task, or null.
   std::shared_ptr<TargetStandin> Target(const std::string& task);
 
@@ -119,6 +122,7 @@
   std::map<std::string, Task> tasks_;
   // Targets of ended tasks, closed outside of the lock.
   std::vector<std::shared_ptr<TargetStandin>> ended_targets_;
+  std::map<std::string, int> ended_ran_;  // of the targets that have ended
   std::uint64_t epoch_ = 0;
   WorkerCounts counts_;
   std::atomic<bool> fails_all_ = false;
