--- a/src/entry/zone_placer.cc
+++ b/src/entry/zone_placer.cc
@@ -51,7 +51,7 @@
 ZonePlacer::ZonePlacer(const ClockPair& clock, ZonePlacerSettings settings,
                        PlacerPorts ports, std::uint64_t epoch,
                        const PlacerView& view)
-    : settings_(std::move(settings)),
+    : settings_(settings),
       ports_(std::move(ports)),
       epoch_(epoch),
       view_(view),
@@ -132,6 +132,8 @@
     return home != view_.homes().end() && home->second.zone == view_.zone();
   }
   if (entry.work_class != WorkClass::kService) return false;
+  // The instances of another entry serve its requests.
+  if (!entry.served_by.empty()) return false;
   const std::vector<ZoneId>& zones = entry.policy.zones;
   return zones.empty() ||
          std::find(zones.begin(), zones.end(), view_.zone()) != zones.end();
@@ -616,10 +618,13 @@
                                {"address", record.row.address}};
   }
   for (const auto& [job, row] : view_.jobs()) {
+    const auto status = statuses_.find(job);
+    const bool ended =
+        status != statuses_.end() && HasEnded(status->second.state);
+    if (ended || row.zone != view_.zone()) continue;
     const WaitReason reason = placer_.Why(now, job);
-    if (reason.code != ResultCode::kOk) {
-      out["waiting"][job.value()] = reason.sentence;
-    }
+    if (reason.code == ResultCode::kOk) continue;
+    out["waiting"][job.value()] = reason.sentence;
   }
   return out.dump();
 }
