One faulty link and one schedule runner for the three random drivers

The claim, share and lease drivers each held their own inbox for paused processes, schedule generator and violation counter. They now share tests/outcome/fake_table.h. Rules and checks are unchanged, but schedules of the claim driver have 400 steps instead of 300.

--- a/tests/lease/lease_holder_test.cc
+++ b/tests/lease/lease_holder_test.cc
@@ -4,7 +4,6 @@
 #include <rapidcheck/gtest.h>
 
 #include <memory>
-#include <random>
 #include <set>
 
 #include "outcome/fake_table.h"
@@ -46,11 +45,6 @@
     std::unique_ptr<LeaseHolder> holder;
     std::optional<TableTransaction> batch;
   };
-  struct Mail {
-    std::size_t process;
-    std::string write_id;
-    CommitAnswer answer;
-  };
 
   void Fail(const std::string& what) {
     if (violation_.empty()) violation_ = what;
@@ -83,7 +77,7 @@
     Process& process = processes_[index];
     LeaseHolder::Effects out;
     if (kind < 5) {
-      link_.Step(table_, arg, Answer());
+      link_.Step(table_, arg);
       Watch();
     } else if (kind < 9) {
       elapsed_ += milliseconds(arg * arg / 64);
@@ -119,31 +113,13 @@
         {guard->write, {task.key, std::to_string(process.holder->epoch())}}};
     link_.Send(index, *process.batch);
   }
-  FaultyLink::Answer Answer() {
-    return [this](std::size_t process, const std::string& write_id,
-                  const CommitAnswer& answer) {
-      inbox_.push_back({process, write_id, answer});
-      OpenInbox();
-    };
-  }
-  // Answers to a paused process wait until it goes on.
-  void OpenInbox() {
-    std::vector<Mail> inbox;
-    inbox.swap(inbox_);
-    for (Mail& mail : inbox) {
-      Process& process = processes_[mail.process];
-      if (process.paused) {
-        inbox_.push_back(std::move(mail));
-      } else if (process.alive) {
-        OnAnswer(mail.process, mail);
-      }
-    }
-  }
-  void OnAnswer(std::size_t index, const Mail& mail) {
+  void OnAnswer(std::size_t index, const std::string& write_id,
+                const CommitAnswer& answer) {
     Process& process = processes_[index];
-    const bool definite = mail.answer.status == CommitStatus::kCommitted ||
-                          mail.answer.status == CommitStatus::kConflict;
-    if (process.batch && process.batch->write_id == mail.write_id) {
+    if (!process.alive) return;
+    const bool definite = answer.status == CommitStatus::kCommitted ||
+                          answer.status == CommitStatus::kConflict;
+    if (process.batch && process.batch->write_id == write_id) {
       if (!definite) {
         link_.Send(index, *process.batch);
         return;
@@ -151,11 +127,11 @@
       process.batch.reset();
     }
     LeaseHolder::Effects out;
-    process.holder->OnCommit(Clock(process), mail.write_id, mail.answer, out);
+    process.holder->OnCommit(Clock(process), write_id, answer, out);
     Carry(index, out);
   }
   void TickAll() {
-    OpenInbox();
+    link_.Deliver();
     for (std::size_t i = 0; i < processes_.size(); ++i) {
       if (!Works(processes_[i])) continue;
       LeaseHolder::Effects out;
@@ -207,7 +183,7 @@
       for (const auto& [host, index] : current_) {
         if (Works(processes_[index])) Batch(index);
       }
-      link_.Drain(table_, Answer());
+      link_.Drain(table_);
       Watch();
       CheckOneHolder();
     }
@@ -222,10 +198,14 @@
   LeaseCase options_;
   Duration elapsed_{0};
   FakeTable table_;
-  FaultyLink link_;
+  FaultyLink link_{
+      [this](std::size_t process) { return processes_[process].paused; },
+      [this](std::size_t process, const std::string& write_id,
+             const CommitAnswer& answer) {
+        OnAnswer(process, write_id, answer);
+      }};
   std::vector<Process> processes_;
   std::map<std::size_t, std::size_t> current_;  // process by host
-  std::vector<Mail> inbox_;
   std::vector<TableRow> history_;
   std::set<std::uint64_t> epochs_;
   std::uint64_t task_epoch_ = 0;
@@ -239,36 +219,14 @@
   RC_ASSERT(LeaseWorld({"", {}}).Run(schedule) == "");
 }
 
-Schedule RandomSchedule(unsigned seed) {
-  std::mt19937 random(seed);
-  Schedule schedule(400);
-  for (ScheduleStep& step : schedule) {
-    step = {static_cast<std::uint8_t>(random()),
-            static_cast<std::uint8_t>(random())};
-  }
-  return schedule;
-}
-
-int CountViolations(const LeaseCase& options) {
-  int count = 0;
-  for (unsigned seed = 0; seed < 300; ++seed) {
-    const std::string found = LeaseWorld(options).Run(RandomSchedule(seed));
-    if (!found.empty() && count++ == 0) {
-      ::testing::Test::RecordProperty("first", found);
-    }
-  }
-  ::testing::Test::RecordProperty("violations", count);
-  return count;
-}
-
 TEST(LeaseHolderSchedules, HoldWithAllMechanisms) {
-  EXPECT_EQ(CountViolations({"", {}}), 0);
+  EXPECT_EQ(CountViolations<LeaseWorld>(LeaseCase{"", {}}, 300), 0);
 }
 
 class LeaseFaultTest : public testing::TestWithParam<LeaseCase> {};
 
 TEST_P(LeaseFaultTest, IsFoundWithTheMechanismOff) {
-  EXPECT_GT(CountViolations(GetParam()), 0);
+  EXPECT_GT(CountViolations<LeaseWorld>(GetParam(), 300), 0);
 }
 
 INSTANTIATE_TEST_SUITE_P(Mechanisms, LeaseFaultTest,
--- a/tests/membership/share_keeper_test.cc
+++ b/tests/membership/share_keeper_test.cc
@@ -4,7 +4,6 @@
 #include <rapidcheck/gtest.h>
 
 #include <memory>
-#include <random>
 #include <set>
 
 #include "outcome/fake_table.h"
@@ -48,11 +47,6 @@
     std::set<InstanceId> usable;                // as the process believes
     std::map<InstanceId, std::size_t> running;  // its requests
   };
-  struct Mail {
-    std::size_t process;
-    std::string write_id;
-    CommitAnswer answer;
-  };
 
   static HostId Name(std::size_t host) {
     return HostId("h" + std::to_string(host));
@@ -105,7 +99,7 @@
     Process& process = processes_[index];
     ShareKeeper::Effects out;
     if (kind < 3) {
-      link_.Step(table_, arg, Answer());
+      link_.Step(table_, arg);
       Remember();
     } else if (kind < 6) {
       now_ += milliseconds(arg * arg / 32);
@@ -133,28 +127,12 @@
     CheckUse();
   }
 
-  FaultyLink::Answer Answer() {
-    return [this](std::size_t process, const std::string& write_id,
-                  const CommitAnswer& answer) {
-      inbox_.push_back({process, write_id, answer});
-      OpenInbox();
-    };
-  }
-  // Answers to a paused process wait until it goes on.
-  void OpenInbox() {
-    std::vector<Mail> inbox;
-    inbox.swap(inbox_);
-    for (Mail& mail : inbox) {
-      Process& process = processes_[mail.process];
-      if (process.paused) {
-        inbox_.push_back(std::move(mail));
-        continue;
-      }
-      if (!process.alive) continue;
-      ShareKeeper::Effects out;
-      process.keeper->OnCommit(now_, mail.write_id, mail.answer, out);
-      Carry(mail.process, out);
-    }
+  void OnAnswer(std::size_t process, const std::string& write_id,
+                const CommitAnswer& answer) {
+    if (!processes_[process].alive) return;
+    ShareKeeper::Effects out;
+    processes_[process].keeper->OnCommit(now_, write_id, answer, out);
+    Carry(process, out);
   }
   void Remember() {
     for (const auto& [key, row] : table_.rows()) {
@@ -210,7 +188,7 @@
     process.keeper->directory().OnList(now_, list);
   }
   void TickAll() {
-    OpenInbox();
+    link_.Deliver();
     for (std::size_t i = 0; i < processes_.size(); ++i) {
       if (!processes_[i].alive || processes_[i].paused) continue;
       ShareKeeper::Effects out;
@@ -272,7 +250,7 @@
         for (std::size_t b = 0; b < a; ++b) SetLink(a, b, true);
       }
       TickAll();
-      link_.Drain(table_, Answer());
+      link_.Drain(table_);
       for (const auto& [host, index] : current_) SettleOne(index);
       CheckUse();
     }
@@ -310,11 +288,15 @@
   ShareKeeperFaults faults_;
   TimePoint now_{std::chrono::hours(1)};
   FakeTable table_;
-  FaultyLink link_;
+  FaultyLink link_{
+      [this](std::size_t process) { return processes_[process].paused; },
+      [this](std::size_t process, const std::string& write_id,
+             const CommitAnswer& answer) {
+        OnAnswer(process, write_id, answer);
+      }};
   std::vector<Process> processes_;
   std::map<std::size_t, std::size_t> current_;  // process by host
   std::map<std::size_t, std::vector<std::pair<TimePoint, bool>>> changes_;
-  std::vector<Mail> inbox_;
   std::vector<TableRow> history_;
   std::uint64_t remembered_ = 0;
   std::map<InstanceId, std::size_t> orphans_;  // requests of killed processes
@@ -328,30 +310,8 @@
   RC_ASSERT(ShareWorld({}).Run(schedule) == "");
 }
 
-Schedule RandomSchedule(unsigned seed) {
-  std::mt19937 random(seed);
-  Schedule schedule(400);
-  for (ScheduleStep& step : schedule) {
-    step = {static_cast<std::uint8_t>(random()),
-            static_cast<std::uint8_t>(random())};
-  }
-  return schedule;
-}
-
-int CountViolations(ShareKeeperFaults faults) {
-  int count = 0;
-  for (unsigned seed = 0; seed < 100; ++seed) {
-    const std::string found = ShareWorld(faults).Run(RandomSchedule(seed));
-    if (!found.empty() && count++ == 0) {
-      ::testing::Test::RecordProperty("first", found);
-    }
-  }
-  ::testing::Test::RecordProperty("violations", count);
-  return count;
-}
-
 TEST(ShareKeeperSchedules, HoldWithAllMechanisms) {
-  EXPECT_EQ(CountViolations({}), 0);
+  EXPECT_EQ(CountViolations<ShareWorld>(ShareKeeperFaults{}, 100), 0);
 }
 
 struct FaultCase {
@@ -361,7 +321,7 @@
 class ShareKeeperFaultTest : public testing::TestWithParam<FaultCase> {};
 
 TEST_P(ShareKeeperFaultTest, IsFoundWithTheMechanismOff) {
-  EXPECT_GT(CountViolations(GetParam().faults), 0);
+  EXPECT_GT(CountViolations<ShareWorld>(GetParam().faults, 100), 0);
 }
 
 INSTANTIATE_TEST_SUITE_P(
--- a/tests/outcome/claim_book_test.cc
+++ b/tests/outcome/claim_book_test.cc
@@ -4,7 +4,6 @@
 #include <rapidcheck/gtest.h>
 
 #include <memory>
-#include <random>
 #include <set>
 
 #include "outcome/fake_table.h"
@@ -45,11 +44,6 @@
     std::size_t to;
     std::variant<AskClaimHolder, ClaimReply> message;
   };
-  struct Mail {
-    std::size_t process;
-    std::string write_id;
-    CommitAnswer answer;
-  };
   struct Caller {
     bool answered = false;
     std::size_t process = 0;
@@ -90,7 +84,7 @@
     if (kind < 4) {
       Ask(process, arg / kHosts % kKeys, milliseconds(200 + arg * 10), out);
     } else if (kind < 8) {
-      Link(arg);
+      link_.Step(table_, arg);
     } else if (kind < 10) {
       Finish(process, arg, out);
     } else if (kind < 12) {
@@ -118,29 +112,13 @@
     processes_[process].book->Claim(
         now_, {request, kOwner, std::to_string(key), now_ + patience}, out);
   }
-  void Link(std::uint8_t arg) { link_.Step(table_, arg, Answer()); }
-  FaultyLink::Answer Answer() {
-    return [this](std::size_t process, const std::string& write_id,
-                  const CommitAnswer& answer) {
-      inbox_.push_back({process, write_id, answer});
-      OpenInbox();
-    };
-  }
-  // Answers to a paused process wait until it goes on.
-  void OpenInbox() {
-    std::vector<Mail> inbox;
-    inbox.swap(inbox_);
-    for (Mail& mail : inbox) {
-      if (processes_[mail.process].paused) {
-        inbox_.push_back(std::move(mail));
-        continue;
-      }
-      if (!processes_[mail.process].alive) continue;
-      ClaimBook::Effects out;
-      processes_[mail.process].book->OnCommit(now_, mail.write_id, mail.answer,
-                                              out);
-      Carry(mail.process, out);
-    }
+  void Link(std::uint8_t arg) { link_.Step(table_, arg); }
+  void OnAnswer(std::size_t process, const std::string& write_id,
+                const CommitAnswer& answer) {
+    if (!processes_[process].alive) return;
+    ClaimBook::Effects out;
+    processes_[process].book->OnCommit(now_, write_id, answer, out);
+    Carry(process, out);
   }
   void Finish(std::size_t process, std::uint8_t arg, ClaimBook::Effects& out) {
     Process& at = processes_[process];
@@ -181,7 +159,7 @@
     Carry(mail.to, out);
   }
   void TickAll() {
-    OpenInbox();
+    link_.Deliver();
     for (std::size_t i = 0; i < processes_.size(); ++i) {
       if (!Works(i)) continue;
       ClaimBook::Effects out;
@@ -245,7 +223,7 @@
     for (Process& process : processes_) process.paused = false;
     for (int round = 0; round < 40; ++round) {
       while (!mail_.empty()) Deliver(0);
-      link_.Drain(table_, Answer());
+      link_.Drain(table_);
       for (std::size_t i = 0; i < processes_.size(); ++i) {
         ClaimBook::Effects out;
         Finish(i, 0, out);
@@ -273,11 +251,15 @@
   ClaimBookFaults faults_;
   TimePoint now_{std::chrono::hours(1)};
   FakeTable table_;
-  FaultyLink link_;
+  FaultyLink link_{
+      [this](std::size_t process) { return processes_[process].paused; },
+      [this](std::size_t process, const std::string& write_id,
+             const CommitAnswer& answer) {
+        OnAnswer(process, write_id, answer);
+      }};
   std::vector<Process> processes_;
   std::map<std::size_t, std::size_t> current_;  // process by host
   std::vector<PeerMail> mail_;
-  std::vector<Mail> inbox_;
   std::map<RequestId, Caller> callers_;
   std::map<std::size_t, Outcome> ran_;  // by key
   std::string violation_;
@@ -288,27 +270,8 @@
   RC_ASSERT(ClaimWorld({}).Run(schedule) == "");
 }
 
-Schedule RandomSchedule(unsigned seed) {
-  std::mt19937 random(seed);
-  Schedule schedule(300);
-  for (ScheduleStep& step : schedule) {
-    step = {static_cast<std::uint8_t>(random()),
-            static_cast<std::uint8_t>(random())};
-  }
-  return schedule;
-}
-
-int CountViolations(ClaimBookFaults faults) {
-  int count = 0;
-  for (unsigned seed = 0; seed < 300; ++seed) {
-    const std::string found = ClaimWorld(faults).Run(RandomSchedule(seed));
-    if (!found.empty()) ++count;
-  }
-  return count;
-}
-
 TEST(ClaimBookSchedules, HoldWithAllMechanisms) {
-  EXPECT_EQ(CountViolations({}), 0);
+  EXPECT_EQ(CountViolations<ClaimWorld>(ClaimBookFaults{}, 300), 0);
 }
 
 struct FaultCase {
@@ -318,9 +281,7 @@
 class ClaimBookFaultTest : public testing::TestWithParam<FaultCase> {};
 
 TEST_P(ClaimBookFaultTest, IsFoundWithTheMechanismOff) {
-  const int violations = CountViolations(GetParam().faults);
-  RecordProperty("violations", violations);
-  EXPECT_GT(violations, 0);
+  EXPECT_GT(CountViolations<ClaimWorld>(GetParam().faults, 300), 0);
 }
 
 INSTANTIATE_TEST_SUITE_P(
--- a/tests/outcome/fake_table.h
+++ b/tests/outcome/fake_table.h
@@ -1,9 +1,12 @@
 #pragma once
 
+#include <gtest/gtest.h>
+
 #include <cstdint>
 #include <functional>
 #include <iterator>
 #include <map>
+#include <random>
 #include <string>
 #include <utility>
 #include <vector>
@@ -50,20 +53,23 @@
   std::uint64_t revision_ = 0;
 };
 
-// Carries commits to the table, and loses, delays and reorders them.
+// Carries commits to the table, and loses, delays and reorders them. Answers to
+// a paused process wait until it goes on.
 class FaultyLink {
  public:
   using Answer =
       std::function<void(std::size_t process, const std::string& write_id,
                          const CommitAnswer& answer)>;
 
+  FaultyLink(std::function<bool(std::size_t)> is_paused, Answer answer)
+      : is_paused_(std::move(is_paused)), answer_(std::move(answer)) {}
+
   void Send(std::size_t process, const TableTransaction& transaction) {
     waiting_.push_back({process, transaction});
   }
-  bool empty() const { return waiting_.empty(); }
 
   // Lets one of the commits under way meet a fate out of `choice`.
-  void Step(FakeTable& table, std::uint8_t choice, const Answer& answer) {
+  void Step(FakeTable& table, std::uint8_t choice) {
     if (choice % 5 == 4 && !late_.empty()) {
       table.Commit(late_.back());
       late_.pop_back();
@@ -90,12 +96,25 @@
       default:
         reply = table.Commit(transaction);
     }
-    answer(process, transaction.write_id, reply);
+    inbox_.push_back({process, transaction.write_id, reply});
+    Deliver();
   }
   // Lets all commits through, to the end.
-  void Drain(FakeTable& table, const Answer& answer) {
+  void Drain(FakeTable& table) {
     constexpr std::uint8_t good = 0x50;
-    while (!waiting_.empty()) Step(table, good, answer);
+    while (!waiting_.empty()) Step(table, good);
+  }
+  // Hands out the answers that wait, but for those to paused processes.
+  void Deliver() {
+    std::vector<Mail> inbox;
+    inbox.swap(inbox_);
+    for (const Mail& mail : inbox) {
+      if (is_paused_(mail.process)) {
+        inbox_.push_back(mail);
+      } else {
+        answer_(mail.process, mail.write_id, mail.answer);
+      }
+    }
   }
 
  private:
@@ -103,8 +122,42 @@
     std::size_t process;
     TableTransaction transaction;
   };
+  struct Mail {
+    std::size_t process;
+    std::string write_id;
+    CommitAnswer answer;
+  };
+  std::function<bool(std::size_t)> is_paused_;
+  Answer answer_;
   std::vector<Waiting> waiting_;
   std::vector<TableTransaction> late_;
+  std::vector<Mail> inbox_;
 };
 
+// A schedule that the seed determines.
+inline Schedule RandomSchedule(unsigned seed, std::size_t steps) {
+  std::mt19937 random(seed);
+  Schedule schedule(steps);
+  for (ScheduleStep& step : schedule) {
+    step = {static_cast<std::uint8_t>(random()),
+            static_cast<std::uint8_t>(random())};
+  }
+  return schedule;
+}
+
+// Runs `world` on many schedules and returns on how many something went wrong.
+// The count and the first finding are kept in the test's record.
+template <typename World, typename Options>
+int CountViolations(const Options& options, unsigned schedules) {
+  constexpr std::size_t steps = 400;
+  int count = 0;
+  for (unsigned seed = 0; seed < schedules; ++seed) {
+    const std::string found = World(options).Run(RandomSchedule(seed, steps));
+    if (found.empty()) continue;
+    if (count++ == 0) testing::Test::RecordProperty("first", found);
+  }
+  testing::Test::RecordProperty("violations", count);
+  return count;
+}
+
 }  // namespace chivewing
