--- a/tests/membership/share_keeper_test.cc
+++ b/tests/membership/share_keeper_test.cc
@@ -123,7 +123,8 @@
     } else if (process.alive && !process.paused) {
       SeeList(process, kLag * (arg % 4) / 3);
     }
-    if (process.alive && !process.paused) Carry(index, out);
+    // A start moves the processes: `process` is not to be used from here on.
+    if (processes_[index].alive && !processes_[index].paused) Carry(index, out);
     CheckUse();
   }
 
--- a/tests/peer/peer_mesh_test.cc
+++ b/tests/peer/peer_mesh_test.cc
@@ -189,6 +189,43 @@
   return MakeFrame(Encode(Hello{HostId("x"), ZoneId("z1"), 9, key, 1}));
 }
 
+// The next connection that a mesh dials to the listener.
+UniqueFd AwaitDial(const UniqueFd& listener) {
+  UniqueFd fd;
+  EXPECT_TRUE(Eventually([&] {
+    fd = AcceptFrom(listener);
+    return fd.get() >= 0;
+  }));
+  return fd;
+}
+
+// Answers as host b would, once, and is silent from then on.
+void Greet(const UniqueFd& fd, std::uint64_t incarnation) {
+  const std::string hello =
+      MakeFrame(Encode(Hello{HostId("b"), ZoneId("z1"), incarnation, kKey, 1}));
+  EXPECT_EQ(send(fd.get(), hello.data(), hello.size(), MSG_NOSIGNAL),
+            static_cast<ssize_t>(hello.size()));
+}
+
+TEST(PeerMeshSilenceTest, SilentConnectionIsReplacedBeforeThePeerIsJudged) {
+  const UniqueFd listener = std::move(ListenOn("127.0.0.1:0").value());
+  PeerMeshSettings settings = Settings("a", 1);
+  settings.hello_timeout = milliseconds(1500);
+  Node a(settings);
+  a.mesh->AddPeer({HostId("b"), Local(BoundPort(listener))});
+  const UniqueFd first = AwaitDial(listener);
+  Greet(first, 1);
+  const UniqueFd second = AwaitDial(listener);  // the first was silent
+  Greet(second, 1);
+  const UniqueFd third = AwaitDial(listener);
+  EXPECT_EQ(a.log.Next<PeerUp>()->incarnation, 1U);
+  EXPECT_TRUE(
+      a.log.Next<PeerDown>());  // once: the third stays silent from the start
+  EXPECT_GE(a.mesh->counters().silent, 3U);
+  Greet(AwaitDial(listener), 2);
+  EXPECT_EQ(a.log.Next<PeerUp>()->incarnation, 2U);
+}
+
 struct HostileCase {
   std::string name;
   std::string bytes;
