--- a/bench/placement_bench.cc
+++ b/bench/placement_bench.cc
@@ -418,7 +418,7 @@
 
   static PlacerOptions MakeOptions(const GangVariant& variant) {
     PlacerOptions options;
-    options.gang_reservation = variant.reservation;
+    options.reservation = variant.reservation;
     options.backfill_limit = variant.backfill_limit;
     return options;
   }
--- a/src/placement/job_events.cc
+++ b/src/placement/job_events.cc
@@ -46,6 +46,9 @@
     state_.queue.Remove(LaneQueue::KeyOf(known.spec), *known.place);
     known.place.reset();
   }
+  // Made for the size before the change.
+  state_.reservations.Drop(index);
+  state_.DropClaimsOf(index);
   const bool spread_before = known.spec.spread;
   known.spec = job;
   known.spec.spread = spread_before;
@@ -64,10 +67,7 @@
     if (state_.tasks.at(task).state == TaskState::kReserved) continue;
     state_.StopOneTask(now, task, StopMode::kStop, kCancelled, effects);
   }
-  if (state_.reservation && state_.reservation->job == index) {
-    state_.DropReservation();
-  }
-  state_.DropClaimsOf(index);
+
   state_.FinishJobIfDone(now, index, effects);
 }
 
--- a/src/placement/lane_queue.h
+++ b/src/placement/lane_queue.h
@@ -49,6 +49,9 @@
   // WorkerPool::growth() when the first job last found no room: until it rises
   // there is no need to look again.
   std::uint64_t no_room_at = 0;
+  // WorkerPool::fleet_version() at that time: if it has changed, the job may
+  // have become one that fits no worker.
+  std::uint64_t fleet_then = 0;
 };
 
 // All waiting jobs, grouped in lanes so that a decision costs time by the
--- a/src/placement/placer_options.h
+++ b/src/placement/placer_options.h
@@ -54,12 +54,17 @@
   // Points gained as the latest start time of a job comes near.
   Duration due_window = std::chrono::hours(1);
   int due_points = 50;
-  // How long a gang waits before room is reserved for it, and how long small
-  // tasks may then still be started in that room.
-  bool gang_reservation = true;
-  Duration gang_patience = std::chrono::seconds(10);
+  // How long a job finds no room before room is reserved for it (an urgent gang
+  // does not wait), and how long small tasks may then still start in that room.
+  bool reservation = true;
+  std::size_t most_reservations = 4;
+  Duration reservation_patience = std::chrono::seconds(10);
   Duration backfill_limit = std::chrono::seconds(60);
+  // Least time between two plans for the same job, after a plan that failed,
+  // and between any two plans.
   Duration replan_interval = std::chrono::seconds(5);
+  Duration failed_plan_interval = std::chrono::minutes(1);
+  Duration plan_interval = std::chrono::milliseconds(200);
   bool preemption = true;
   bool enforce_quota = true;
   bool spread = true;
--- a/src/placement/preemption.cc
+++ b/src/placement/preemption.cc
@@ -12,28 +12,6 @@
   return state.jobs.at(state.tasks.at(task).job).spec.priority;
 }
 
-bool IsVictim(const ZoneState& state, const Task& task, const JobSpec& urgent) {
-  if (task.state != TaskState::kRunning || task.job == kNoIndex) return false;
-  const JobSpec& spec = state.jobs.at(task.job).spec;
-  return spec.checkpointable && !spec.urgent && spec.priority < urgent.priority;
-}
-
-// All possible victims on a worker, in the order in which they are taken.
-std::vector<TaskIndex> VictimsOn(const ZoneState& state, WorkerIndex worker,
-                                 const JobSpec& urgent) {
-  std::vector<TaskIndex> victims;
-  for (const TaskIndex task : state.workers.at(worker).tasks) {
-    if (IsVictim(state, state.tasks.at(task), urgent)) victims.push_back(task);
-  }
-  std::sort(victims.begin(), victims.end(), [&state](TaskIndex a, TaskIndex b) {
-    const int priority_a = PriorityOf(state, a);
-    const int priority_b = PriorityOf(state, b);
-    if (priority_a != priority_b) return priority_a < priority_b;
-    return state.tasks.at(a).started > state.tasks.at(b).started;
-  });
-  return victims;
-}
-
 // Takes victims in order until the task fits, then spares those that turned
 // out not to be needed; empty when even all of them make too little room.
 std::vector<TaskIndex> ChooseVictims(const ZoneState& state, WorkerIndex worker,
@@ -58,6 +36,27 @@
 
 }  // namespace
 
+bool IsVictim(const ZoneState& state, const Task& task, const JobSpec& urgent) {
+  if (task.state != TaskState::kRunning || task.job == kNoIndex) return false;
+  const JobSpec& spec = state.jobs.at(task.job).spec;
+  return spec.checkpointable && !spec.urgent && spec.priority < urgent.priority;
+}
+
+std::vector<TaskIndex> VictimsOn(const ZoneState& state, WorkerIndex worker,
+                                 const JobSpec& urgent) {
+  std::vector<TaskIndex> victims;
+  for (const TaskIndex task : state.workers.at(worker).tasks) {
+    if (IsVictim(state, state.tasks.at(task), urgent)) victims.push_back(task);
+  }
+  std::sort(victims.begin(), victims.end(), [&state](TaskIndex a, TaskIndex b) {
+    const int priority_a = PriorityOf(state, a);
+    const int priority_b = PriorityOf(state, b);
+    if (priority_a != priority_b) return priority_a < priority_b;
+    return state.tasks.at(a).started > state.tasks.at(b).started;
+  });
+  return victims;
+}
+
 std::optional<PreemptionPlan> PlanPreemption(const ZoneState& state,
                                              const JobSpec& urgent) {
   std::optional<PreemptionPlan> best;
--- a/src/placement/preemption.h
+++ b/src/placement/preemption.h
@@ -9,6 +9,7 @@
 
 namespace chivewing {
 
+struct Task;
 struct ZoneState;
 
 // Tasks to checkpoint on one worker so that an urgent task fits.
@@ -17,6 +18,13 @@
   std::vector<TaskIndex> victims;
 };
 
+// Whether the task may be preempted for the urgent job.
+bool IsVictim(const ZoneState& state, const Task& task, const JobSpec& urgent);
+
+// All possible victims on a worker, in the order in which they are taken.
+std::vector<TaskIndex> VictimsOn(const ZoneState& state, WorkerIndex worker,
+                                 const JobSpec& urgent);
+
 // Looks for the worker on which an urgent task fits at the least harm: victims
 // are checkpointable, of lower priority, lowest priority and newest first; of
 // several workers the one whose most important victim matters least, then the
--- /dev/null
+++ b/src/placement/reservation_book.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <vector>
+
+#include "base/time.h"
+#include "placement/indices.h"
+#include "placement/resources.h"
+
+namespace chivewing {
+
+class WorkerPool;
+
+// Room kept for a job that has waited long.
+struct Reservation {
+  JobIndex job = kNoIndex;
+  Resources per_task;
+  TimePoint made_at;
+  TimePoint planned_at;
+  // When the room is expected to be free.
+  TimePoint start;
+  // Tasks of the job by worker.
+  std::map<WorkerIndex, std::int64_t> places;
+};
+
+// The reservations of the zone, at most one a job, kept as holds on workers.
+class ReservationBook {
+ public:
+  explicit ReservationBook(WorkerPool& workers) : workers_(workers) {}
+
+  // Null when the job has none.
+  const Reservation* Find(JobIndex job) const;
+  // Replaces the reservation that the job has.
+  void Add(Reservation reservation);
+  void Drop(JobIndex job);
+
+  // What the job's reservation holds on the worker.
+  Resources HoldOf(JobIndex job, WorkerIndex worker) const;
+  const std::vector<Reservation>& all() const { return reservations_; }
+
+ private:
+  void UpdateHold(WorkerIndex worker);
+
+  WorkerPool& workers_;
+  std::vector<Reservation> reservations_;
+};
+
+}  // namespace chivewing
--- a/src/placement/gang_plan.cc
+++ b/src/placement/reservation_plan.cc
@@ -1,15 +1,15 @@
-#include "placement/gang_plan.h"
+#include "placement/reservation_plan.h"
 
 #include <algorithm>
-#include <map>
 #include <vector>
 
+#include "placement/preemption.h"
 #include "placement/zone_state.h"
 
 namespace chivewing {
 namespace {
 
-// From `time` on the worker has room for `places` more tasks of the gang.
+// From `time` on the worker has room for `places` more tasks of the job.
 struct RoomEvent {
   TimePoint time;
   WorkerIndex worker = kNoIndex;
@@ -22,11 +22,13 @@
 };
 
 std::vector<Ending> EndingsOn(const ZoneState& state, TimePoint now,
-                              WorkerIndex worker) {
+                              WorkerIndex worker, const JobSpec& job) {
   std::vector<Ending> endings;
+  const bool preempts = job.urgent && state.options.preemption;
   for (const TaskIndex index : state.workers.at(worker).tasks) {
     const Task& task = state.tasks.at(index);
-    const auto end = state.ExpectedEnd(now, task);
+    auto end = state.ExpectedEnd(now, task);
+    if (preempts && IsVictim(state, task, job)) end = now;
     if (end) endings.push_back({*end, task.resources});
   }
   std::sort(endings.begin(), endings.end(),
@@ -35,14 +37,15 @@
 }
 
 void AddRoomEvents(const ZoneState& state, TimePoint now, WorkerIndex worker,
-                   const JobSpec& gang, std::vector<RoomEvent>& events) {
+                   const JobSpec& job, int tasks,
+                   std::vector<RoomEvent>& events) {
   Resources room = state.workers.rooms()[worker].free;
-  const auto count = [&room, &gang] {
-    return std::min<std::int64_t>(CountFits(gang.per_task, room), gang.tasks);
+  const auto count = [&room, &job, tasks] {
+    return std::min<std::int64_t>(CountFits(job.per_task, room), tasks);
   };
   std::int64_t places = count();
   if (places > 0) events.push_back({now, worker, places});
-  for (const Ending& ending : EndingsOn(state, now, worker)) {
+  for (const Ending& ending : EndingsOn(state, now, worker, job)) {
     room += ending.resources;
     const std::int64_t more = count() - places;
     if (more <= 0) continue;
@@ -53,22 +56,25 @@
 
 }  // namespace
 
-std::optional<GangReservation> PlanGang(const ZoneState& state, TimePoint now,
-                                        JobIndex gang) {
-  const JobSpec& spec = state.jobs.at(gang).spec;
+std::optional<Reservation> PlanReservation(const ZoneState& state,
+                                           TimePoint now, JobIndex job,
+                                           int tasks) {
+  const JobSpec& spec = state.jobs.at(job).spec;
   std::vector<RoomEvent> events;
   for (WorkerIndex worker = 0; worker < state.workers.end_index(); ++worker) {
     if (!state.workers.Has(worker) || !state.workers.IsOpen(worker)) continue;
-    AddRoomEvents(state, now, worker, spec, events);
+    if (!Fits(spec.per_task, state.workers.at(worker).spec.capacity)) continue;
+    AddRoomEvents(state, now, worker, spec, tasks, events);
   }
   std::stable_sort(
       events.begin(), events.end(),
       [](const RoomEvent& a, const RoomEvent& b) { return a.time < b.time; });
-  GangReservation plan;
-  plan.job = gang;
+  Reservation plan;
+  plan.job = job;
+  plan.per_task = spec.per_task;
   plan.planned_at = now;
   plan.made_at = now;
-  std::int64_t missing = spec.tasks;
+  std::int64_t missing = tasks;
   for (const RoomEvent& event : events) {
     if (missing <= 0) break;
     const std::int64_t taken = std::min(missing, event.places);
--- /dev/null
+++ b/src/placement/reservation_plan.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <optional>
+
+#include "base/time.h"
+#include "placement/indices.h"
+#include "placement/reservation_book.h"
+
+namespace chivewing {
+
+struct ZoneState;
+
+// Plans where and when `tasks` tasks of a job could start at once first, by the
+// expected ends of the tasks that run now; for an urgent job, victims of a
+// preemption end at once. The job itself must hold no reservation. Nothing when
+// even the end of all batch work would not make enough room.
+std::optional<Reservation> PlanReservation(const ZoneState& state,
+                                           TimePoint now, JobIndex job,
+                                           int tasks);
+
+}  // namespace chivewing
--- a/src/placement/scheduler.cc
+++ b/src/placement/scheduler.cc
@@ -5,9 +5,9 @@
 #include <queue>
 #include <vector>
 
-#include "placement/gang_plan.h"
 #include "placement/job_order.h"
 #include "placement/preemption.h"
+#include "placement/reservation_plan.h"
 #include "placement/zone_state.h"
 
 namespace chivewing {
@@ -82,8 +82,10 @@
 
 bool Scheduler::MayFit(const LaneKey& key, Lane& lane) const {
   if (lane.no_room_at == 0) return true;
+  if (lane.fleet_then != state_.workers.fleet_version()) return true;
   const bool plain = key.gang_tasks == 0 && !key.urgent && key.job.empty();
   if (!plain) return true;
+  if (MayReserve(lane.places.begin()->job)) return true;
   if (state_.workers.MayFitSince(lane.no_room_at, key.per_task)) return true;
   lane.no_room_at = state_.workers.growth();
   return false;
@@ -96,8 +98,10 @@
 
   const Outcome outcome = PlaceTasks(index, effects);
   if (outcome == Outcome::kNoRoom) {
-    lane.no_room_at = state_.workers.growth();
     ReportUnplaceable(index, effects);
+    Reserve(index, effects);
+    lane.no_room_at = state_.workers.growth();
+    lane.fleet_then = state_.workers.fleet_version();
   }
   return outcome;
 }
@@ -124,19 +128,30 @@
       !state_.quotas.Allows(spec.owner, spec.per_task * spec.tasks)) {
     return Outcome::kBlocked;
   }
-  const bool reserved = state_.reservation && state_.reservation->job == index;
-  if (reserved) state_.LiftReservation();
-  if (CountRoom(state_.workers, spec.per_task, spec.tasks) >= spec.tasks) {
+  if (HasRoomForGang(index)) {
+    state_.reservations.Drop(index);
     StartGang(index, effects);
-    if (reserved) state_.DropReservation();
     return Outcome::kPlaced;
   }
-  if (reserved) state_.HoldReservation();
-  ReserveForGang(index);
   ReportUnplaceable(index, effects);
+  Reserve(index, effects);
   return Outcome::kNoRoom;
 }
 
+bool Scheduler::HasRoomForGang(JobIndex index) const {
+  const JobSpec& spec = state_.jobs.at(index).spec;
+  std::int64_t count = CountRoom(state_.workers, spec.per_task, spec.tasks);
+  const Reservation* own = state_.reservations.Find(index);
+  if (own == nullptr) return count >= spec.tasks;
+  for (const auto& [worker, places] : own->places) {
+    if (!state_.workers.Has(worker) || !state_.workers.IsOpen(worker)) continue;
+    const Resources& free = state_.workers.rooms()[worker].free;
+    const Resources all = free + spec.per_task * places;
+    count += CountFits(spec.per_task, all) - CountFits(spec.per_task, free);
+  }
+  return count >= spec.tasks;
+}
+
 void Scheduler::StartGang(JobIndex index, Effects& effects) {
   const JobSpec& spec = state_.jobs.at(index).spec;
   WorkerDemand demand;
@@ -155,21 +170,62 @@
   state_.UpdateWaiting(now_, index);
 }
 
-void Scheduler::ReserveForGang(JobIndex index) {
+bool Scheduler::MayReserve(JobIndex index) const {
   const PlacerOptions& options = state_.options;
-  const JobSpec& spec = state_.jobs.at(index).spec;
-  if (!options.gang_reservation) return;
-  if (now_ - spec.submitted < options.gang_patience) return;
-  auto& reservation = state_.reservation;
-  const bool mine = reservation && reservation->job == index;
-  if (reservation && !mine) return;
-  if (mine && now_ - reservation->planned_at < options.replan_interval) return;
-  const TimePoint made_at = mine ? reservation->made_at : now_;
-  state_.DropReservation();
-  reservation = PlanGang(state_, now_, index);
-  if (!reservation) return;
-  reservation->made_at = made_at;
-  state_.HoldReservation();
+  const Job& job = state_.jobs.at(index);
+  if (!options.reservation || job.spec.spread || job.unplaceable) return false;
+  if (now_ < next_plan_ || now_ < job.next_plan) return false;
+  const bool gang = job.spec.job_class == JobClass::kGang;
+  const bool has_own = state_.reservations.Find(index) != nullptr;
+  if (job.spec.urgent) return gang;
+  if (now_ - job.spec.submitted < options.reservation_patience) return false;
+  return has_own ||
+         state_.reservations.all().size() < options.most_reservations;
+}
+
+void Scheduler::Reserve(JobIndex index, Effects& effects) {
+  if (!MayReserve(index)) return;
+  const PlacerOptions& options = state_.options;
+  Job& job = state_.jobs.at(index);
+  const Reservation* known = state_.reservations.Find(index);
+  const TimePoint made_at = known == nullptr ? now_ : known->made_at;
+  state_.reservations.Drop(index);
+  next_plan_ = now_ + options.plan_interval;
+  const bool gang = job.spec.job_class == JobClass::kGang;
+  auto plan = PlanReservation(state_, now_, index, gang ? job.spec.tasks : 1);
+  job.next_plan =
+      now_ + (plan ? options.replan_interval : options.failed_plan_interval);
+  if (!plan) return;
+  plan->made_at = made_at;
+  state_.reservations.Add(*plan);
+  if (job.spec.urgent && options.preemption) PreemptFor(*plan, effects);
+}
+
+void Scheduler::PreemptFor(const Reservation& reservation, Effects& effects) {
+  const JobSpec& spec = state_.jobs.at(reservation.job).spec;
+  for (const auto& [index, places] : reservation.places) {
+    const Resources needed = spec.per_task * places;
+    // The hold of the reservation is part of what is taken off the room.
+    Resources room = state_.workers.rooms()[index].free + needed;
+    for (const TaskIndex victim : VictimsOn(state_, index, spec)) {
+      if (Fits(needed, room)) break;
+      room += state_.tasks.at(victim).resources;
+      state_.StopOneTask(now_, victim, StopMode::kCheckpoint,
+                         "preempted by job " + spec.id.value(), effects);
+    }
+  }
+}
+
+WorkerIndex Scheduler::FindReserved(JobIndex index) const {
+  const Reservation* own = state_.reservations.Find(index);
+  if (own == nullptr) return kNoIndex;
+  for (const auto& [worker, places] : own->places) {
+    if (!state_.workers.Has(worker) || !state_.workers.IsOpen(worker)) continue;
+    const Resources room =
+        state_.workers.rooms()[worker].free + own->per_task * places;
+    if (Fits(own->per_task, room)) return worker;
+  }
+  return kNoIndex;
 }
 
 WorkerIndex Scheduler::FindWorker(JobIndex index, Effects& effects) {
@@ -184,25 +240,30 @@
   const WorkerIndex worker =
       ChooseWorker(state_.workers, demand, state_.options);
   if (worker != kNoIndex) return worker;
+  const WorkerIndex reserved = FindReserved(index);
+  if (reserved != kNoIndex) {
+    state_.reservations.Drop(index);
+    return reserved;
+  }
   if (job.spec.urgent) return FindUrgent(index, effects);
   return FindBackfill(job);
 }
 
 WorkerIndex Scheduler::FindBackfill(const Job& job) const {
-  if (!state_.reservation || job.spec.spread) return kNoIndex;
-  const GangReservation& reservation = *state_.reservation;
   const Duration run_time = state_.ExpectedRunTime(job.spec);
   const bool ends =
       job.spec.job_class == JobClass::kBatch && run_time > Duration(0);
-  if (!ends || now_ + run_time > reservation.start) return kNoIndex;
-  if (now_ - reservation.made_at >= state_.options.backfill_limit) {
-    return kNoIndex;
-  }
-  for (const auto& [index, places] : reservation.places) {
-    if (!state_.workers.Has(index) || !state_.workers.IsOpen(index)) continue;
-    const Worker& worker = state_.workers.at(index);
-    const Resources room = state_.workers.rooms()[index].free;
-    if (Fits(job.spec.per_task, room + worker.gang_hold)) return index;
+  if (!ends || job.spec.spread) return kNoIndex;
+  for (const Reservation& reservation : state_.reservations.all()) {
+    if (now_ + run_time > reservation.start) continue;
+    const Duration held = now_ - reservation.made_at;
+    if (held >= state_.options.backfill_limit) continue;
+    for (const auto& [index, places] : reservation.places) {
+      if (!state_.workers.Has(index) || !state_.workers.IsOpen(index)) continue;
+      const Resources room =
+          state_.workers.rooms()[index].free + reservation.per_task * places;
+      if (Fits(job.spec.per_task, room)) return index;
+    }
   }
   return kNoIndex;
 }
@@ -223,10 +284,10 @@
     state_.DropClaim(claim);
     return chosen;
   }
-  // Room kept for a gang is not kept from urgent work.
+  // Reserved room is not kept from urgent work.
   for (WorkerIndex each = 0; each < state_.workers.end_index(); ++each) {
     if (!state_.workers.Has(each) || !state_.workers.IsOpen(each)) continue;
-    const Resources& hold = state_.workers.at(each).gang_hold;
+    const Resources& hold = state_.workers.at(each).reservation_hold;
     if (Fits(demand, state_.workers.rooms()[each].free + hold)) return each;
   }
   if (!state_.options.preemption) return kNoIndex;
--- a/src/placement/scheduler.h
+++ b/src/placement/scheduler.h
@@ -12,6 +12,7 @@
 namespace chivewing {
 
 struct Job;
+struct Reservation;
 struct ZoneState;
 
 // Decides which waiting tasks start, and where. Jobs are taken by priority; a
@@ -40,7 +41,14 @@
   Outcome PlaceTasks(JobIndex index, Effects& effects);
   Outcome PlaceGang(JobIndex index, Effects& effects);
   void StartGang(JobIndex index, Effects& effects);
-  void ReserveForGang(JobIndex index);
+  bool HasRoomForGang(JobIndex index) const;
+
+  // Whether the job may be given a reservation, or a new plan for its own, now.
+  bool MayReserve(JobIndex index) const;
+  void Reserve(JobIndex index, Effects& effects);
+  // Makes victims of an urgent job leave the room that is reserved for it.
+  void PreemptFor(const Reservation& reservation, Effects& effects);
+  WorkerIndex FindReserved(JobIndex index) const;
 
   WorkerIndex FindWorker(JobIndex index, Effects& effects);
   WorkerIndex FindBackfill(const Job& job) const;
@@ -54,6 +62,8 @@
   TimePoint now_;
   std::size_t starts_left_ = 0;
   BatchId batch_ = 0;
+  // When a reservation may be planned next.
+  TimePoint next_plan_;
 };
 
 }  // namespace chivewing
--- a/src/placement/wait_explainer.cc
+++ b/src/placement/wait_explainer.cc
@@ -31,6 +31,15 @@
                                       Describe(quota)};
 }
 
+std::string ExplainReservation(const ZoneState& state, TimePoint now,
+                               const Job& job) {
+  if (!job.place) return {};
+  const Reservation* reservation = state.reservations.Find(job.place->job);
+  if (reservation == nullptr) return {};
+  const Duration left = std::max(Duration(0), reservation->start - now);
+  return "; room is reserved, expected in " + Seconds(left);
+}
+
 WaitReason ExplainGang(const ZoneState& state, TimePoint now, const Job& job) {
   const JobSpec& spec = job.spec;
   const std::int64_t room = CountRoom(state.workers, spec.per_task, spec.tasks);
@@ -40,11 +49,7 @@
   std::string sentence =
       "waits for room for all " + std::to_string(spec.tasks) +
       " tasks at once; there is room for " + std::to_string(room) + " now";
-  const auto& reservation = state.reservation;
-  if (reservation && state.jobs.at(reservation->job).spec.id == spec.id) {
-    const Duration left = std::max(Duration(0), reservation->start - now);
-    sentence += "; room is reserved, expected in " + Seconds(left);
-  }
+  sentence += ExplainReservation(state, now, job);
   return {ResultCode::kNoRoom, sentence};
 }
 
@@ -118,7 +123,8 @@
     return ExplainQuota(state, spec);
   }
   if (spec.job_class == JobClass::kGang) return ExplainGang(state, now, job);
-  const std::string room = ExplainRoom(state, spec);
+  const std::string room =
+      ExplainRoom(state, spec) + ExplainReservation(state, now, job);
   return {HasClosedRoomOnly(room) ? ResultCode::kWorkerQuarantined
                                   : ResultCode::kNoRoom,
           room};
--- a/src/placement/worker_pool.cc
+++ b/src/placement/worker_pool.cc
@@ -95,8 +95,9 @@
   UpdateRoom(worker);
 }
 
-void WorkerPool::SetGangHold(WorkerIndex worker, const Resources& amount) {
-  workers_.at(worker).gang_hold = amount;
+void WorkerPool::SetReservationHold(WorkerIndex worker,
+                                    const Resources& amount) {
+  workers_.at(worker).reservation_hold = amount;
   UpdateRoom(worker);
 }
 
@@ -110,7 +111,7 @@
   if (growth_ - since >= kGrownKept) return true;
   for (std::uint64_t step = since + 1; step <= growth_; ++step) {
     const WorkerIndex worker = grown_[step % kGrownKept];
-    const Resources& hold = workers_.at(worker).gang_hold;
+    const Resources& hold = workers_.at(worker).reservation_hold;
     if (Fits(demand, rooms_[worker].free + hold)) return true;
   }
   return false;
@@ -140,7 +141,7 @@
   Resources& free = rooms_[worker].free;
   const Resources before = free;
   free = IsOpen(worker) ? known.spec.capacity - known.reserved -
-                              known.gang_hold - known.urgent_hold
+                              known.reservation_hold - known.urgent_hold
                         : kClosed;
   if (HasGrown(before, free)) grown_[++growth_ % kGrownKept] = worker;
   if (Fits(Resources(), free)) {
--- a/src/placement/worker_pool.h
+++ b/src/placement/worker_pool.h
@@ -22,9 +22,9 @@
   // Tasks that hold resources.
   std::vector<TaskIndex> tasks;
   Resources reserved;
-  // Room kept for a waiting gang, and for urgent tasks whose victims are
-  // stopping.
-  Resources gang_hold;
+  // Room kept for jobs that have waited long, and for urgent tasks whose
+  // victims are stopping.
+  Resources reservation_hold;
   Resources urgent_hold;
 };
 
@@ -68,7 +68,7 @@
   void Release(WorkerIndex worker, TaskIndex task, const Resources& amount);
 
   void SetQuarantined(WorkerIndex worker, bool quarantined);
-  void SetGangHold(WorkerIndex worker, const Resources& amount);
+  void SetReservationHold(WorkerIndex worker, const Resources& amount);
   void SetUrgentHold(WorkerIndex worker, const Resources& amount);
 
   // Room of all workers, by index.
@@ -78,7 +78,7 @@
   // Rises when the room of any worker has grown.
   std::uint64_t growth() const { return growth_; }
   // Whether a worker whose room has grown since growth() was `since` could now
-  // take `demand`, holds for gangs left aside.
+  // take `demand`, reservations left aside.
   bool MayFitSince(std::uint64_t since, const Resources& demand) const;
   // Number of live workers of each capacity, those in quarantine included.
   const std::vector<CapacityCount>& live_capacities() const {
--- a/src/placement/zone_state.cc
+++ b/src/placement/zone_state.cc
@@ -108,6 +108,8 @@
   if (waits == job.place.has_value()) return;
   const LaneKey key = LaneQueue::KeyOf(job.spec);
   if (!waits) {
+    reservations.Drop(index);
+    DropClaimsOf(index);
     queue.Remove(key, *job.place);
     job.place.reset();
     return;
@@ -123,7 +125,7 @@
 void ZoneState::RemoveJob(JobIndex index) {
   Job& job = jobs.at(index);
   if (job.place) queue.Remove(LaneQueue::KeyOf(job.spec), *job.place);
-  if (reservation && reservation->job == index) DropReservation();
+  reservations.Drop(index);
   DropClaimsOf(index);
   for (const TaskIndex task : job.tasks) tasks.at(task).job = kNoIndex;
   const JobId id = job.spec.id;
@@ -180,25 +182,6 @@
   return statistics.ExpectedRunTime(job.entry, job.run_time);
 }
 
-void ZoneState::HoldReservation() {
-  const Resources size = jobs.at(reservation->job).spec.per_task;
-  for (const auto& [worker, places] : reservation->places) {
-    if (workers.Has(worker)) workers.SetGangHold(worker, size * places);
-  }
-}
-
-void ZoneState::LiftReservation() {
-  for (const auto& [worker, places] : reservation->places) {
-    if (workers.Has(worker)) workers.SetGangHold(worker, Resources());
-  }
-}
-
-void ZoneState::DropReservation() {
-  if (!reservation) return;
-  LiftReservation();
-  reservation.reset();
-}
-
 void ZoneState::AddClaim(UrgentClaim claim) {
   claims.push_back(claim);
   SetUrgentHold(claim.worker);
--- a/src/placement/zone_state.h
+++ b/src/placement/zone_state.h
@@ -16,6 +16,7 @@
 #include "placement/lane_queue.h"
 #include "placement/placer_options.h"
 #include "placement/quota_ledger.h"
+#include "placement/reservation_book.h"
 #include "placement/slot_table.h"
 #include "placement/task_state.h"
 #include "placement/worker_health.h"
@@ -54,6 +55,8 @@
   bool unplaceable = false;
   // WorkerPool::fleet_version() at the last look at that.
   std::uint64_t checked_fleet = 0;
+  // No reservation is planned before this time.
+  TimePoint next_plan;
   // A gang that lost a task: starts again when all others have stopped.
   bool restarting = false;
   std::vector<TaskIndex> tasks;
@@ -74,17 +77,6 @@
   std::vector<TaskId> dropped;
 };
 
-// Room kept for a gang that has waited long.
-struct GangReservation {
-  JobIndex job = kNoIndex;
-  TimePoint made_at;
-  TimePoint planned_at;
-  // When the room is expected to be free.
-  TimePoint start;
-  // Tasks of the gang by worker.
-  std::map<WorkerIndex, std::int64_t> places;
-};
-
 // Room that victims are leaving, kept for an urgent task.
 struct UrgentClaim {
   JobIndex job = kNoIndex;
@@ -124,10 +116,6 @@
   std::optional<TimePoint> ExpectedEnd(TimePoint now, const Task& task) const;
   Duration ExpectedRunTime(const JobSpec& job) const;
 
-  // Holds the room of the reservation against other jobs, or lifts the hold.
-  void HoldReservation();
-  void LiftReservation();
-  void DropReservation();
   void AddClaim(UrgentClaim claim);
   void DropClaim(std::size_t claim);
   void DropClaimsOf(JobIndex job);
@@ -164,7 +152,7 @@
   std::unordered_map<BatchId, Batch> batches;
   // Jobs that are held back, by the time of their next try.
   std::multimap<TimePoint, JobId> held_jobs;
-  std::optional<GangReservation> reservation;
+  ReservationBook reservations{workers};
   std::vector<UrgentClaim> claims;
   std::uint64_t next_task = 1;
   BatchId next_batch = 1;
