--- /dev/null
+++ b/bench/waiting_bench/waiting_zone.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <queue>
+#include <string>
+#include <vector>
+
+#include "routing/router.h"
+
+namespace chivewing {
+
+// One request of the measured load.
+struct Arrival {
+  TimePoint at;
+  std::size_t host = 0;
+  Duration service{};
+};
+
+// Size of the measured zone.
+struct ZoneSize {
+  std::size_t hosts = 8;
+  std::size_t instances = 50;
+  std::uint32_t slots = 8;
+  Duration hop = std::chrono::microseconds(500);  // one way, host to host
+  Duration target_hop{};                          // one way, host to target
+};
+
+// What a run over one load gave.
+struct WaitingResult {
+  std::vector<Duration> waits;  // of requests that ran, in order of arrival
+  std::uint64_t refused = 0;
+  std::uint64_t forwarded = 0;
+  std::uint64_t put_aside = 0;  // instances judged slow
+  // Load reports, unasked and carried on answers; payload bytes.
+  std::uint64_t report_bytes = 0;
+  std::uint64_t carried_bytes = 0;
+};
+
+// Discrete-event run of Router objects joined by a network of fixed delay.
+class WaitingZone {
+ public:
+  WaitingZone(const ZoneSize& size, const RouterSettings& settings,
+              Duration deadline);
+
+  WaitingResult Run(const std::vector<Arrival>& arrivals);
+
+ private:
+  struct Event {
+    TimePoint at;
+    std::uint64_t number;
+    std::function<void()> action;
+    bool operator<(const Event& other) const {
+      return at != other.at ? at > other.at : number > other.number;
+    }
+  };
+
+  void At(TimePoint at, std::function<void()> action);
+  // Calls `action` on the host's router and performs the effects.
+  template <typename Action>
+  void Call(std::size_t host, const Action& action);
+  void Perform(std::size_t host);
+  void DoDispatch(std::size_t host, const Dispatch& effect);
+  void DoForward(std::size_t host, const ForwardTo& effect);
+  void DoAnswerPeer(std::size_t host, const AnswerPeer& effect);
+  void DoProbe(std::size_t host, ProbeId probe);
+  void DoReport(std::size_t host, const ReportLoad& effect);
+  void Arm(std::size_t host);
+  void Arrive(std::size_t index);
+
+  ZoneSize size_;
+  TimePoint now_{std::chrono::hours(1)};
+  std::priority_queue<Event> events_;
+  std::uint64_t last_event_ = 0;
+  std::vector<Router> routers_;
+  std::vector<TimePoint> armed_;
+  RouterEffects effects_;
+  const std::vector<Arrival>* arrivals_ = nullptr;
+  std::vector<Duration> waits_;  // negative: has not run
+  std::size_t answered_ = 0;
+  WaitingResult result_;
+};
+
+}  // namespace chivewing
