--- a/src/entry/flow_settings.cc
+++ b/src/entry/flow_settings.cc
@@ -9,6 +9,9 @@
 
 constexpr std::size_t kBytesPerKb = 1024;
 constexpr int kRenewalsALease = 3;
+// On the catalogue's scale of priorities, 0 to 1000.
+constexpr int kAgeingLimitPoints = 200;
+constexpr int kDuePoints = 500;
 
 std::string ProcessName(const Settings& settings, std::uint64_t incarnation) {
   return settings.host.value() + "." + std::to_string(incarnation);
@@ -76,6 +79,8 @@
   out.lease.margin =
       settings.lease_margin + Share(settings.lease, settings.drift_margin);
   out.lease.renew_every = Duration(settings.lease) / kRenewalsALease;
+  out.placer.options.ageing_limit = kAgeingLimitPoints;
+  out.placer.options.due_points = kDuePoints;
   out.placer.link.task_lease = settings.task_lease;
   out.placer.link.drift = settings.drift_margin;
   out.singletons.name = ProcessName(settings, incarnation);
--- a/tests/process/callers.cc
+++ b/tests/cell/callers.cc
@@ -1,4 +1,4 @@
-#include "process/callers.h"
+#include "cell/callers.h"
 
 #include <nlohmann/json.hpp>
 #include <utility>
--- a/tests/process/callers.h
+++ b/tests/cell/callers.h
@@ -8,7 +8,7 @@
 #include <thread>
 #include <vector>
 
-#include "process/cell.h"
+#include "cell/cell.h"
 
 namespace chivewing {
 
--- a/tests/process/cell.cc
+++ b/tests/cell/cell.cc
@@ -1,4 +1,4 @@
-#include "process/cell.h"
+#include "cell/cell.h"
 
 #include <unistd.h>
 
@@ -107,7 +107,7 @@
                          {"platform",
                           {{"addresses", {platform_.address()}},
                            {"timeout_ms", 500},
-                           {"poll_ms", 200}}},
+                           {"poll_ms", options.poll.count()}}},
                          {"peers", peers},
                          {"lease_ms", options.lease.count()},
                          {"lease_margin_ms", 100},
--- a/tests/process/cell.h
+++ b/tests/cell/cell.h
@@ -8,8 +8,8 @@
 #include <string>
 #include <vector>
 
+#include "cell/entry_process.h"
 #include "http/http_client.h"
-#include "process/entry_process.h"
 #include "standins/platform_standin.h"
 #include "standins/worker_standin.h"
 
@@ -19,6 +19,7 @@
   int zones = 1;
   int hosts_per_zone = 3;
   int workers_per_zone = 3;
+  std::chrono::milliseconds poll{200};         // of the table
   std::chrono::milliseconds lease{1000};       // of the placer
   std::chrono::milliseconds task_lease{4000};  // of tasks
 };
@@ -39,6 +40,9 @@
 
   // Starts an entry host and waits until it answers.
   void StartHost(std::size_t index);
+  const std::string& caller_address(std::size_t index) const {
+    return hosts_.at(index).caller;
+  }
   HttpAnswer CallOperator(std::size_t index, const std::string& method,
                           const std::string& path, const std::string& body);
   HttpAnswer CallCaller(std::size_t index, const std::string& method,
--- a/tests/process/entry_process.cc
+++ b/tests/cell/entry_process.cc
@@ -1,4 +1,4 @@
-#include "process/entry_process.h"
+#include "cell/entry_process.h"
 
 #include <fcntl.h>
 #include <spawn.h>
--- a/tests/process/entry_process.h
+++ b/tests/cell/entry_process.h
@@ -23,6 +23,7 @@
   // ended by a signal.
   int StopPlanned();
   bool is_running() const { return pid_ > 0; }
+  pid_t pid() const { return pid_; }
 
  private:
   int Reap();
--- a/tests/process/failure_test.cc
+++ b/tests/process/failure_test.cc
@@ -4,8 +4,8 @@
 #include <nlohmann/json.hpp>
 #include <thread>
 
-#include "process/callers.h"
-#include "process/cell.h"
+#include "cell/callers.h"
+#include "cell/cell.h"
 
 // What must always hold, with entry hosts as real processes, while each fault
 // goes on. Counts are asserted, times are not.
