Entries that would be served by none are refused before they are sent

Tried as a new operator against two real entry hosts and the platform stand-in: list, apply, diff, show, history, conflict, remove, jobs, where, request and state. Three things stopped or misled: a service could be removed while others were served by it; a conflict of a file without a version spoke of version 0; an answer without a detail showed only its HTTP status.

Now references between entries are checked as a whole, before anything is sent, against what is in force (only what the change itself would break counts, so an older fault blocks nobody); the conflict says that the file states no version; and a code without a detail is explained by its meaning. Checking references in the transaction on the entry host was left out: it would need every referring row as a condition, and two operators may still cross each other there.

--- a/src/cli/catalogue_applier.cc
+++ b/src/cli/catalogue_applier.cc
@@ -30,6 +30,14 @@
   return found->second.entry;
 }
 
+EntriesByName PresentRecords::Entries() const {
+  EntriesByName entries;
+  for (const auto& [name, record] : records_) {
+    if (record.entry) entries[name] = *record.entry;
+  }
+  return entries;
+}
+
 CatalogueApplier::CatalogueApplier(const CatalogueClient& client,
                                    const PresentRecords& present,
                                    const Arguments& arguments,
@@ -79,11 +87,14 @@
 
 ExitStatus CatalogueApplier::ReportConflict(const CatalogueConflict& conflict) {
   const CatalogueRecord& present = conflict.present;
+  const std::uint64_t edited = conflict.yours.version;
+  const std::string yours =
+      edited == 0 ? "your file states no version"
+                  : "you edited version " + std::to_string(edited);
   const Error error{ResultCode::kConflict,
                     present.name.value() + ": changed by " +
                         present.changed_by + " to version " +
-                        std::to_string(present.version) + ", and you edited " +
-                        "version " + std::to_string(conflict.yours.version) +
+                        std::to_string(present.version) + ", and " + yours +
                         "; show it, merge and apply again"};
   const ExitStatus status = ReportError(error, hooks_);
   if (json_) {
--- a/src/cli/catalogue_applier.h
+++ b/src/cli/catalogue_applier.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 
+#include "catalogue/catalogue_check.h"
 #include "cli/arguments.h"
 #include "cli/catalogue_client.h"
 #include "cli/exit_status.h"
@@ -20,6 +21,7 @@
   // 0 for a name that is not in force.
   std::uint64_t VersionOf(const EntryName& name) const;
   std::optional<CatalogueEntry> EntryOf(const EntryName& name) const;
+  EntriesByName Entries() const;
 
  private:
   std::map<EntryName, CatalogueRecord> records_;
--- a/src/cli/catalogue_apply.cc
+++ b/src/cli/catalogue_apply.cc
@@ -33,6 +33,30 @@
 // The gravest of several statuses is the one with the highest number.
 ExitStatus Gravest(ExitStatus a, ExitStatus b) { return std::max(a, b); }
 
+// Reports what would be wrong between the entries after the change.
+ExitStatus ReportReferences(const PresentRecords& present,
+                            const EntriesByName& after, const CliHooks& hooks) {
+  ExitStatus status = ExitStatus::kOk;
+  for (const std::string& what : CheckReferences(present.Entries(), after)) {
+    status = ReportError({ResultCode::kBadEntry, what}, hooks);
+  }
+  return status;
+}
+
+ExitStatus CheckDrafts(const Drafts& drafts, const PresentRecords& present,
+                       const CliHooks& hooks) {
+  EntriesByName after = present.Entries();
+  for (const EntryDraft& draft : drafts) after[draft.entry.name] = draft.entry;
+  return ReportReferences(present, after, hooks);
+}
+
+ExitStatus CheckRemoval(const EntryName& name, const PresentRecords& present,
+                        const CliHooks& hooks) {
+  EntriesByName after = present.Entries();
+  after.erase(name);
+  return ReportReferences(present, after, hooks);
+}
+
 ExitStatus SendDrafts(const Drafts& drafts, const Arguments& arguments,
                       const CliHooks& hooks) {
   const Result<EntryHostClient> host = MakeClient(arguments, hooks);
@@ -43,9 +67,10 @@
   const Result<CatalogueListing> listing = client.List();
   if (!listing) return ReportError(listing.error(), hooks);
   const PresentRecords present(listing.value());
+  ExitStatus status = CheckDrafts(drafts, present, hooks);
+  if (status != ExitStatus::kOk) return status;
   CatalogueApplier applier(client, present, arguments, hooks,
                            changed_by.value());
-  ExitStatus status = ExitStatus::kOk;
   for (const EntryDraft& draft : drafts) {
     status = Gravest(status, applier.Apply(draft));
   }
@@ -114,6 +139,8 @@
   const Result<std::uint64_t> version =
       RemovedVersion(arguments, present, name);
   if (!version) return ReportError(version.error(), hooks);
+  const ExitStatus checked = CheckRemoval(name, present, hooks);
+  if (checked != ExitStatus::kOk) return checked;
   CatalogueApplier applier(client, present, arguments, hooks,
                            changed_by.value());
   return applier.Send({name, version.value(), changed_by.value(), std::nullopt},
--- a/src/cli/report.cc
+++ b/src/cli/report.cc
@@ -38,6 +38,13 @@
   return std::nullopt;
 }
 
+std::string Meaning(ResultCode code) {
+  for (const ResultCodeRow& row : ResultCodes()) {
+    if (row.code == code) return std::string(row.meaning);
+  }
+  return "unlisted result";
+}
+
 std::optional<Error> ErrorInBody(const std::string& body) {
   const Checked<JsonNode> root = ParseJson(body, "answer");
   if (!root) return std::nullopt;
@@ -103,10 +110,12 @@
     return {ResultCode::kTimedOut,
             "sent, but no whole answer came; it may have taken effect"};
   }
-  std::optional<Error> error = ErrorInBody(answer.body);
-  if (error && !error->detail.empty()) return *error;
+  const std::optional<Error> error = ErrorInBody(answer.body);
   const ResultCode code = error ? error->code : CodeOfStatus(answer.status);
-  return {code, "the answer has HTTP status " + std::to_string(answer.status)};
+  const bool is_told = error && !error->detail.empty();
+  if (is_told && error->detail != Name(code)) return *error;
+  return {code, Meaning(code) + " (HTTP status " +
+                    std::to_string(answer.status) + ")"};
 }
 
 ExitStatus ReportAnswer(const HttpAnswer& answer, const CliHooks& hooks) {
--- a/tests/catalogue/examples_test.cc
+++ b/tests/catalogue/examples_test.cc
@@ -49,7 +49,8 @@
 
 INSTANTIATE_TEST_SUITE_P(All, CatalogueExample,
                          testing::Values("hauliers.json", "puzzles.json",
-                                         "worker-out-of-use.json"));
+                                         "worker-out-of-use.json",
+                                         "demo/catalogue.json"));
 
 class SettingsExample : public testing::TestWithParam<const char*> {};
 
--- a/tests/cli/cli_test.cc
+++ b/tests/cli/cli_test.cc
@@ -322,6 +322,45 @@
   EXPECT_EQ(out_, "scoring: removed, version 5\n");
 }
 
+TEST_F(Cli, NothingIsSentWhenAnEntryWouldBeServedByNone) {
+  const std::string file =
+      WriteFile("served.json", R"({"name":"check","owner":"o","class":"service",
+          "served_by":"scoring","limits":{"instances":0}})");
+  List(4);
+  EXPECT_EQ(Run({"catalogue", "apply", file, "--address", "127.0.0.1:2"}), 2);
+  EXPECT_EQ(err_,
+            "chivewing: check: served_by scoring is no service [103 "
+            "bad_entry]\n");
+  EXPECT_EQ(requests_.size(), 1U) << "only the listing is asked for";
+}
+
+TEST_F(Cli, AServiceThatServesOthersIsNotRemoved) {
+  CatalogueRecord desk = Present(4);
+  desk.entry =
+      ReadEntry(R"({"name":"desk","owner":"o","class":"service"})", "").value();
+  desk.name = desk.entry->name;
+  CatalogueRecord check = desk;
+  check.entry->name = EntryName("check");
+  check.name = check.entry->name;
+  check.entry->served_by = desk.name;
+  check.entry->limits.instances = 0;
+  answers_["GET http://127.0.0.1:2/v1/catalogue"] =
+      Answer(200, WriteListing({std::chrono::milliseconds(1), {check, desk}}));
+  EXPECT_EQ(Run({"catalogue", "remove", "desk", "--address", "127.0.0.1:2"}),
+            2);
+  EXPECT_EQ(err_,
+            "chivewing: check: served_by desk names no entry [103 "
+            "bad_entry]\n");
+}
+
+TEST_F(Cli, AnAnswerWithoutDetailIsExplainedByItsCode) {
+  answers_["GET http://127.0.0.1:2/v1/catalogue"] = Answer(401, "");
+  EXPECT_EQ(Run({"catalogue", "list", "--address", "127.0.0.1:2"}), 1);
+  EXPECT_EQ(err_,
+            "chivewing: the shared key is missing or wrong (HTTP status 401) "
+            "[106 unauthorised]\n");
+}
+
 TEST_F(Cli, WhereAnswersInOneSentence) {
   answers_["GET http://127.0.0.1:2/v1/jobs/job-1"] =
       Answer(200, R"({"job":"job-1","state":"waiting","where":"It waits."})");
