Answers to asks of an earlier process no longer reach another request

Checking the peer's incarnation on sending was ruled out as a whole remedy, since the replacement may be noticed only after the answer was queued. Each process now numbers its asks from a value spread over 64 bits by its incarnation; the router's hops already started from the incarnation.

--- a/src/outcome/claim_book.cc
+++ b/src/outcome/claim_book.cc
@@ -12,6 +12,16 @@
   return Outcome{OutcomeState::kNotRun, 0, "", ResultCode::kClaimUnavailable};
 }
 
+// Where the numbers of asks start. An answer to an ask of an earlier process of
+// this host may still arrive, so each process needs numbers far from those of
+// all others: the incarnation is spread over 64 bits (SplitMix64's finaliser).
+std::uint64_t FirstAsk(std::uint64_t incarnation) {
+  std::uint64_t mixed = incarnation + 0x9E3779B97F4A7C15U;
+  mixed = (mixed ^ mixed >> 30U) * 0xBF58476D1CE4E5B9U;
+  mixed = (mixed ^ mixed >> 27U) * 0x94D049BB133111EBU;
+  return mixed ^ mixed >> 31U;
+}
+
 std::chrono::milliseconds Remaining(TimePoint now, TimePoint until) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(
       std::max(until - now, Duration(0)));
@@ -20,7 +30,9 @@
 }  // namespace
 
 ClaimBook::ClaimBook(ClaimBookSettings settings, ClaimBookFaults faults)
-    : settings_(std::move(settings)), faults_(faults) {}
+    : settings_(std::move(settings)),
+      faults_(faults),
+      next_ask_(FirstAsk(settings_.incarnation)) {}
 
 void ClaimBook::Claim(TimePoint now, const ClaimRequest& request,
                       Effects& out) {
--- a/src/outcome/claim_book.h
+++ b/src/outcome/claim_book.h
@@ -198,7 +198,7 @@
   std::priority_queue<Alarm, std::vector<Alarm>, std::greater<>> alarms_;
   std::optional<TimePoint> group_since_;
   std::uint64_t next_write_ = 1;
-  std::uint64_t next_ask_ = 1;
+  std::uint64_t next_ask_;
   ClaimBookCounters counters_;
 };
 
--- a/tests/outcome/claim_book_test.cc
+++ b/tests/outcome/claim_book_test.cc
@@ -274,6 +274,14 @@
   EXPECT_EQ(CountViolations<ClaimWorld>(ClaimBookFaults{}, 300), 0);
 }
 
+// Host 1 asks host 0 and is replaced: the answer reaches its new process, which
+// has asked about another key meanwhile.
+TEST(ClaimBookSchedules, AnswerToAnEarlierProcessIsNotTaken) {
+  const Schedule schedule = {{0, 69},  {0, 250},  {74, 14}, {0, 0},  {84, 64},
+                             {68, 64}, {236, 22}, {0, 37},  {42, 14}};
+  EXPECT_EQ(ClaimWorld({}).Run(schedule), "");
+}
+
 struct FaultCase {
   const char* name;
   ClaimBookFaults faults;
