--- a/src/entry/request_flow.cc
+++ b/src/entry/request_flow.cc
@@ -22,15 +22,15 @@
 // Idle connections older than this are not used again by the HTTP client.
 constexpr std::chrono::seconds kIdleConnectionLife{20};
 
-RequestClass ToRequestClass(const CatalogueEntry& entry,
-                            std::chrono::milliseconds longest_request) {
+RequestClass ToRequestClass(const CatalogueEntry& entry) {
   RequestClass out;
   out.entry = entry.name;
+  out.service = ServiceOf(entry);
   out.owner = entry.owner;
   out.priority = entry.policy.priority;
   out.default_deadline = entry.policy.deadline;
   out.timeout = entry.policy.request_timeout;
-  out.longest_run = longest_request;
+  out.longest_run = entry.policy.longest_run;
   out.idempotent = entry.policy.idempotent;
   out.retry_budget_percent = entry.policy.retry_budget_percent;
   out.queue_bound = static_cast<std::uint32_t>(entry.limits.queue);
@@ -216,7 +216,8 @@
   End(now, id, Outcome{StateOf(code), 0, {}, code});
 }
 
-void RequestFlow::End(TimePoint now, const RequestId& id, Outcome outcome) {
+void RequestFlow::End(TimePoint now, const RequestId& id,
+                      const Outcome& outcome) {
   const auto found = records_.find(id);
   if (found == records_.end()) return;
   const RequestRecord record = std::move(found->second);
@@ -331,7 +332,7 @@
     outcome.status = found->second.status;
     outcome.body = std::move(found->second.answer);
   }
-  End(now, effect.request, std::move(outcome));
+  End(now, effect.request, outcome);
 }
 
 void RequestFlow::Do(TimePoint /*now*/, AnswerPeer& effect) {
@@ -405,7 +406,7 @@
   std::unordered_map<EntryName, Service> services;
   std::vector<RequestClass> classes;
   for (CatalogueEntry& entry : event.entries) {
-    classes.push_back(ToRequestClass(entry, settings_.longest_request));
+    classes.push_back(ToRequestClass(entry));
     Service service{entry, {}};
     if (Service* before = FindService(entry.name)) {
       service.waiting = std::move(before->waiting);
@@ -471,7 +472,7 @@
   const auto found = records_.find(effect.request);
   if (found == records_.end()) return;
   found->second.permit = RunPermit::kNotNeeded;
-  End(now, effect.request, std::move(effect.outcome));
+  End(now, effect.request, effect.outcome);
 }
 
 void RequestFlow::Do(TimePoint now, AskClaimHolder& effect) {
@@ -521,9 +522,9 @@
   if (found == ticket_hops_.end()) return;
   const RequestId id = found->second;
   ticket_hops_.erase(found);
-  Outcome outcome{StateOf(message.code), static_cast<int>(message.status),
-                  std::move(message.body), message.code};
-  End(now, id, std::move(outcome));
+  const Outcome outcome{StateOf(message.code), static_cast<int>(message.status),
+                        std::move(message.body), message.code};
+  End(now, id, outcome);
 }
 
 void RequestFlow::LoseTicketHost(TimePoint now, const HostId& host) {
--- a/src/placement/lane_queue.h
+++ b/src/placement/lane_queue.h
@@ -49,6 +49,9 @@
   // WorkerPool::growth() when the first job last found no room: until it rises
   // there is no need to look again.
   std::uint64_t no_room_at = 0;
+  // WorkerPool::fleet_version() at that time: if it has changed, the job may
+  // have become one that fits no worker.
+  std::uint64_t fleet_then = 0;
 };
 
 // All waiting jobs, grouped in lanes so that a decision costs time by the
@@ -61,9 +64,11 @@
   static LaneKey KeyOf(const JobSpec& job);
 
   void Add(const LaneKey& key, const LanePlace& place);
-  // Removes a place; empty lanes are dropped.
+  // Removes a place; the lane stays, if need be empty.
   void Remove(const LaneKey& key, const LanePlace& place);
 
+  void DropEmptyLanes();
+
   Lanes& lanes() { return lanes_; }
   const Lanes& lanes() const { return lanes_; }
 
--- a/src/placement/zone_state.cc
+++ b/src/placement/zone_state.cc
@@ -108,6 +108,8 @@
   if (waits == job.place.has_value()) return;
   const LaneKey key = LaneQueue::KeyOf(job.spec);
   if (!waits) {
+    reservations.Drop(index);
+    DropClaimsOf(index);
     queue.Remove(key, *job.place);
     job.place.reset();
     return;
@@ -123,7 +125,7 @@
 void ZoneState::RemoveJob(JobIndex index) {
   Job& job = jobs.at(index);
   if (job.place) queue.Remove(LaneQueue::KeyOf(job.spec), *job.place);
-  if (reservation && reservation->job == index) DropReservation();
+  reservations.Drop(index);
   DropClaimsOf(index);
   for (const TaskIndex task : job.tasks) tasks.at(task).job = kNoIndex;
   const JobId id = job.spec.id;
@@ -180,25 +182,6 @@
   return statistics.ExpectedRunTime(job.entry, job.run_time);
 }
 
-void ZoneState::HoldReservation() {
-  const Resources size = jobs.at(reservation->job).spec.per_task;
-  for (const auto& [worker, places] : reservation->places) {
-    if (workers.Has(worker)) workers.SetGangHold(worker, size * places);
-  }
-}
-
-void ZoneState::LiftReservation() {
-  for (const auto& [worker, places] : reservation->places) {
-    if (workers.Has(worker)) workers.SetGangHold(worker, Resources());
-  }
-}
-
-void ZoneState::DropReservation() {
-  if (!reservation) return;
-  LiftReservation();
-  reservation.reset();
-}
-
 void ZoneState::AddClaim(UrgentClaim claim) {
   claims.push_back(claim);
   SetUrgentHold(claim.worker);
@@ -290,12 +273,11 @@
 }
 
 std::size_t ZoneState::CountLiveWorkers() const {
-  std::size_t live = 0;
-  for (WorkerIndex index = 0; index < workers.end_index(); ++index) {
-    if (!workers.Has(index)) continue;
-    if (workers.at(index).spec.state == WorkerState::kLive) ++live;
+  std::int64_t live = 0;
+  for (const CapacityCount& alike : workers.live_capacities()) {
+    live += alike.workers;
   }
-  return live;
+  return static_cast<std::size_t>(live);
 }
 
 std::size_t ZoneState::CountUsableRacks() const {
@@ -311,13 +293,12 @@
 std::string ZoneState::WhyNeverFits(const JobSpec& job) const {
   Resources largest;
   std::int64_t places = 0;
-  for (WorkerIndex index = 0; index < workers.end_index(); ++index) {
-    if (!workers.Has(index)) continue;
-    const WorkerSpec& spec = workers.at(index).spec;
-    if (spec.state != WorkerState::kLive) continue;
-    largest = Largest(largest, spec.capacity);
-    places += std::min<std::int64_t>(CountFits(job.per_task, spec.capacity),
-                                     job.tasks);
+  for (const CapacityCount& alike : workers.live_capacities()) {
+    if (alike.workers == 0) continue;
+    largest = Largest(largest, alike.capacity);
+    const std::int64_t each = std::min<std::int64_t>(
+        CountFits(job.per_task, alike.capacity), job.tasks);
+    places += each * alike.workers;
   }
   if (const auto lack = FirstLack(job.per_task, largest)) {
     return "no live worker has enough " + std::string(Name(*lack)) +
--- a/tests/standins/worker_standin.h
+++ b/tests/standins/worker_standin.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <nlohmann/json_fwd.hpp>
 #include <string>
 #include <vector>
 
@@ -36,7 +37,8 @@
   std::uint64_t lapsed = 0;
   // Starts that were ordered over what the worker holds, and refused.
   std::uint64_t overcommits = 0;
-  std::uint64_t old_epochs = 0;  // orders refused since a newer epoch was seen
+  std::uint64_t old_epochs = 0;   // orders refused since a newer epoch was seen
+  std::uint64_t late_orders = 0;  // orders refused past their not_after_ms
 };
 
 // Stands in for a worker: runs tasks under leases, with the calls of
@@ -66,6 +68,9 @@
   WorkerCounts counts();
   // Ids of the tasks that run now.
   std::vector<std::string> running();
+  // How often each request ran on the instances of this worker, ended ones
+  // included.
+  std::map<std::string, int> ran();
   // The instance of a running service task, or null.
   std::shared_ptr<TargetStandin> Target(const std::string& task);
 
@@ -101,8 +106,9 @@
   HttpReply ReplyToStop(const HttpCall& call);
   HttpReply ReplyToList();
   HttpReply ReplyToCounts();
-  // Refuses the order when a newer epoch was seen, else notes its epoch.
-  bool AdmitEpoch(std::uint64_t epoch);
+  // Refuses an order when a newer epoch was seen or its not_after_ms has
+  // passed, else notes its epoch.
+  bool Admit(const nlohmann::json& order);
   std::string StartTask(const Order& order, std::string& address);
   bool HasRoom(const Order& order) const;
   bool StopTask(const std::string& id, State end);
@@ -116,6 +122,7 @@
   std::map<std::string, Task> tasks_;
   // Targets of ended tasks, closed outside of the lock.
   std::vector<std::shared_ptr<TargetStandin>> ended_targets_;
+  std::map<std::string, int> ended_ran_;  // of the targets that have ended
   std::uint64_t epoch_ = 0;
   WorkerCounts counts_;
   std::atomic<bool> fails_all_ = false;
