--- a/src/chivewing/main.cc
+++ b/src/chivewing/main.cc
@@ -1,6 +1,27 @@
-#include "base/log.h"
+#include <cstdlib>
+#include <iostream>
+#include <string>
+#include <vector>
 
-int main() {
-  chivewing::StartLog(chivewing::LogLevel::kInfo);
-  return 0;
+#include "cli/cli.h"
+#include "entry/serve.h"
+
+namespace {
+
+std::string Environment(const std::string& name) {
+  const char* value = std::getenv(name.c_str());
+  return value == nullptr ? "" : value;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  chivewing::CliHooks hooks;
+  hooks.call = chivewing::MakeCallHook();
+  hooks.serve = chivewing::RunServe;
+  hooks.environment = Environment;
+  hooks.out = &std::cout;
+  hooks.err = &std::cerr;
+  const std::vector<std::string> words(argv + 1, argv + argc);
+  return chivewing::RunCli(words, hooks);
 }
