Router: judge slow instances by clipped samples and the other instances

And in a pool of four a really slow instance (80 ms against 4) was never found, since it raised the mean that it was compared with.

Change: one sample counts at most six means, the weight of a sample is 0.05, and the comparison is with the mean of the other instances. Both unit tests failed before (put aside 1 against 0, and 0 against 1) and pass now.

Ruled out: a clip of eight means with a weight of 0.1 still judged 2 wrongly at half load.

--- a/src/routing/instance.cc
+++ b/src/routing/instance.cc
@@ -7,7 +7,7 @@
 namespace chivewing {
 namespace {
 
-constexpr double kServiceTimeWeight = 0.1;
+constexpr double kServiceTimeWeight = 0.05;
 constexpr std::uint32_t kTrialSuccesses = 5;
 // Connections kept for probes: one now, one of a holder before.
 constexpr std::uint32_t kReservedConnections = 2;
--- a/src/routing/instance_pool.cc
+++ b/src/routing/instance_pool.cc
@@ -90,6 +90,14 @@
   return best->key;
 }
 
+double InstancePool::MeanWithout(const ServiceTime& own) const {
+  const auto all = static_cast<double>(service_time_.mean().count());
+  if (members_.size() < 2) return all;
+  const double share = 1.0 / static_cast<double>(members_.size());
+  const double part = share * static_cast<double>(own.mean().count());
+  return std::max(0.0, all - part) / (1 - share);
+}
+
 bool InstancePool::MayPutAside() const {
   return put_aside_ + 1 <= put_aside_share_ * in_use_;
 }
--- a/src/routing/instance_pool.h
+++ b/src/routing/instance_pool.h
@@ -36,6 +36,10 @@
   // Whether one more instance may be put aside.
   bool MayPutAside() const;
 
+  // Mean service time, in nanoseconds, of the instances other than the one with
+  // `own`.
+  double MeanWithout(const ServiceTime& own) const;
+
   ServiceTime& service_time() { return service_time_; }
   const ServiceTime& service_time() const { return service_time_; }
 
--- a/src/routing/instance_table.cc
+++ b/src/routing/instance_table.cc
@@ -3,6 +3,12 @@
 #include <algorithm>
 
 namespace chivewing {
+namespace {
+
+// Longest service time counted for one instance, in means of all instances.
+constexpr int kSampleLimit = 6;
+
+}  // namespace
 
 InstanceTable::InstanceTable(const RouterSettings& settings)
     : settings_(settings) {}
@@ -141,15 +147,17 @@
 void InstanceTable::JudgeDone(TimePoint now, const InstanceRef& ref,
                               Duration service) {
   Instance& instance = Mutable(ref);
-  instance.AddSuccess(service);
   ServiceTime& all = pools_.at(ref.service).service_time();
   all.Add(service);
+  // Service times have long tails: one sample must not condemn an instance.
+  const Duration most = all.mean() * kSampleLimit;
+  instance.AddSuccess(std::min(service, most));
   const ServiceTime& own = instance.service_time();
   if (instance.health() != Health::kGood) return;
   if (own.samples() < settings_.slow_samples) return;
-  const double limit =
-      settings_.slow_factor * static_cast<double>(all.mean().count());
-  if (static_cast<double>(own.mean().count()) > limit) PutAside(now, ref);
+  const double others = pools_.at(ref.service).MeanWithout(own);
+  const auto mean = static_cast<double>(own.mean().count());
+  if (mean > settings_.slow_factor * others) PutAside(now, ref);
 }
 
 void InstanceTable::JudgeFailure(TimePoint now, const InstanceRef& ref) {
--- a/tests/routing/router_test.cc
+++ b/tests/routing/router_test.cc
@@ -122,5 +122,40 @@
   EXPECT_EQ(router_.State(now_).instances[0].left_behind, 0U);
 }
 
+// Service times with a long tail hold single requests far over the mean.
+TEST_F(RouterTest, OneLongRequestDoesNotPutAnInstanceAside) {
+  Start(4);
+  for (int i = 0; i < 200; ++i) {
+    Submit("r" + std::to_string(i));
+    const auto sent = Take<Dispatch>();
+    now_ += i == 150 ? milliseconds(240) : milliseconds(4);
+    router_.TargetAnswered(now_, sent->dispatch, TargetOutcome::kDone, out_);
+  }
+  EXPECT_EQ(router_.State(now_).counters.put_aside, 0U);
+}
+
+TEST_F(RouterTest, InstanceThatIsAlwaysSlowIsPutAside) {
+  Start(4);
+  for (int round = 0; round < 30; ++round) {
+    for (int i = 0; i < 8; ++i) {
+      Submit("r" + std::to_string(round) + "." + std::to_string(i));
+    }
+    std::vector<DispatchId> slow;
+    now_ += milliseconds(4);
+    while (const auto sent = Take<Dispatch>()) {
+      if (sent->instance == InstanceId("i2")) {
+        slow.push_back(sent->dispatch);
+        continue;
+      }
+      router_.TargetAnswered(now_, sent->dispatch, TargetOutcome::kDone, out_);
+    }
+    now_ += milliseconds(76);
+    for (const DispatchId dispatch : slow) {
+      router_.TargetAnswered(now_, dispatch, TargetOutcome::kDone, out_);
+    }
+  }
+  EXPECT_EQ(router_.State(now_).counters.put_aside, 1U);
+}
+
 }  // namespace
 }  // namespace chivewing
