Router: when no peer is free, forward to the shortest expected wait

Change: new default, the freest peer first and, when none is believed free, the peer whose queue and slots promise a shorter wait than waiting here. The property test draws the new rule too.

--- a/bench/waiting_bench.cc
+++ b/bench/waiting_bench.cc
@@ -186,6 +186,8 @@
   settings = {};
   settings.peer_choice = PeerChoice::kShortestDelay;
   schemes.push_back({"shortest delay", settings});
+  settings.peer_choice = PeerChoice::kFreestThenShortest;
+  schemes.push_back({"freest, then shortest delay", settings});
   return schemes;
 }
 
--- a/src/routing/peer_table.cc
+++ b/src/routing/peer_table.cc
@@ -73,6 +73,8 @@
       return ChooseOfTwo(service);
     case PeerChoice::kShortestDelay:
       return ChooseShortest(service, mean_service, local_wait);
+    case PeerChoice::kFreestThenShortest:
+      return ChooseFreestOrShortest(service, mean_service, local_wait);
   }
   return std::nullopt;
 }
@@ -127,6 +129,14 @@
   return best;
 }
 
+std::optional<HostId> PeerTable::ChooseFreestOrShortest(
+    const EntryName& service, Duration mean_service,
+    Duration local_wait) const {
+  std::optional<HostId> freest = ChooseFreest(service);
+  if (freest) return freest;
+  return ChooseShortest(service, mean_service, local_wait);
+}
+
 std::vector<PeerSummary> PeerTable::Summaries() const {
   std::vector<PeerSummary> summaries;
   for (const auto& [peer, services] : peers_) {
--- a/src/routing/peer_table.h
+++ b/src/routing/peer_table.h
@@ -55,6 +55,9 @@
   std::optional<HostId> ChooseShortest(const EntryName& service,
                                        Duration mean_service,
                                        Duration local_wait) const;
+  std::optional<HostId> ChooseFreestOrShortest(const EntryName& service,
+                                               Duration mean_service,
+                                               Duration local_wait) const;
 
   RouterSettings settings_;
   std::map<HostId, Services> peers_;
--- a/src/routing/router_settings.h
+++ b/src/routing/router_settings.h
@@ -7,15 +7,16 @@
 
 // How a full entry host picks the peer to forward to.
 enum class PeerChoice : std::uint8_t {
-  kNone,           // never forwards
-  kFreest,         // most free slots, else queues here
-  kTwoChoices,     // the freer of two peers drawn at random
-  kShortestDelay,  // shortest expected wait, queues included
+  kNone,                // never forwards
+  kFreest,              // most free slots, else queues here
+  kTwoChoices,          // the freer of two peers drawn at random
+  kShortestDelay,       // shortest expected wait, queues included
+  kFreestThenShortest,  // the freest; when none is free, the shortest wait
 };
 
 // Bounds of the router's policy.
 struct RouterSettings {
-  PeerChoice peer_choice = PeerChoice::kFreest;
+  PeerChoice peer_choice = PeerChoice::kFreestThenShortest;
   // Count own forwards that a peer's report does not hold yet.
   bool count_unseen_forwards = true;
   // Least time between two unasked load reports to the same peer.
--- a/tests/routing/router_property_test.cc
+++ b/tests/routing/router_property_test.cc
@@ -44,9 +44,9 @@
 RC_GTEST_PROP(RouterProperty, HoldsUnderRandomFaults,
               (const std::vector<Fault>& faults)) {
   RouterSettings settings;
-  settings.peer_choice =
-      *rc::gen::element(PeerChoice::kNone, PeerChoice::kFreest,
-                        PeerChoice::kTwoChoices, PeerChoice::kShortestDelay);
+  settings.peer_choice = *rc::gen::element(
+      PeerChoice::kNone, PeerChoice::kFreest, PeerChoice::kTwoChoices,
+      PeerChoice::kShortestDelay, PeerChoice::kFreestThenShortest);
   const std::uint32_t seed = *rc::gen::inRange(1U, 1000000U);
   FakeZone zone(seed, settings, {});
   zone.Run(faults);
