Server closes its listening socket only after its threads have ended

Cause: the thread sanitizer reported, in WorkerStandinTest, that StopAccepting closed the listening socket while a thread of libmicrohttpd could still use its number; a new socket with that number could have been taken for it. Seen failing (one race reported, exit status 66), now passing (13 and 65 tests, no report): the socket is shut down, which refuses connections at once, and closed by Stop after the threads have ended.

SlowSenderTest failed once in a run on the loaded machine: the count of timed out connections rose after the close that the sender sees. It now rises before; 20 repetitions pass.

Tried and reverted: epoll with curl_multi_socket_action in place of curl_multi_poll.

--- a/bench/http_bench.cc
+++ b/bench/http_bench.cc
@@ -25,7 +25,7 @@
 
   void Run(std::size_t requests, std::size_t at_once) {
     left_ = requests;
-    unsent_ = requests;
+    unsent_ = static_cast<std::ptrdiff_t>(requests);
     for (std::size_t i = 0; i < at_once; ++i) SendNext();
     std::unique_lock lock(mutex_);
     ended_.wait(lock, [this] { return left_ == 0; });
--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -178,6 +178,7 @@
   Handler handler_;
   MHD_Daemon* daemon_ = nullptr;
   std::uint16_t port_ = 0;
+  int quiesced_fd_ = -1;  // the listening socket after StopAccepting
   std::atomic<bool> accepting_{false};
   std::atomic<bool> stopping_{false};
 
@@ -424,16 +425,18 @@
   for (Connection* const connection : connections_) {
     if (!connection->receiving) continue;
     if (now - connection->since.load() < options_.idle_timeout) continue;
-    shutdown(connection->fd, SHUT_RDWR);
     connection->receiving = false;
     ++timed_out_;
+    shutdown(connection->fd, SHUT_RDWR);
   }
 }
 
 void HttpServer::Daemon::StopAccepting() {
   if (!accepting_.exchange(false)) return;
-  const int fd = MHD_quiesce_daemon(daemon_);
-  if (fd >= 0) close(fd);
+  quiesced_fd_ = MHD_quiesce_daemon(daemon_);
+  // Refuses new connections. Closed only by Stop: until then the threads of
+  // libmicrohttpd may use the number of the socket.
+  if (quiesced_fd_ >= 0) shutdown(quiesced_fd_, SHUT_RDWR);
 }
 
 void HttpServer::Daemon::AnswerWaiting() {
@@ -463,6 +466,8 @@
   sweeper_.join();
   MHD_stop_daemon(daemon_);
   daemon_ = nullptr;
+  if (quiesced_fd_ >= 0) close(quiesced_fd_);
+  quiesced_fd_ = -1;
 }
 
 HttpServerCounts HttpServer::Daemon::counts() const {
