Linter clean over the harness of cells

Cause: names and constness in tests/cell. Ruled out: exceptions in the linter's rules. Change: as the linter asks.

--- a/tests/cell/callers.cc
+++ b/tests/cell/callers.cc
@@ -58,7 +58,7 @@
 std::string Callers::SendOne(std::size_t host, const std::string& key,
                              const std::string& body) {
   const HttpAnswer answer = cell_.Request(host, entry_, body, key);
-  const std::string outcome(answer.Header("x-outcome"));
+  std::string outcome(answer.Header("x-outcome"));
   const std::lock_guard lock(mutex_);
   ++counts_.sent;
   if (!answer.ok()) {
--- a/tests/cell/cell.cc
+++ b/tests/cell/cell.cc
@@ -113,7 +113,7 @@
 
 std::string Cell::Write(const std::string& name,
                         const std::string& text) const {
-  const std::string path = folder_ + "/" + name;
+  std::string path = folder_ + "/" + name;
   std::ofstream(path) << text;
   return path;
 }
--- a/tests/cell/entry_process.cc
+++ b/tests/cell/entry_process.cc
@@ -14,6 +14,8 @@
 namespace chivewing {
 namespace {
 
+constexpr int kLogMode = 0600;
+
 std::string ProgramPath() {
   const char* folder = std::getenv("CHIVEWING_BIN");
   return std::string(folder == nullptr ? "." : folder) + "/chivewing";
@@ -36,10 +38,9 @@
                                 settings_path_.data(), nullptr};
   posix_spawn_file_actions_t actions;
   posix_spawn_file_actions_init(&actions);
-  constexpr int kMode = 0600;
   for (const int fd : {1, 2}) {
     posix_spawn_file_actions_addopen(&actions, fd, log_path_.c_str(),
-                                     O_WRONLY | O_CREAT | O_APPEND, kMode);
+                                     O_WRONLY | O_CREAT | O_APPEND, kLogMode);
   }
   posix_spawn(&pid_, program.c_str(), &actions, nullptr, words.data(), environ);
   posix_spawn_file_actions_destroy(&actions);
