Rows to be written have a class of their own; task rows are pushed to their zone

Ruled out: a lock around each post. Change: an atomic id of the duty's thread; PendingRows; task rows only to hosts of the zone. After: 11 process tests under the thread sanitizer with 0 reports, 11 without it pass, ./demo ends with 0.

--- a/src/entry/control_flow.cc
+++ b/src/entry/control_flow.cc
@@ -152,7 +152,21 @@
   RowFeed::Effects effects;
   feed_.OnRows(event.rows, effects);
   Apply(now, effects);
-  ports_.broadcast(RowsPush{std::move(event.rows)});
+  PushRows(std::move(event.rows));
+}
+
+void ControlFlow::PushRows(std::vector<TableRow> rows) {
+  RowsPush zone;
+  RowsPush region;
+  for (TableRow& row : rows) {
+    const bool local = row.key.starts_with(kTaskKeyPrefix);
+    (local ? zone : region).rows.push_back(std::move(row));
+  }
+  if (!region.rows.empty()) ports_.broadcast(region);
+  if (zone.rows.empty()) return;
+  for (const HostId& host : keeper_.directory().LiveInZone()) {
+    if (host != settings_.host) ports_.send_peer(host, zone);
+  }
 }
 
 void ControlFlow::On(TimePoint /*now*/, RefreshAsked& event) {
--- a/src/entry/control_flow.h
+++ b/src/entry/control_flow.h
@@ -88,6 +88,8 @@
   void TellRank();
   void Keep(const std::vector<TableRow>& rows);
   void FlushPublished(TimePoint now);
+  // Tells peers of committed rows: those of tasks the zone, others everybody.
+  void PushRows(std::vector<TableRow> rows);
   void AnswerState(std::uint64_t call);
 
   ControlFlowSettings settings_;
--- a/src/entry/duty_thread.h
+++ b/src/entry/duty_thread.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <algorithm>
+#include <atomic>
 #include <functional>
 #include <thread>
 #include <utility>
@@ -38,7 +39,7 @@
   // that this duty began; waits while the ring is full. Never called by a duty
   // that this one may wait for.
   void Post(Event event) {
-    if (std::this_thread::get_id() == thread_.get_id()) {
+    if (std::this_thread::get_id() == runner_.load()) {
       own_.push_back(std::move(event));
       return;
     }
@@ -60,6 +61,7 @@
 
  private:
   void Run(const TimeSource& clock, const Handler& handler) {
+    runner_ = std::this_thread::get_id();
     std::vector<Event> events;
     TimePoint wake = clock();
     while (!ring_.closed()) {
@@ -78,6 +80,7 @@
   Ring<Event> ring_;
   std::vector<Event> own_;  // posted by the duty itself
   std::thread thread_;
+  std::atomic<std::thread::id> runner_;  // the duty's own thread
 };
 
 }  // namespace chivewing
--- a/src/entry/zone_placer.cc
+++ b/src/entry/zone_placer.cc
@@ -56,7 +56,7 @@
       epoch_(epoch),
       view_(view),
       placer_(settings_.options, epoch),
-      statuses_(view.statuses()),
+      rows_(view.zone(), view.statuses(), ports_.wall_time),
       next_explain_(clock.now),
       next_sweep_(clock.now) {
   Load(clock);
@@ -173,15 +173,14 @@
 void ZonePlacer::SyncJob(const ClockPair& clock, const JobId& job) {
   const auto row = view_.jobs().find(job);
   if (row == view_.jobs().end() || row->second.zone != view_.zone()) return;
-  const auto status = statuses_.find(job);
-  if (status != statuses_.end() && HasEnded(status->second.state)) return;
+  if (rows_.HasEnded(job)) return;
   if (row->second.cancel_asked) {
     // A job that the placer never heard of has nothing to stop.
     Effects effects;
     const std::array<JobId, 1> jobs = {job};
     placer_.CancelJobs(clock.now, jobs, effects);
     if (effects.empty()) {
-      WriteStatus(job, JobState::kCancelled, "cancelled before it started");
+      rows_.PutStatus(job, JobState::kCancelled, "cancelled before it started");
     }
     Apply(clock.now, effects);
     return;
@@ -288,7 +287,7 @@
     if (row.state == TaskRowState::kStarting)
       row.state = TaskRowState::kRunning;
     row.address = effect.address;
-    WriteTask(row);
+    rows_.PutTask(row);
   }
   Apply(now, effects);
 }
@@ -319,7 +318,7 @@
   if (keep) {
     // Counts as done for a placer that takes over, until the job has ended.
     task->second.row.state = TaskRowState::kDone;
-    WriteTask(task->second.row);
+    rows_.PutTask(task->second.row);
     tasks_.erase(task);
   } else {
     EraseTask(effect.task);
@@ -383,7 +382,7 @@
   row.accelerators = effect.resources.accelerators;
   const CatalogueEntry* entry = view_.catalogue().Find(effect.entry);
   record.lapses = entry != nullptr && Lapses(*entry);
-  WriteTask(row);
+  rows_.PutTask(row);
 }
 
 void ZonePlacer::Do(TimePoint now, LaunchTask& effect) {
@@ -422,7 +421,7 @@
   // An instance that serves: everybody is told first, requests finish.
   record.stop_at = now + settings_.drain;
   record.row.state = TaskRowState::kLeaving;
-  WriteTask(record.row);
+  rows_.PutTask(record.row);
 }
 
 void ZonePlacer::StopDrained(TimePoint now) {
@@ -443,35 +442,30 @@
   for (const auto& [id, row] : view_.tasks()) {
     if (row.job == effect.job) EraseTask(id);
   }
-  // Rows of the open batch are not in the view yet.
-  for (auto& [key, value] : writes_) {
-    if (!value || !key.starts_with(TaskRowPrefix(view_.zone()))) continue;
-    const Result<TaskRow> row = DecodeTaskRow(key, *value);
-    if (row && row.value().job == effect.job) value.reset();
-  }
+  rows_.EraseTasksOf(effect.job);
   if (IsCatalogueJob(effect.job)) return;
-  WriteStatus(effect.job,
-              effect.cancelled ? JobState::kCancelled : JobState::kDone,
-              effect.cancelled ? "cancelled" : "all tasks ended well");
+  rows_.PutStatus(effect.job,
+                  effect.cancelled ? JobState::kCancelled : JobState::kDone,
+                  effect.cancelled ? "cancelled" : "all tasks ended well");
 }
 
 void ZonePlacer::Do(TimePoint /*now*/, JobRefused& effect) {
   LogWarning(LogPart::kPlacer,
              "job " + effect.job.value() + " refused: " + effect.detail);
   if (IsCatalogueJob(effect.job)) return;
-  WriteStatus(effect.job, JobState::kRefused, effect.detail);
+  rows_.PutStatus(effect.job, JobState::kRefused, effect.detail);
 }
 
 void ZonePlacer::Do(TimePoint /*now*/, JobUnplaceable& effect) {
   if (IsCatalogueJob(effect.job)) return;
-  WriteStatus(effect.job, JobState::kWaiting, effect.detail);
+  rows_.PutStatus(effect.job, JobState::kWaiting, effect.detail);
 }
 
 void ZonePlacer::Do(TimePoint /*now*/, JobHeldBack& effect) {
   LogWarning(LogPart::kPlacer,
              "job " + effect.job.value() + " held back: " + effect.detail);
   if (IsCatalogueJob(effect.job)) return;
-  WriteStatus(effect.job, JobState::kWaiting, effect.detail);
+  rows_.PutStatus(effect.job, JobState::kWaiting, effect.detail);
 }
 
 void ZonePlacer::Do(TimePoint now, ProbeWorker& effect) {
@@ -501,30 +495,11 @@
           "worker " + effect.worker.value() + " takes tasks again");
 }
 
-// --- Rows to be written ---
-
-void ZonePlacer::WriteTask(const TaskRow& row) {
-  TaskRow copy = row;
-  copy.since_ms = ports_.wall_time().count();
-  writes_[TaskRowKey(view_.zone(), row.task)] = EncodeTaskRow(copy);
-}
+// --- Batches ---
 
 void ZonePlacer::EraseTask(const TaskId& task) {
   tasks_.erase(task);
-  writes_[TaskRowKey(view_.zone(), task)] = std::nullopt;
-}
-
-void ZonePlacer::WriteStatus(const JobId& job, JobState state,
-                             const std::string& detail) {
-  JobStatusRow& status = statuses_[job];
-  if (status.state == state && status.detail == detail && status.job == job) {
-    return;
-  }
-  status.job = job;
-  status.state = state;
-  status.detail = detail;
-  status.ended_ms = HasEnded(state) ? ports_.wall_time().count() : 0;
-  writes_[JobStatusRowKey(job)] = EncodeJobStatusRow(status);
+  rows_.EraseTask(task);
 }
 
 std::vector<TableWrite> ZonePlacer::TakeWrites(TimePoint now) {
@@ -532,11 +507,7 @@
   Effects effects;
   batch_ = placer_.Decide(now, settings_.starts_max, effects);
   Apply(now, effects);
-  std::vector<TableWrite> out;
-  for (auto& [key, value] : writes_) {
-    out.push_back({key, std::move(value)});
-  }
-  writes_.clear();
+  std::vector<TableWrite> out = rows_.Take();
   batch_open_ = !out.empty();
   return out;
 }
@@ -567,13 +538,12 @@
   std::size_t explained = 0;
   for (const auto& [job, row] : view_.jobs()) {
     if (row.zone != view_.zone() || row.cancel_asked) continue;
-    const auto status = statuses_.find(job);
-    if (status != statuses_.end() && HasEnded(status->second.state)) continue;
+    if (rows_.HasEnded(job)) continue;
     if (++explained > settings_.explain_max) return;
     const WaitReason reason = placer_.Why(now, job);
     const bool waits = reason.code != ResultCode::kOk;
-    WriteStatus(job, waits ? JobState::kWaiting : JobState::kRunning,
-                waits ? reason.sentence : "all its tasks are placed");
+    rows_.PutStatus(job, waits ? JobState::kWaiting : JobState::kRunning,
+                    waits ? reason.sentence : "all its tasks are placed");
   }
 }
 
@@ -584,9 +554,7 @@
     const std::chrono::milliseconds ended(status.ended_ms);
     if (!HasEnded(status.state)) continue;
     if (clock.wall - ended < settings_.keep_ended) continue;
-    writes_[JobRowKey(job)] = std::nullopt;
-    writes_[JobStatusRowKey(job)] = std::nullopt;
-    statuses_.erase(job);
+    rows_.EraseJob(job);
   }
 }
 
@@ -601,7 +569,7 @@
                         {"tasks", summary.tasks},
                         {"capacity", ToJson(summary.capacity)},
                         {"reserved", ToJson(summary.reserved)},
-                        {"unwritten_rows", writes_.size()}};
+                        {"unwritten_rows", rows_.size()}};
   for (const WorkerView& worker : placer_.Workers()) {
     const auto link = links_.find(worker.spec.id);
     out["worker"][worker.spec.id.value()] = {
@@ -618,10 +586,7 @@
                                {"address", record.row.address}};
   }
   for (const auto& [job, row] : view_.jobs()) {
-    const auto status = statuses_.find(job);
-    const bool ended =
-        status != statuses_.end() && HasEnded(status->second.state);
-    if (ended || row.zone != view_.zone()) continue;
+    if (rows_.HasEnded(job) || row.zone != view_.zone()) continue;
     const WaitReason reason = placer_.Why(now, job);
     if (reason.code == ResultCode::kOk) continue;
     out["waiting"][job.value()] = reason.sentence;
--- a/src/entry/zone_placer.h
+++ b/src/entry/zone_placer.h
@@ -11,6 +11,7 @@
 #include "base/id.h"
 #include "base/time.h"
 #include "entry/job_specs.h"
+#include "entry/pending_rows.h"
 #include "entry/placer_ports.h"
 #include "entry/placer_view.h"
 #include "placement/placer.h"
@@ -109,9 +110,7 @@
   void OnWorker(TimePoint now, const WorkerId& worker, TaskUsage& effect);
   void OnWorker(TimePoint now, const WorkerId& worker, WorkerFenced& effect);
 
-  void WriteTask(const TaskRow& row);
   void EraseTask(const TaskId& task);
-  void WriteStatus(const JobId& job, JobState state, const std::string& detail);
   void StopDrained(TimePoint now);
   void ExplainJobs(TimePoint now);
   void SweepEnded(const ClockPair& clock);
@@ -124,8 +123,7 @@
   Placer placer_;
   std::map<WorkerId, WorkerLink> links_;
   std::map<TaskId, TaskRecord> tasks_;
-  std::map<std::string, std::optional<std::string>> writes_;  // by row key
-  std::map<JobId, JobStatusRow> statuses_;
+  PendingRows rows_;
   std::optional<BatchId> batch_;  // starts in the open batch
   bool batch_open_ = false;
   std::map<TaskId, WorkerId> probes_;
