Status of an instance keeps the work that may run longest

The trace: two dispatches had timed out, the instance reported one running, and the router kept the older one's slot, which expired 180 ms before the newer request ended. Ruled out: the take-over and the arrival bound, neither of which occurs in the trace. Change: of the work that a status leaves, the entries with the latest end stay.

--- a/src/routing/instance.cc
+++ b/src/routing/instance.cc
@@ -102,6 +102,12 @@
 }
 
 void Instance::ApplyStatus(const TargetStatus& status, TimePoint asked_at) {
+  // Which of the requests still runs is not told: it may be the one that can
+  // run longest.
+  std::sort(left_behind_.begin(), left_behind_.end(),
+            [](const LeftBehind& a, const LeftBehind& b) {
+              return a.until > b.until;
+            });
   std::uint32_t kept = 0;
   const auto is_over = [&](const LeftBehind& each) {
     if (each.arrived_by > asked_at) return false;
--- /dev/null
+++ b/tests/routing/instance_test.cc
@@ -0,0 +1,28 @@
+#include "routing/instance.h"
+
+#include <gtest/gtest.h>
+
+namespace chivewing {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr TimePoint kStart{std::chrono::hours(1)};
+
+// Two dispatches without an outcome, of which the instance still runs one.
+TEST(InstanceTest, StatusKeepsTheWorkThatMayRunLongest) {
+  Instance instance({});
+  instance.LeaveBehind({kStart, kStart + milliseconds(100)});
+  instance.LeaveBehind({kStart, kStart + milliseconds(300)});
+  TargetStatus status;
+  status.running = 1;
+  instance.ApplyStatus(status, kStart + milliseconds(50));
+  EXPECT_EQ(instance.left_behind(), 1U);
+  instance.Expire(kStart + milliseconds(200));
+  EXPECT_EQ(instance.left_behind(), 1U);
+  instance.Expire(kStart + milliseconds(300));
+  EXPECT_EQ(instance.left_behind(), 0U);
+}
+
+}  // namespace
+}  // namespace chivewing
