--- a/src/catalogue/catalogue_change.h
+++ b/src/catalogue/catalogue_change.h
@@ -8,7 +8,7 @@
 #include "catalogue/catalogue_messages.h"
 #include "catalogue/catalogue_record.h"
 #include "catalogue/change_effect.h"
-#include "platform/table.h"
+#include "store/table.h"
 
 namespace chivewing {
 
--- a/src/catalogue/change_effect.h
+++ b/src/catalogue/change_effect.h
@@ -9,7 +9,7 @@
 #include "base/result.h"
 #include "base/time.h"
 #include "catalogue/catalogue_messages.h"
-#include "platform/table.h"
+#include "store/table.h"
 
 namespace chivewing {
 
--- a/src/chivewing/main.cc
+++ b/src/chivewing/main.cc
@@ -5,6 +5,7 @@
 
 #include "cli/cli.h"
 #include "entry/serve.h"
+#include "platform/serve_cluster.h"
 
 namespace {
 
@@ -19,6 +20,7 @@
   chivewing::CliHooks hooks;
   hooks.call = chivewing::MakeCallHook();
   hooks.serve = chivewing::RunServe;
+  hooks.serve_cluster = chivewing::RunServeCluster;
   hooks.environment = Environment;
   hooks.out = &std::cout;
   hooks.err = &std::cerr;
--- a/src/cli/process_verbs.cc
+++ b/src/cli/process_verbs.cc
@@ -1,4 +1,4 @@
-// The verbs of one process: serve, check-settings and version.
+// The verbs of one process: serve, serve-cluster, check-settings and version.
 
 #include <ostream>
 
@@ -26,6 +26,19 @@
   return static_cast<ExitStatus>(hooks.serve(settings.value()));
 }
 
+ExitStatus ServeCluster(const Arguments& arguments, const CliHooks& hooks) {
+  if (!arguments.Has("settings")) {
+    const Faults faults = {Fault{"", 0, "--settings", "FILE is needed"}};
+    return ReportFaults(ResultCode::kBadSettings, faults, hooks);
+  }
+  const Checked<ClusterSettings> settings =
+      ReadClusterSettingsFile(arguments.Value("settings"));
+  if (!settings) {
+    return ReportFaults(ResultCode::kBadSettings, settings.error(), hooks);
+  }
+  return static_cast<ExitStatus>(hooks.serve_cluster(settings.value()));
+}
+
 ExitStatus CheckSettingsFile(const Arguments& arguments,
                              const CliHooks& hooks) {
   if (arguments.Has("list-keys")) {
@@ -60,6 +73,18 @@
   return verb;
 }
 
+Verb ServeClusterVerb() {
+  Verb verb;
+  verb.name = "serve-cluster";
+  verb.summary =
+      "Runs the process of an entry host on the platform until SIGTERM or "
+      "SIGINT.";
+  verb.options = {{"settings", "FILE", "settings of this process"}};
+  verb.examples = "  chivewing serve-cluster --settings host-1.json\n";
+  verb.run = ServeCluster;
+  return verb;
+}
+
 Verb CheckSettingsVerb() {
   Verb verb;
   verb.name = "check-settings";
@@ -85,7 +110,7 @@
 }  // namespace
 
 std::vector<Verb> ProcessVerbs() {
-  return {ServeVerb(), CheckSettingsVerb(), VersionVerb()};
+  return {ServeVerb(), ServeClusterVerb(), CheckSettingsVerb(), VersionVerb()};
 }
 
 }  // namespace chivewing
--- a/src/cli/verb.h
+++ b/src/cli/verb.h
@@ -10,6 +10,7 @@
 #include "cli/arguments.h"
 #include "cli/call_hook.h"
 #include "cli/exit_status.h"
+#include "cluster/cluster_settings.h"
 #include "settings/settings.h"
 
 namespace chivewing {
@@ -20,6 +21,8 @@
   // Runs the process of an entry host until it is stopped; gives the exit
   // status.
   std::function<int(const Settings&)> serve;
+  // The same for an entry host on the platform.
+  std::function<int(const ClusterSettings&)> serve_cluster;
   std::function<std::string(const std::string&)> environment;
   std::ostream* out = nullptr;
   std::ostream* err = nullptr;
@@ -43,7 +46,7 @@
 const std::vector<Verb>& Verbs();
 
 // The verbs of each group.
-std::vector<Verb> ProcessVerbs();    // serve, check-settings, version
+std::vector<Verb> ProcessVerbs();    // serve, serve-cluster, ...
 std::vector<Verb> CatalogueVerbs();  // catalogue ...
 std::vector<Verb> JobVerbs();        // submit, cancel, jobs, where
 std::vector<Verb> RequestVerbs();    // request, state
--- /dev/null
+++ b/src/cluster/caller_desk.cc
@@ -0,0 +1,273 @@
+#include "cluster/caller_desk.h"
+
+#include <algorithm>
+#include <optional>
+#include <string_view>
+#include <utility>
+
+#include "base/log.h"
+
+namespace chivewing {
+namespace {
+
+using std::chrono::milliseconds;
+
+// Time that a caller is taken to wait when it does not say.
+constexpr milliseconds kUsualTimeLimit{3000};
+// Kept free at the end of a caller's time, for the way of the answer.
+constexpr milliseconds kAnswerMargin{150};
+// Writes that the table certainly did not take are tried this often.
+constexpr int kMostTries = 4;
+constexpr milliseconds kFirstRetry{40};
+// When a caller may come back after the table was not to be reached.
+constexpr milliseconds kRetryAfterTable{1000};
+constexpr milliseconds kRetryAfterStart{500};
+constexpr std::size_t kJobIdLength = 16;
+
+bool IsJobId(std::string_view text) {
+  return text.size() == kJobIdLength &&
+         std::all_of(text.begin(), text.end(), [](char c) {
+           return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f');
+         });
+}
+
+CallerReply NotRun(milliseconds retry_after) {
+  CallerReply reply;
+  reply.kind = ReplyKind::kNotRun;
+  reply.retry_after = retry_after;
+  return reply;
+}
+
+CallerReply Plain(ReplyKind kind) {
+  CallerReply reply;
+  reply.kind = kind;
+  return reply;
+}
+
+CallerReply Bad(std::string problem) {
+  CallerReply reply;
+  reply.kind = ReplyKind::kBadRequest;
+  reply.problem = std::move(problem);
+  return reply;
+}
+
+}  // namespace
+
+void CallerDesk::Refuse(std::uint64_t call, milliseconds retry_after) {
+  hooks_.answer(call, NotRun(retry_after));
+}
+
+void CallerDesk::OnCall(TimePoint now, std::uint64_t call,
+                        const CallerCall& request, const std::string& body) {
+  if (!queues_.ready()) {
+    Refuse(call, kRetryAfterStart);
+    return;
+  }
+  const Queue* const queue = queues_.Find(request.host, request.path);
+  if (queue == nullptr) {
+    hooks_.answer(call, Plain(ReplyKind::kNoQueue));
+    return;
+  }
+  const std::string name = request.path.substr(queue->path_prefix.size());
+  if (name.empty() && request.kind == CallKind::kState) {
+    CallerReply reply = Plain(ReplyKind::kWaiting);
+    reply.waiting = index_.CountWaiting(queue->name);
+    hooks_.answer(call, reply);
+    return;
+  }
+  if (!IsJobId(name)) {
+    hooks_.answer(call, Bad("the path names no job"));
+    return;
+  }
+  const JobId job(name);
+  switch (request.kind) {
+    case CallKind::kSubmit:
+      Submit(now, call, request, *queue, job, body);
+      return;
+    case CallKind::kState:
+      TellState(now, call, job);
+      return;
+    case CallKind::kCancel:
+      Cancel(now, call, request, job);
+      return;
+    case CallKind::kUnknown:
+      hooks_.answer(call, Bad("the method is not known"));
+      return;
+  }
+}
+
+void CallerDesk::Submit(TimePoint now, std::uint64_t call,
+                        const CallerCall& request, const Queue& queue,
+                        const JobId& job, const std::string& body) {
+  if (index_.StateOf(job)) {
+    hooks_.answer(call, Plain(ReplyKind::kAccepted));
+    return;
+  }
+  Result<JobDescription> spec = hooks_.decode_job(body);
+  if (!spec) {
+    LogInfo(LogPart::kRouter,
+            "refused job=" + job.value() + " why=" + spec.error().detail);
+    hooks_.answer(call, Bad(spec.error().detail));
+    return;
+  }
+  JobRecord record;
+  record.id = job;
+  record.queue = queue;
+  record.spec = std::move(spec.value());
+  record.accepted_at = hooks_.wall();
+  StartWrite(now, call, request, JobRecordKey(job), EncodeJobRecord(record),
+             ReplyKind::kAccepted);
+}
+
+void CallerDesk::TellState(TimePoint /*now*/, std::uint64_t call,
+                           const JobId& job) {
+  const auto tell = [this, call](JobPhase state) {
+    CallerReply reply = Plain(ReplyKind::kState);
+    reply.state = state;
+    hooks_.answer(call, reply);
+  };
+  if (const std::optional<JobPhase> state = index_.StateOf(job)) {
+    tell(*state);
+    return;
+  }
+  LookUp(call, job, [this, call, job, tell](TimePoint, bool found) {
+    if (!found) {
+      hooks_.answer(call, Plain(ReplyKind::kNoJob));
+      return;
+    }
+    tell(index_.StateOf(job).value_or(JobPhase::kQueued));
+  });
+}
+
+void CallerDesk::Cancel(TimePoint now, std::uint64_t call,
+                        const CallerCall& request, const JobId& job) {
+  const auto write = [this, call, request, job](TimePoint when) {
+    StartWrite(when, call, request, CancelRowKey(job), "{}",
+               ReplyKind::kCancelled);
+  };
+  const std::optional<JobPhase> state = index_.StateOf(job);
+  if (state == JobPhase::kCancelled) {
+    hooks_.answer(call, Plain(ReplyKind::kCancelled));
+    return;
+  }
+  if (state) {
+    write(now);
+    return;
+  }
+  LookUp(call, job, [this, call, write](TimePoint when, bool found) {
+    if (found) {
+      write(when);
+    } else {
+      hooks_.answer(call, Plain(ReplyKind::kNoJob));
+    }
+  });
+}
+
+void CallerDesk::LookUp(std::uint64_t call, const JobId& job,
+                        std::function<void(TimePoint, bool)> then) {
+  const auto done = [this, call,
+                     then = std::move(then)](const ReadAnswer& answer) {
+    hooks_.post([this, call, then, answer](TimePoint now) {
+      if (!answer.ok) {
+        Refuse(call, kRetryAfterTable);
+        return;
+      }
+      bool found = false;
+      for (const TableRow& row : answer.rows) {
+        if (!row.value) continue;
+        found = true;
+        hooks_.on_row(now, row);
+      }
+      then(now, found);
+    });
+  };
+  calls_.read(JobRecordKey(job), done);
+}
+
+void CallerDesk::StartWrite(TimePoint now, std::uint64_t call,
+                            const CallerCall& request, const std::string& key,
+                            std::string value, ReplyKind done) {
+  const milliseconds limit = request.time_limit.value_or(kUsualTimeLimit);
+  const TimePoint deadline =
+      now + std::max(milliseconds(0), limit - kAnswerMargin);
+  const auto [found, added] = writes_.try_emplace(key);
+  Write& write = found->second;
+  write.calls.push_back(call);
+  write.deadline = std::max(write.deadline, deadline);
+  if (!added) return;
+  write.done = done;
+  write.transaction.write_id = std::to_string(next_write_++);
+  write.transaction.conditions = {{key, 0}};
+  write.transaction.writes = {{key, std::move(value)}};
+  Send(now, key, write);
+}
+
+void CallerDesk::Send(TimePoint /*now*/, const std::string& key, Write& write) {
+  write.open = true;
+  ++write.tries;
+  calls_.commit(write.transaction, [this, key](const CommitAnswer& answer) {
+    hooks_.post(
+        [this, key, answer](TimePoint now) { OnCommit(now, key, answer); });
+  });
+}
+
+void CallerDesk::OnCommit(TimePoint now, const std::string& key,
+                          const CommitAnswer& answer) {
+  const auto found = writes_.find(key);
+  if (found == writes_.end()) return;
+  Write& write = found->second;
+  write.open = false;
+  if (answer.status == CommitStatus::kCommitted) {
+    const TableRow row{key, write.transaction.writes.front().value,
+                       answer.revision, write.transaction.write_id};
+    hooks_.on_row(now, row);
+    End(key, Plain(write.done));
+    return;
+  }
+  // The row is there already: from this caller's request sent before, or from
+  // an earlier copy of this write.
+  if (answer.status == CommitStatus::kConflict) {
+    for (const TableRow& row : answer.rows) hooks_.on_row(now, row);
+    End(key, Plain(write.done));
+    return;
+  }
+  write.in_doubt |= answer.status == CommitStatus::kUnknown;
+  const int doublings = std::min(write.tries - 1, 3);
+  write.next_send = now + kFirstRetry * (1 << doublings);
+  if (!write.in_doubt && write.tries >= kMostTries) {
+    LogWarning(LogPart::kPlatform, "table refused row=" + key +
+                                       " tries=" + std::to_string(write.tries));
+    End(key, NotRun(kRetryAfterTable));
+  }
+}
+
+void CallerDesk::End(const std::string& key, const CallerReply& reply) {
+  const auto node = writes_.extract(key);
+  for (const std::uint64_t call : node.mapped().calls) {
+    hooks_.answer(call, reply);
+  }
+}
+
+TimePoint CallerDesk::Tick(TimePoint now) {
+  TimePoint next = TimePoint::max();
+  std::vector<std::string> over;
+  for (auto& [key, write] : writes_) {
+    if (now >= write.deadline) {
+      over.push_back(key);
+      continue;
+    }
+    if (!write.open && now >= write.next_send) Send(now, key, write);
+    next = std::min(next, write.deadline);
+    if (!write.open) next = std::min(next, write.next_send);
+  }
+  for (const std::string& key : over) {
+    const Write& write = writes_.at(key);
+    const bool unsure = write.in_doubt || write.open;
+    LogWarning(LogPart::kPlatform, "no answer of the table in time row=" + key +
+                                       " in_doubt=" + (unsure ? "1" : "0"));
+    End(key, unsure ? Plain(ReplyKind::kInDoubt) : NotRun(kRetryAfterTable));
+  }
+  return next;
+}
+
+}  // namespace chivewing
--- /dev/null
+++ b/src/cluster/caller_desk.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "base/time.h"
+#include "cluster/job_index.h"
+#include "cluster/platform_ports.h"
+#include "cluster/queue_table.h"
+
+namespace chivewing {
+
+// Answers callers. A job or a cancel is acknowledged once its row is in the
+// table; the row's key is the job's id, so that a request which comes again, at
+// any host, finds it.
+class CallerDesk {
+ public:
+  using Post = std::function<void(std::function<void(TimePoint)>)>;
+  struct Hooks {
+    Post post{};
+    // Answers the call with this id.
+    std::function<void(std::uint64_t call, const CallerReply& reply)> answer{};
+    // A row has been written here, or was read for a caller.
+    std::function<void(TimePoint, const TableRow&)> on_row{};
+    // The time of day since 1970.
+    std::function<std::chrono::milliseconds()> wall{};
+    std::function<Result<JobDescription>(const std::string&)> decode_job{};
+  };
+
+  CallerDesk(TableCalls calls, const QueueTable& queues, const JobIndex& index,
+             Hooks hooks)
+      : calls_(std::move(calls)),
+        queues_(queues),
+        index_(index),
+        hooks_(std::move(hooks)) {}
+
+  void OnCall(TimePoint now, std::uint64_t call, const CallerCall& request,
+              const std::string& body);
+  // Sends writes again that are due; returns when it is to be called again.
+  TimePoint Tick(TimePoint now);
+
+ private:
+  // A row on its way to the table, and the calls that wait for it.
+  struct Write {
+    TableTransaction transaction{};
+    ReplyKind done = ReplyKind::kAccepted;
+    std::vector<std::uint64_t> calls{};
+    TimePoint deadline{};
+    bool in_doubt = false;
+    bool open = false;
+    int tries = 0;
+    TimePoint next_send{};
+  };
+
+  void Submit(TimePoint now, std::uint64_t call, const CallerCall& request,
+              const Queue& queue, const JobId& job, const std::string& body);
+  void TellState(TimePoint now, std::uint64_t call, const JobId& job);
+  void Cancel(TimePoint now, std::uint64_t call, const CallerCall& request,
+              const JobId& job);
+  // Calls `then` with whether the job's row is in the table; answers the call
+  // itself when the table cannot be read.
+  void LookUp(std::uint64_t call, const JobId& job,
+              std::function<void(TimePoint, bool)> then);
+  void StartWrite(TimePoint now, std::uint64_t call, const CallerCall& request,
+                  const std::string& key, std::string value, ReplyKind done);
+  void Send(TimePoint now, const std::string& key, Write& write);
+  void OnCommit(TimePoint now, const std::string& key,
+                const CommitAnswer& answer);
+  void End(const std::string& key, const CallerReply& reply);
+  void Refuse(std::uint64_t call, std::chrono::milliseconds retry_after);
+
+  TableCalls calls_;
+  const QueueTable& queues_;
+  const JobIndex& index_;
+  Hooks hooks_;
+  std::map<std::string, Write> writes_;  // by row key
+  std::uint64_t next_write_ = 1;
+};
+
+}  // namespace chivewing
--- /dev/null
+++ b/src/cluster/cluster_settings.cc
@@ -0,0 +1,144 @@
+#include "cluster/cluster_settings.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+#include <vector>
+
+#include "schema/field.h"
+#include "schema/field_binding.h"
+#include "schema/field_reader.h"
+#include "schema/json_parser.h"
+#include "schema/text_file.h"
+
+namespace chivewing {
+namespace {
+
+constexpr std::array<std::string_view, 4> kLevels = {"debug", "info", "warning",
+                                                     "error"};
+constexpr double kLongestMs = 600'000;
+
+struct Field {
+  FieldSpec spec;
+  FieldBinding<ClusterSettings> binding;
+};
+
+FieldSpec Spec(std::string_view name, FieldKind kind, bool required,
+               std::string_view meaning) {
+  FieldSpec spec;
+  spec.name = name;
+  spec.kind = kind;
+  spec.required = required;
+  spec.meaning = meaning;
+  return spec;
+}
+
+FieldSpec Interval(std::string_view name, std::string_view meaning) {
+  FieldSpec spec = Spec(name, FieldKind::kCount, false, meaning);
+  spec.unit = "ms";
+  spec.least = 1;
+  spec.most = kLongestMs;
+  return spec;
+}
+
+FieldBinding<ClusterSettings> BindLevel() {
+  return {[](const ClusterSettings& settings) -> FieldValue {
+            const auto index = static_cast<std::size_t>(settings.log_level);
+            return std::string(kLevels.at(index));
+          },
+          [](ClusterSettings& settings, const FieldValue& value) {
+            const auto& name = std::get<std::string>(value);
+            const auto* const found =
+                std::find(kLevels.begin(), kLevels.end(), name);
+            settings.log_level = static_cast<LogLevel>(found - kLevels.begin());
+          }};
+}
+
+std::vector<Field> MakeFields() {
+  using S = ClusterSettings;
+  constexpr bool required = true;
+  FieldSpec level = Spec("log_level", FieldKind::kChoice, !required,
+                         "least severe level that is logged");
+  level.choices = kLevels;
+  return {
+      {Spec("host", FieldKind::kName, required, "name of this entry host"),
+       Bind(&S::host)},
+      {Spec("zone", FieldKind::kName, required, "its availability zone"),
+       Bind(&S::zone)},
+      {Spec("caller_address", FieldKind::kAddress, required,
+            "where callers' requests are taken"),
+       Bind(&S::caller_address)},
+      {Spec("ready_address", FieldKind::kAddress, required,
+            "where the balancer asks whether this host is ready"),
+       Bind(&S::ready_address)},
+      {Spec("peer_address", FieldKind::kAddress, required,
+            "where the other entry hosts connect"),
+       Bind(&S::peer_address)},
+      {Spec("metrics_address", FieldKind::kAddress, !required,
+            "where metrics are served"),
+       Bind(&S::metrics_address)},
+      {Spec("store_address", FieldKind::kAddress, required,
+            "the platform's store"),
+       Bind(&S::store_address)},
+      {Spec("advice_address", FieldKind::kAddress, !required,
+            "the service that says which workers may run a step"),
+       Bind(&S::advice_address)},
+      {Interval("longest_lease_ms", "longest lease that workers grant"),
+       Bind(&S::longest_lease)},
+      {Interval("worker_lease_ms", "lease that orders give a worker"),
+       Bind(&S::worker_lease)},
+      {Interval("host_lease_ms", "lease of the dispatching host"),
+       Bind(&S::host_lease)},
+      {Interval("stop_within_ms", "longest time of a planned stop"),
+       Bind(&S::stop_within)},
+      {level, BindLevel()},
+  };
+}
+
+const std::vector<Field>& Fields() {
+  static const std::vector<Field> fields = MakeFields();
+  return fields;
+}
+
+std::vector<FieldSpec> Specs() {
+  std::vector<FieldSpec> specs;
+  for (const Field& field : Fields()) specs.push_back(field.spec);
+  return specs;
+}
+
+}  // namespace
+
+Checked<ClusterSettings> ReadClusterSettings(std::string_view text,
+                                             const std::string& file) {
+  const Checked<JsonNode> root = ParseJson(text, file);
+  if (!root) return root.error();
+  FaultCollector faults(file);
+  ClusterSettings settings;
+  const std::vector<FieldSpec> specs = Specs();
+  const auto assign = [&settings](std::size_t index, const FieldValue& value) {
+    Fields()[index].binding.set(settings, value);
+  };
+  ReadFields(specs, root.value(), "", assign, faults);
+  if (settings.worker_lease > settings.longest_lease) {
+    faults.AddLocated("worker_lease_ms", "must not be over longest_lease_ms");
+  }
+  if (!faults.empty()) return faults.Take();
+  return settings;
+}
+
+Checked<ClusterSettings> ReadClusterSettingsFile(const std::string& path) {
+  const Checked<std::string> text = ReadTextFile(path);
+  if (!text) return text.error();
+  return ReadClusterSettings(text.value(), path);
+}
+
+std::string ClusterSettingsTable() {
+  const ClusterSettings defaults;
+  std::vector<FieldValue> values;
+  for (const Field& field : Fields()) {
+    values.push_back(field.binding.get(defaults));
+  }
+  return MarkdownTable(Specs(), values);
+}
+
+}  // namespace chivewing
--- /dev/null
+++ b/src/cluster/dispatch_duty.h
@@ -0,0 +1,114 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "base/time.h"
+#include "cluster/cluster_settings.h"
+#include "cluster/platform_ports.h"
+#include "cluster/row_follower.h"
+#include "dispatch/dispatcher.h"
+#include "lease/lease_holder.h"
+
+namespace chivewing {
+
+// Holds, or waits for, the dispatcher's lease; while it is held, runs the
+// dispatcher: carries out its effects and writes its progress to the table.
+class DispatchDuty {
+ public:
+  using Post = std::function<void(std::function<void(TimePoint)>)>;
+  struct Hooks {
+    Post post{};
+    std::function<std::chrono::milliseconds()> wall{};
+    // Rows that were just committed; `own` has applied them already.
+    std::function<void(TimePoint, const std::vector<TableRow>&)> committed{};
+    // Puts a question to the advice service, here or at a peer.
+    std::function<void(const AskAdvice&)> ask{};
+  };
+
+  DispatchDuty(TimePoint now, const ClusterSettings& settings,
+               std::uint64_t incarnation, const PlatformPorts& ports,
+               RowFollower& rows, Hooks hooks);
+
+  // A row of the table, newer than any before of its key.
+  void OnRow(TimePoint now, const TableRow& row);
+  void OnAdvice(TimePoint now, std::uint64_t ask, const AdviceAnswer& answer);
+  void set_askers(std::set<HostId> askers);
+  void set_rank(std::size_t rank) { lease_.set_rank(rank); }
+
+  TimePoint Tick(TimePoint now);
+  // Planned stop: gives the lease back.
+  void Stop(TimePoint now);
+  bool IsStopped() const { return lease_.IsStopped(); }
+  bool dispatching() const { return dispatcher_ != nullptr; }
+  const Dispatcher* dispatcher() const { return dispatcher_.get(); }
+
+ private:
+  // One take-over: what has to be read before the dispatcher can begin.
+  struct TakeOver {
+    std::uint64_t epoch = 0;
+    bool rows_read = false;
+    bool workers_read = false;
+    std::uint64_t first_new_version = 0;
+    WorkerNews workers{};
+  };
+
+  void TickLease(TimePoint now);
+  void CarryOutLease(TimePoint now, std::vector<LeaseEffect>& effects);
+  void Commit(const TableTransaction& transaction);
+  void OnCommit(TimePoint now, const TableTransaction& transaction,
+                const CommitAnswer& answer);
+  void BeginTakeOver(TimePoint now, std::uint64_t epoch);
+  void ReadWorkers(TimePoint now);
+  void ContinueTakeOver(TimePoint now);
+  void AddKnownJobs(TimePoint now, std::uint64_t first_new_version);
+  void AddJobRow(TimePoint now, const TableRow& row, bool uncertain);
+  void DropDispatcher(TimePoint now, const std::string& why);
+
+  void WatchWorkers(TimePoint now);
+  void OnWorkers(TimePoint now, const WorkerNews& news);
+  void Apply(TimePoint now, const WorkerNews& news);
+  void SaveProgress(TimePoint now);
+  void OnBatchAnswer(TimePoint now, const CommitAnswer& answer);
+  void ApplyBatch(TimePoint now, std::uint64_t version);
+
+  void CarryOut(const DispatchEffects& effects);
+  void CarryOut(const StartRun& order);
+  void CarryOut(const StopRun& order);
+  void CarryOut(const PaceRun& order);
+  void CarryOut(const PollWorker& order);
+  void CarryOut(const AskAdvice& ask);
+  template <typename Answer, typename Function>
+  std::function<void(Answer)> ToDispatcher(Function function);
+
+  const ClusterSettings settings_;
+  const PlatformPorts& ports_;
+  RowFollower& rows_;
+  Hooks hooks_;
+  LeaseHolder lease_;
+  std::optional<TakeOver> take_over_;
+  std::unique_ptr<Dispatcher> dispatcher_;
+  // Answers that were asked for by an earlier dispatcher are dropped.
+  std::uint64_t term_ = 0;
+  std::set<HostId> askers_;
+
+  std::uint64_t workers_revision_ = 0;
+  bool workers_open_ = false;
+  TimePoint workers_next_{};
+
+  // The batch on its way to the table.
+  std::optional<ProgressBatch> batch_;
+  TableTransaction batch_transaction_{};
+  bool batch_open_ = false;
+  bool batch_in_doubt_ = false;
+  TimePoint batch_next_{};
+  std::uint64_t next_write_ = 1;
+  std::string write_prefix_;
+};
+
+}  // namespace chivewing
--- /dev/null
+++ b/src/cluster/host_row.cc
@@ -0,0 +1,34 @@
+#include "cluster/host_row.h"
+
+#include <nlohmann/json.hpp>
+
+#include "schema/json_parser.h"
+#include "schema/member_reader.h"
+
+namespace chivewing {
+
+std::string HostRowKey(const HostId& host) {
+  return std::string(kHostRows) + host.value();
+}
+
+std::string EncodeHostRow(const HostRow& row) {
+  const nlohmann::json out = {{"zone", row.zone.value()},
+                              {"address", row.address},
+                              {"incarnation", row.incarnation}};
+  return out.dump();
+}
+
+Result<HostRow> DecodeHostRow(std::string_view key, std::string_view value) {
+  const Checked<JsonNode> root = ParseJson(value, "host row");
+  if (!root) return ToError(ResultCode::kBadRequest, root.error());
+  MemberReader reader(root.value());
+  HostRow out;
+  out.host = HostId(std::string(key.substr(kHostRows.size())));
+  out.zone = ZoneId(reader.Text("zone"));
+  out.address = reader.Text("address");
+  out.incarnation = static_cast<std::uint64_t>(reader.Integer("incarnation"));
+  if (!reader.good()) return Error{ResultCode::kBadRequest, reader.problem()};
+  return out;
+}
+
+}  // namespace chivewing
--- /dev/null
+++ b/src/cluster/host_row.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "base/id.h"
+#include "base/result.h"
+
+namespace chivewing {
+
+// Rows by which the entry hosts find each other.
+inline constexpr std::string_view kHostRows = "host/";
+
+struct HostRow {
+  HostId host{};
+  ZoneId zone{};
+  std::string address{};          // "ip:port" of its peers' port
+  std::uint64_t incarnation = 0;  // of the process that wrote the row
+};
+
+std::string HostRowKey(const HostId& host);
+std::string EncodeHostRow(const HostRow& row);
+Result<HostRow> DecodeHostRow(std::string_view key, std::string_view value);
+
+}  // namespace chivewing
--- /dev/null
+++ b/src/cluster/job_index.cc
@@ -0,0 +1,59 @@
+#include "cluster/job_index.h"
+
+#include <algorithm>
+#include <string_view>
+
+#include "base/log.h"
+
+namespace chivewing {
+
+void JobIndex::OnRow(const TableRow& row) {
+  const std::string_view key = row.key;
+  if (key.starts_with(kJobRows)) {
+    const JobId job = JobOfRowKey(key, kJobRows);
+    if (!row.value) {
+      entries_.erase(job);
+      return;
+    }
+    const Result<JobRecord> record = DecodeJobRecord(job, *row.value);
+    if (!record) {
+      LogError(LogPart::kPlacer, "unreadable row key=" + row.key +
+                                     " why=" + record.error().detail);
+      return;
+    }
+    Entry& entry = entries_[job];
+    entry.accepted = true;
+    entry.queue = record.value().queue.name;
+  } else if (key.starts_with(kCancelRows) && row.value) {
+    entries_[JobOfRowKey(key, kCancelRows)].cancelled = true;
+  } else if (key.starts_with(kProgressRows) && row.value) {
+    const Result<JobProgress> progress = DecodeJobProgress(*row.value);
+    if (!progress) {
+      LogError(LogPart::kPlacer, "unreadable row key=" + row.key +
+                                     " why=" + progress.error().detail);
+      return;
+    }
+    entries_[JobOfRowKey(key, kProgressRows)].state = progress.value().state;
+  }
+}
+
+std::optional<JobPhase> JobIndex::StateOf(const JobId& job) const {
+  const auto found = entries_.find(job);
+  if (found == entries_.end() || !found->second.accepted) return std::nullopt;
+  const Entry& entry = found->second;
+  if (entry.cancelled && !IsFinal(entry.state)) return JobPhase::kCancelled;
+  return entry.state;
+}
+
+bool JobIndex::IsWaiting(const Entry& entry) const {
+  return entry.accepted && !entry.cancelled && entry.state == JobPhase::kQueued;
+}
+
+std::size_t JobIndex::CountWaiting(const std::string& queue) const {
+  return static_cast<std::size_t>(std::count_if(
+      entries_.begin(), entries_.end(), [this, &queue](const auto& item) {
+        return item.second.queue == queue && IsWaiting(item.second);
+      }));
+}
+
+}  // namespace chivewing
--- /dev/null
+++ b/src/cluster/queue_table.cc
@@ -0,0 +1,25 @@
+#include "cluster/queue_table.h"
+
+#include <utility>
+
+namespace chivewing {
+
+bool QueueTable::Take(DesiredState state) {
+  if (state.version <= state_.version) return false;
+  state_ = std::move(state);
+  return true;
+}
+
+const Queue* QueueTable::Find(std::string_view host,
+                              std::string_view path) const {
+  const Queue* best = nullptr;
+  for (const Queue& queue : state_.queues) {
+    if (queue.host != host || !path.starts_with(queue.path_prefix)) continue;
+    const bool longer =
+        best == nullptr || queue.path_prefix.size() > best->path_prefix.size();
+    if (longer) best = &queue;
+  }
+  return best;
+}
+
+}  // namespace chivewing
--- /dev/null
+++ b/src/cluster/roster_row.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+
+#include "base/result.h"
+#include "dispatch/worker_messages.h"
+
+namespace chivewing {
+
+// Rows of the workers that may have been given tasks: a new dispatcher looks
+// for tasks on each of them, also when its registration has gone.
+inline constexpr std::string_view kRosterRows = "worker/";
+
+std::string RosterRowKey(const WorkerId& worker);
+std::string EncodeRosterRow(const WorkerRegistration& registration);
+Result<WorkerRegistration> DecodeRosterRow(const WorkerId& worker,
+                                           std::string_view value);
+
+}  // namespace chivewing
--- /dev/null
+++ b/src/cluster/row_follower.cc
@@ -0,0 +1,118 @@
+#include "cluster/row_follower.h"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+#include "base/log.h"
+
+namespace chivewing {
+namespace {
+
+// How long one question waits for a change at the table.
+constexpr std::chrono::milliseconds kWait{1000};
+constexpr std::chrono::milliseconds kFirstRetry{100};
+constexpr int kMostDoublings = 3;
+
+}  // namespace
+
+TimePoint RowFollower::Tick(TimePoint now) {
+  if (open_) return TimePoint::max();
+  if (now < next_) return next_;
+  if (ready_) {
+    ReadChanges(now);
+  } else {
+    ReadAll();
+  }
+  sent_ = now;
+  return TimePoint::max();
+}
+
+void RowFollower::Apply(TimePoint now, const TableRow& row) {
+  if (cache_.Apply(row)) on_row_(now, row);
+}
+
+void RowFollower::CatchUp(TimePoint now, std::function<void(TimePoint)> done) {
+  waiting_.emplace_back(now, std::move(done));
+  // Whatever is asked now need not wait for a change that may never come.
+  if (ready_) {
+    open_ = false;
+    ++call_;
+  }
+  next_ = now;
+}
+
+void RowFollower::ReadAll() {
+  open_ = true;
+  const std::uint64_t call = ++call_;
+  calls_.read_all([this, call](const ChangesAnswer& answer) {
+    post_([this, call, answer](TimePoint now) {
+      if (call == call_) OnRows(now, answer, true);
+    });
+  });
+}
+
+void RowFollower::ReadChanges(TimePoint now) {
+  open_ = true;
+  const std::uint64_t call = ++call_;
+  const bool hurry = !waiting_.empty();
+  static_cast<void>(now);
+  calls_.changes(cache_.revision(),
+                 hurry ? std::chrono::milliseconds(0) : kWait,
+                 [this, call](const ChangesAnswer& answer) {
+                   post_([this, call, answer](TimePoint then) {
+                     if (call == call_) OnRows(then, answer, !answer.more);
+                   });
+                 });
+}
+
+void RowFollower::OnRows(TimePoint now, const ChangesAnswer& answer,
+                         bool complete) {
+  open_ = false;
+  if (answer.history_lost) {
+    LogWarning(LogPart::kPlatform, "history of the table is lost since=" +
+                                       std::to_string(cache_.revision()) +
+                                       ", reading all rows");
+    ready_ = false;
+    next_ = now;
+    return;
+  }
+  if (!answer.ok) {
+    OnFault(now);
+    return;
+  }
+  if (faults_in_row_ > 0) {
+    LogInfo(LogPart::kPlatform, "table is followed again after faults=" +
+                                    std::to_string(faults_in_row_));
+  }
+  faults_in_row_ = 0;
+  ready_ = true;
+  for (const TableRow& row : answer.rows) Apply(now, row);
+  cache_.set_revision(answer.revision);
+  cache_.set_last_contact(now);
+  if (!complete) {
+    next_ = now;
+    return;
+  }
+  next_ = std::max(now, sent_ + pace_);
+  auto waiting = std::move(waiting_);
+  waiting_.clear();
+  for (auto& [since, done] : waiting) {
+    if (sent_ >= since) {
+      done(now);
+    } else {
+      waiting_.emplace_back(since, std::move(done));
+    }
+  }
+  if (!waiting_.empty()) next_ = now;
+}
+
+void RowFollower::OnFault(TimePoint now) {
+  if (faults_in_row_++ == 0) {
+    LogWarning(LogPart::kPlatform, "table does not answer for changes");
+  }
+  const int doublings = std::min(faults_in_row_ - 1, kMostDoublings);
+  next_ = now + kFirstRetry * (1 << doublings);
+}
+
+}  // namespace chivewing
--- /dev/null
+++ b/src/cluster/row_follower.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+
+#include "base/time.h"
+#include "store/row_cache.h"
+#include "store/table_calls.h"
+
+namespace chivewing {
+
+// Keeps a cache of all rows of the table: reads them once, then follows their
+// changes; reads them again when the table has forgotten changes. Rows may also
+// be given by hand, as pushed by a peer.
+class RowFollower {
+ public:
+  // Runs a function on the owner's thread.
+  using Post = std::function<void(std::function<void(TimePoint)>)>;
+  using OnRow = std::function<void(TimePoint, const TableRow&)>;
+
+  RowFollower(TableCalls calls, Post post, OnRow on_row)
+      : calls_(std::move(calls)),
+        post_(std::move(post)),
+        on_row_(std::move(on_row)) {}
+
+  // Sends what is due; returns when it is to be called again.
+  TimePoint Tick(TimePoint now);
+  // Applies a row that was not read here.
+  void Apply(TimePoint now, const TableRow& row);
+  // Least time between two questions.
+  void set_pace(std::chrono::milliseconds pace) { pace_ = pace; }
+  // Calls `done` once all changes made until now have been applied.
+  void CatchUp(TimePoint now, std::function<void(TimePoint)> done);
+
+  // All rows have been read at least once.
+  bool ready() const { return ready_; }
+  const RowCache& cache() const { return cache_; }
+
+ private:
+  void ReadAll();
+  void ReadChanges(TimePoint now);
+  void OnRows(TimePoint now, const ChangesAnswer& answer, bool complete);
+  void OnFault(TimePoint now);
+
+  TableCalls calls_;
+  Post post_;
+  OnRow on_row_;
+  RowCache cache_;
+  bool ready_ = false;
+  bool open_ = false;       // an answer is awaited
+  std::uint64_t call_ = 0;  // answers to earlier calls are ignored
+  TimePoint sent_{};
+  TimePoint next_{};
+  std::chrono::milliseconds pace_{250};
+  int faults_in_row_ = 0;
+  // Those who wait for changes asked for from now on.
+  std::vector<std::pair<TimePoint, std::function<void(TimePoint)>>> waiting_;
+};
+
+}  // namespace chivewing
--- /dev/null
+++ b/src/dispatch/dispatch_options.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+
+#include "base/id.h"
+#include "base/time.h"
+
+namespace chivewing {
+
+// Times and limits of the dispatcher.
+struct DispatchOptions {
+  HostId host{};  // this entry host, which can ask for advice itself
+  // Lease that each order gives a worker. Long leases ride out cuts, short ones
+  // free the tasks of lost workers sooner.
+  std::chrono::milliseconds lease{6000};
+  // Longest lease that a worker grants, whatever an order says.
+  std::chrono::milliseconds longest_lease{10000};
+  // A worker's clock may run slower than ours by this share.
+  double clock_drift = 0.02;
+  // Added to each computed end of a lease: scheduling on the worker.
+  std::chrono::milliseconds lapse_margin{300};
+  // How long a poll waits at the worker for an end.
+  std::chrono::milliseconds poll_wait{1000};
+  std::chrono::milliseconds poll_retry{200};
+  // An order without an answer is sent again after this, then after twice it.
+  std::chrono::milliseconds order_retry{250};
+  // A worker without an answer for this long gets no new tasks.
+  std::chrono::milliseconds silence{1500};
+  // Ends wait this long for their row before the worker is polled again.
+  std::chrono::milliseconds settle_wait{500};
+  // Tickets this close to their end are not used: the start still has to
+  // travel.
+  std::chrono::milliseconds ticket_margin{150};
+  // A worker that refused a start is left alone for this long.
+  std::chrono::milliseconds refusal_pause{1000};
+};
+
+}  // namespace chivewing
--- /dev/null
+++ b/src/dispatch/dispatch_state.cc
@@ -0,0 +1,39 @@
+#include "dispatch/dispatch_state.h"
+
+#include "base/log.h"
+
+namespace chivewing {
+
+Worker* DispatchState::FindWorker(const WorkerId& id) {
+  const auto found = workers.find(id);
+  return found == workers.end() ? nullptr : &found->second;
+}
+
+TrackedJob* DispatchState::FindJob(const JobId& id) {
+  const auto found = jobs.find(id);
+  return found == jobs.end() ? nullptr : &found->second;
+}
+
+void DispatchState::SetReady(const ReadyKey& key) {
+  const auto found = ready_keys.find(key.step);
+  if (found != ready_keys.end()) {
+    if (found->second == key) return;
+    ready.erase(found->second);
+  }
+  ready_keys[key.step] = key;
+  ready.insert(key);
+}
+
+void DispatchState::ClearReady(const StepKey& step) {
+  const auto found = ready_keys.find(step);
+  if (found == ready_keys.end()) return;
+  ready.erase(found->second);
+  ready_keys.erase(found);
+}
+
+void DispatchState::ReportBreach(const std::string& what) {
+  ++counts.invariant_breaches;
+  LogError(LogPart::kPlacer, "invariant broken: " + what);
+}
+
+}  // namespace chivewing
--- /dev/null
+++ b/src/dispatch/dispatch_state.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "base/time.h"
+#include "dispatch/advice_desk.h"
+#include "dispatch/dispatch_options.h"
+#include "dispatch/run_book.h"
+#include "dispatch/tracked_job.h"
+#include "dispatch/worker.h"
+
+namespace chivewing {
+
+// Place of a step among those that have tasks to start: the smallest goes
+// first.
+struct ReadyKey {
+  int tier = 0;  // 0: its job can still be of use in time
+  int priority = 0;
+  TimePoint due{};
+  StepKey step{};
+
+  friend auto operator<=>(const ReadyKey&, const ReadyKey&) = default;
+  friend bool operator==(const ReadyKey&, const ReadyKey&) = default;
+};
+
+// Counts since the dispatcher was made.
+struct DispatchCounts {
+  std::uint64_t starts = 0;
+  std::uint64_t start_refusals = 0;
+  std::uint64_t start_retries = 0;
+  std::uint64_t runs_done = 0;
+  std::uint64_t runs_failed = 0;
+  std::uint64_t runs_lost = 0;  // with their worker, or unknown there
+  std::uint64_t asks = 0;
+  std::uint64_t asks_failed = 0;
+  std::uint64_t polls = 0;
+  std::uint64_t invariant_breaches = 0;
+};
+
+// Everything that the dispatcher knows. The classes beside it change it, each
+// for one kind of event.
+struct DispatchState {
+  DispatchOptions options{};
+  std::uint64_t fence = 0;
+  bool fenced_off = false;  // a worker has seen a higher fence
+  std::map<WorkerId, Worker> workers{};
+  std::map<JobId, TrackedJob> jobs{};
+  RunBook runs{};
+  AdviceDesk advice{};
+  std::set<ReadyKey> ready{};
+  std::map<StepKey, ReadyKey> ready_keys{};
+  std::set<JobId> dirty{};          // jobs whose progress row is out of date
+  std::set<WorkerId> unresolved{};  // may run tasks of an earlier dispatcher
+  std::set<WorkerId> departed{};    // gone for certain, their rows are not
+  std::uint64_t room_version = 1;   // rises when room or tickets come free
+  std::uint64_t last_poll = 0;
+  DispatchCounts counts{};
+
+  Worker* FindWorker(const WorkerId& id);
+  TrackedJob* FindJob(const JobId& id);
+  void SetReady(const ReadyKey& key);
+  void ClearReady(const StepKey& step);
+  // Logs a state that must never be and counts it.
+  void ReportBreach(const std::string& what);
+};
+
+}  // namespace chivewing
--- /dev/null
+++ b/src/dispatch/dispatcher.cc
@@ -0,0 +1,186 @@
+#include "dispatch/dispatcher.h"
+
+#include <algorithm>
+
+#include "base/log.h"
+
+namespace chivewing {
+namespace {
+
+constexpr std::chrono::milliseconds kRankEvery{500};
+constexpr std::chrono::seconds kLongestSleep{1};
+constexpr int kAskBitsPerFence = 32;
+
+}  // namespace
+
+Dispatcher::Dispatcher(DispatchOptions options, std::uint64_t fence)
+    : jobs_(state_),
+      runs_(state_, jobs_),
+      watch_(state_, jobs_, runs_),
+      placer_(state_, runs_, watch_) {
+  state_.options = std::move(options);
+  state_.fence = fence;
+  state_.advice.set_first_ask(fence << kAskBitsPerFence);
+}
+
+void Dispatcher::AddJob(TimePoint now, std::chrono::milliseconds wall,
+                        JobRecord record,
+                        const std::optional<JobProgress>& progress,
+                        bool uncertain) {
+  const bool open = uncertain && !state_.unresolved.empty();
+  jobs_.Add(now, wall, std::move(record), progress, open);
+}
+
+void Dispatcher::CancelJob(const JobId& job) { jobs_.Cancel(job); }
+
+void Dispatcher::RegisterWorker(TimePoint now,
+                                const WorkerRegistration& registration) {
+  watch_.Register(now, registration);
+}
+
+void Dispatcher::UnregisterWorker(const WorkerId& worker) {
+  watch_.Unregister(worker);
+}
+
+void Dispatcher::ExpectWorker(TimePoint now,
+                              const WorkerRegistration& registration) {
+  watch_.Expect(now, registration);
+}
+
+void Dispatcher::EndTakeOver() {
+  if (state_.unresolved.empty()) jobs_.ClearUncertainty();
+}
+
+void Dispatcher::set_askers(std::set<HostId> askers) {
+  state_.advice.set_askers(std::move(askers));
+  ++state_.room_version;
+}
+
+void Dispatcher::OnStartAnswer(TimePoint now, std::uint64_t run_id,
+                               const OrderAnswer& answer) {
+  const Run* const run = state_.runs.Find(run_id);
+  if (run == nullptr) return;
+  const WorkerId worker = run->worker;
+  runs_.OnStartAnswer(now, run_id, answer);
+  watch_.OnOrderAnswer(now, worker, answer);
+}
+
+void Dispatcher::OnStopAnswer(TimePoint now, std::uint64_t run_id,
+                              const WorkerId& worker,
+                              const OrderAnswer& answer) {
+  runs_.OnStopAnswer(now, run_id, answer);
+  watch_.OnOrderAnswer(now, worker, answer);
+}
+
+void Dispatcher::OnPoll(TimePoint now, const WorkerId& worker,
+                        std::uint64_t poll_id, const PollAnswer& answer) {
+  watch_.OnPoll(now, worker, poll_id, answer);
+}
+
+void Dispatcher::OnAdvice(TimePoint now, std::uint64_t ask_id,
+                          const AdviceAnswer& answer) {
+  const std::optional<OpenAsk> ask = state_.advice.Close(ask_id);
+  if (!ask) return;
+  ++state_.room_version;
+  if (answer.ok) {
+    state_.advice.Learn(ask->queue, ask->workers.size(), answer.good.size());
+  } else {
+    ++state_.counts.asks_failed;
+    LogInfo(LogPart::kPlacer, "advice failed job=" + ask->step.job.value() +
+                                  " asker=" + ask->asker.value());
+  }
+  TrackedJob* const job = state_.FindJob(ask->step.job);
+  if (job == nullptr) return;
+  StepState* const step = job->FindStep(ask->step.occurrence, ask->step.step);
+  if (step == nullptr || step->advice.open_ask() != ask_id) return;
+  static_cast<void>(now);
+  step->advice.OnAnswer(ask->sent, ask->workers, answer);
+}
+
+void Dispatcher::GiveUpAsks(TimePoint now) {
+  for (const std::uint64_t ask : state_.advice.Overdue(now)) {
+    LogWarning(LogPart::kPlacer, "advice not answered in time");
+    OnAdvice(now, ask, AdviceAnswer{});
+  }
+}
+
+TimePoint Dispatcher::Decide(TimePoint now, std::chrono::milliseconds wall,
+                             DispatchEffects& out) {
+  GiveUpAsks(now);
+  watch_.SendDue(now, out);
+  runs_.SendDue(now, out);
+  const auto next_due = jobs_.OpenDue(wall);
+  if (now >= ranked_at_ + kRankEvery) {
+    jobs_.RankAgain(now);
+    ranked_at_ = now;
+    ++state_.room_version;  // tickets and pauses have run out meanwhile
+  }
+  placer_.PlaceReady(now, out);
+  TimePoint next = now + kLongestSleep;
+  next = std::min(next, watch_.next_due());
+  next = std::min(next, runs_.next_send());
+  next = std::min(next, state_.advice.next_overdue().value_or(next));
+  if (next_due) next = std::min(next, now + (*next_due - wall));
+  if (!state_.ready.empty()) next = std::min(next, ranked_at_ + kRankEvery);
+  return next;
+}
+
+bool Dispatcher::HasDirty() const {
+  if (!state_.dirty.empty() || !state_.departed.empty()) return true;
+  return std::any_of(
+      state_.workers.begin(), state_.workers.end(), [](const auto& entry) {
+        const Worker& worker = entry.second;
+        const bool unsettled = worker.settled_end != worker.handled_end;
+        return unsettled ||
+               (worker.registered() && !worker.enrolled && !worker.enrolling);
+      });
+}
+
+ProgressBatch Dispatcher::TakeBatch(std::size_t most) {
+  ProgressBatch batch;
+  while (!state_.dirty.empty() && batch.jobs.size() < most) {
+    const JobId id = *state_.dirty.begin();
+    state_.dirty.erase(state_.dirty.begin());
+    if (const TrackedJob* const job = state_.FindJob(id)) {
+      batch.jobs.emplace_back(id, job->progress());
+    }
+  }
+  batch.departed = std::move(state_.departed);
+  state_.departed.clear();
+  for (auto& [id, worker] : state_.workers) {
+    batch.departed.erase(id);
+    if (worker.registered() && !worker.enrolled && !worker.enrolling &&
+        batch.jobs.size() + batch.enrolled.size() < most) {
+      worker.enrolling = true;
+      batch.enrolled.push_back(worker.registration());
+    }
+    // Ends whose jobs are still to be written are settled by a later batch.
+    const bool all_taken = state_.dirty.empty();
+    if (all_taken && worker.settled_end != worker.handled_end) {
+      batch.ends[id] = worker.handled_end;
+    }
+  }
+  return batch;
+}
+
+void Dispatcher::OnSaved(TimePoint now, const ProgressBatch& batch) {
+  for (const WorkerRegistration& enrolled : batch.enrolled) {
+    Worker* const worker = state_.FindWorker(enrolled.worker);
+    if (worker == nullptr) continue;
+    worker->enrolled = true;
+    worker->enrolling = false;
+    ++state_.room_version;
+  }
+  for (const auto& [id, end] : batch.ends) watch_.OnSettled(now, id, end);
+}
+
+void Dispatcher::OnNotSaved(const ProgressBatch& batch) {
+  for (const auto& [id, progress] : batch.jobs) state_.dirty.insert(id);
+  state_.departed.insert(batch.departed.begin(), batch.departed.end());
+  for (const WorkerRegistration& enrolled : batch.enrolled) {
+    Worker* const worker = state_.FindWorker(enrolled.worker);
+    if (worker != nullptr) worker->enrolling = false;
+  }
+}
+
+}  // namespace chivewing
--- /dev/null
+++ b/src/dispatch/dispatcher.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "dispatch/dispatch_effect.h"
+#include "dispatch/dispatch_state.h"
+#include "dispatch/job_keeper.h"
+#include "dispatch/run_keeper.h"
+#include "dispatch/step_placer.h"
+#include "dispatch/worker_watch.h"
+
+namespace chivewing {
+
+// What has to be written to the table before it may be shown or forgotten.
+struct ProgressBatch {
+  std::vector<std::pair<JobId, JobProgress>> jobs{};
+  std::vector<WorkerRegistration> enrolled{};  // workers that will get tasks
+  std::set<WorkerId> departed{};  // workers that are gone for certain
+  std::map<WorkerId, std::uint64_t> ends{};  // settled once it is written
+
+  // Nothing to write; the ends can be settled at once.
+  bool empty() const {
+    return jobs.empty() && enrolled.empty() && departed.empty();
+  }
+};
+
+// Decides, for all workers, which task of which job runs where. One entry host
+// holds the dispatcher's lease and calls it; its fence rises with each holder.
+// Deciding code: the present time is an argument, effects are returned.
+class Dispatcher {
+ public:
+  Dispatcher(DispatchOptions options, std::uint64_t fence);
+
+  // The same holder has taken its lease anew.
+  void set_fence(std::uint64_t fence) { state_.fence = fence; }
+  std::uint64_t fence() const { return state_.fence; }
+  // A worker has seen a higher fence: there is another dispatcher.
+  bool fenced_off() const { return state_.fenced_off; }
+
+  void AddJob(TimePoint now, std::chrono::milliseconds wall, JobRecord record,
+              const std::optional<JobProgress>& progress, bool uncertain);
+  void CancelJob(const JobId& job);
+  void RegisterWorker(TimePoint now, const WorkerRegistration& registration);
+  void UnregisterWorker(const WorkerId& worker);
+  void ExpectWorker(TimePoint now, const WorkerRegistration& registration);
+  // To be called after the expected workers: with none, nothing is uncertain.
+  void EndTakeOver();
+  void set_askers(std::set<HostId> askers);
+
+  void OnStartAnswer(TimePoint now, std::uint64_t run_id,
+                     const OrderAnswer& answer);
+  void OnStopAnswer(TimePoint now, std::uint64_t run_id, const WorkerId& worker,
+                    const OrderAnswer& answer);
+  void OnPoll(TimePoint now, const WorkerId& worker, std::uint64_t poll_id,
+              const PollAnswer& answer);
+  void OnAdvice(TimePoint now, std::uint64_t ask_id,
+                const AdviceAnswer& answer);
+
+  // Everything that is due at `now`; `wall` is the time of day since 1970.
+  // Returns when it is to be called again at the latest.
+  TimePoint Decide(TimePoint now, std::chrono::milliseconds wall,
+                   DispatchEffects& out);
+
+  bool HasDirty() const;
+  // Takes at most about `most` rows; each batch ends with one of the two below.
+  ProgressBatch TakeBatch(std::size_t most);
+  void OnSaved(TimePoint now, const ProgressBatch& batch);
+  void OnNotSaved(const ProgressBatch& batch);
+
+  const DispatchState& state() const { return state_; }
+
+ private:
+  void GiveUpAsks(TimePoint now);
+
+  DispatchState state_;
+  JobKeeper jobs_;
+  RunKeeper runs_;
+  WorkerWatch watch_;
+  StepPlacer placer_;
+  TimePoint ranked_at_{};
+};
+
+}  // namespace chivewing
--- /dev/null
+++ b/src/dispatch/job_keeper.cc
@@ -0,0 +1,228 @@
+#include "dispatch/job_keeper.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/log.h"
+
+namespace chivewing {
+namespace {
+
+using std::chrono::milliseconds;
+
+// Run numbers of one fence start above those of the fences before it, so that a
+// run never has the number of one that an earlier dispatcher has started.
+constexpr std::uint64_t kRunsPerFence = 1000;
+
+// A job that ends later than this many times its objective serves nobody.
+constexpr int kWorthlessFactor = 3;
+
+milliseconds Objective(const JobRecord& record) {
+  const auto chain = LongestChain(record.spec);
+  const auto stretched =
+      std::chrono::duration<double, std::milli>(chain) * record.queue.stretch;
+  return std::chrono::duration_cast<milliseconds>(stretched) +
+         record.queue.objective;
+}
+
+}  // namespace
+
+void JobKeeper::Add(TimePoint now, milliseconds wall, JobRecord record,
+                    const std::optional<JobProgress>& progress,
+                    bool uncertain) {
+  const JobId id = record.id;
+  if (state_.jobs.contains(id)) return;
+  TrackedJob& job = state_.jobs[id];
+  job.record = std::move(record);
+  const milliseconds age =
+      std::max(milliseconds(0), wall - job.record.accepted_at);
+  job.accepted = now - age;
+  const milliseconds objective = Objective(job.record);
+  job.due = job.accepted + objective;
+  job.worthless = job.accepted + kWorthlessFactor * objective;
+  if (progress) job.set_progress(*progress);
+  if (IsFinal(job.state)) return;
+  if (job.record.spec.repeats == 0) job.OpenOccurrence(0);
+  job.uncertain = uncertain;
+  if (uncertain) {
+    job.top_run = std::max(job.top_run, kRunsPerFence * (state_.fence - 1));
+  }
+  RefreshReady(job);
+}
+
+void JobKeeper::Cancel(const JobId& id) {
+  TrackedJob* const job = state_.FindJob(id);
+  if (job == nullptr || job->cancelled || IsFinal(job->state)) return;
+  job->cancelled = true;
+  Finish(*job, JobPhase::kCancelled);
+}
+
+void JobKeeper::Remove(const JobId& id) {
+  TrackedJob* const job = state_.FindJob(id);
+  if (job == nullptr) return;
+  for (const auto& [number, steps] : job->occurrences) {
+    for (std::size_t s = 0; s < steps.size(); ++s) {
+      state_.ClearReady({id, number, s});
+    }
+  }
+  state_.dirty.erase(id);
+  state_.jobs.erase(id);
+}
+
+void JobKeeper::RefreshReady(TrackedJob& job) {
+  for (const auto& [number, steps] : job.occurrences) {
+    for (std::size_t s = 0; s < steps.size(); ++s) {
+      const StepKey key{job.record.id, number, s};
+      const bool wanted = job.IsActive() && job.IsOpen(number, s) &&
+                          !job.WaitingTasks(number, s).empty();
+      if (!wanted) {
+        state_.ClearReady(key);
+        continue;
+      }
+      const auto known = state_.ready_keys.find(key);
+      const int tier =
+          known == state_.ready_keys.end() ? 0 : known->second.tier;
+      state_.SetReady({tier, job.record.queue.priority, job.due, key});
+      job.occurrences[number][s].tried_version = 0;
+    }
+  }
+}
+
+std::optional<milliseconds> JobKeeper::OpenDue(milliseconds wall) {
+  std::optional<milliseconds> next;
+  for (auto& [id, job] : state_.jobs) {
+    if (job.record.spec.repeats == 0 || !job.IsActive()) continue;
+    bool opened = false;
+    for (std::size_t k = job.finished_occurrences; k < job.OccurrenceCount();
+         ++k) {
+      if (job.occurrences.contains(k)) continue;
+      const milliseconds due = job.DueTime(k);
+      if (due > wall) {
+        next = std::min(next.value_or(due), due);
+        break;
+      }
+      job.OpenOccurrence(k);
+      opened = true;
+    }
+    if (opened) RefreshReady(job);
+  }
+  return next;
+}
+
+void JobKeeper::RankAgain(TimePoint now) {
+  std::vector<ReadyKey> moved;
+  for (const ReadyKey& key : state_.ready) {
+    const TrackedJob& job = state_.jobs.at(key.step.job);
+    const bool timed = job.record.spec.repeats > 0;
+    const bool lasting = job.spec(key.step.step).lasting;
+    if (timed || lasting || key.tier > 0 || now < job.worthless) continue;
+    moved.push_back(key);
+  }
+  for (ReadyKey key : moved) {
+    key.tier = 1;
+    state_.SetReady(key);
+  }
+}
+
+void JobKeeper::OnStarted(TrackedJob& job) {
+  if (job.state != JobPhase::kQueued) return;
+  job.state = JobPhase::kRunning;
+  state_.dirty.insert(job.record.id);
+}
+
+void JobKeeper::OnTaskDone(TrackedJob& job, std::size_t occurrence) {
+  state_.dirty.insert(job.record.id);
+  std::vector<StepState>& steps = job.occurrences[occurrence];
+  for (std::size_t s = 0; s < steps.size(); ++s) {
+    if (!job.IsStepDone(occurrence, s)) {
+      RefreshReady(job);
+      return;
+    }
+  }
+  while (job.finished_occurrences < job.OccurrenceCount()) {
+    const std::size_t number = job.finished_occurrences;
+    const auto found = job.occurrences.find(number);
+    if (found == job.occurrences.end()) break;
+    const std::vector<StepState>& list = found->second;
+    bool all_done = true;
+    for (std::size_t s = 0; s < list.size(); ++s) {
+      all_done = all_done && job.IsStepDone(number, s);
+    }
+    if (!all_done) break;
+    ++job.finished_occurrences;
+    if (job.record.spec.repeats > 0) job.occurrences.erase(found);
+  }
+  if (job.finished_occurrences == job.OccurrenceCount()) {
+    Finish(job, JobPhase::kCompleted);
+    return;
+  }
+  RefreshReady(job);
+}
+
+void JobKeeper::OnTaskFailed(TrackedJob& job, const TaskKey& task,
+                             const TaskProgress& progress) {
+  state_.dirty.insert(job.record.id);
+  if (job.spec(task.step).lasting) return;
+  if (progress.failed_runs.size() < job.record.queue.max_attempts) return;
+  if (!job.IsActive()) return;
+  Finish(job, JobPhase::kFailed);
+}
+
+void JobKeeper::Finish(TrackedJob& job, JobPhase state) {
+  job.state = state;
+  state_.dirty.insert(job.record.id);
+  LogInfo(LogPart::kPlacer, "job=" + job.record.id.value() +
+                                " ended state=" + std::string(Name(state)));
+  RefreshReady(job);
+  StopRuns(job);
+}
+
+void JobKeeper::StopRuns(const TrackedJob& job) {
+  for (const auto& [number, steps] : job.occurrences) {
+    for (const StepState& step : steps) {
+      for (const TaskState& task : step.tasks) {
+        for (const std::uint64_t id : task.runs) {
+          Run* const run = state_.runs.Find(id);
+          if (run == nullptr || run->stop_wanted) continue;
+          run->stop_wanted = true;
+          run->next_stop = TimePoint{};
+          state_.runs.SetUnsettled(id, true);
+        }
+      }
+    }
+  }
+}
+
+void JobKeeper::ClearUncertainty() {
+  for (auto& [id, job] : state_.jobs) {
+    if (!job.uncertain) continue;
+    job.uncertain = false;
+    RepairGangs(job);
+    RefreshReady(job);
+  }
+  ++state_.room_version;
+}
+
+// A gang of which the earlier dispatcher started only a part is stopped.
+void JobKeeper::RepairGangs(TrackedJob& job) {
+  for (auto& [number, steps] : job.occurrences) {
+    for (std::size_t s = 0; s < steps.size(); ++s) {
+      if (!job.spec(s).gang) continue;
+      std::size_t running = 0;
+      for (const TaskState& task : steps[s].tasks) {
+        if (!task.runs.empty()) ++running;
+      }
+      if (running == 0 || running == steps[s].tasks.size()) continue;
+      for (const TaskState& task : steps[s].tasks) {
+        for (const std::uint64_t id : task.runs) {
+          Run* const run = state_.runs.Find(id);
+          if (run == nullptr) continue;
+          run->stop_wanted = true;
+          state_.runs.SetUnsettled(id, true);
+        }
+      }
+    }
+  }
+}
+
+}  // namespace chivewing
--- /dev/null
+++ b/src/dispatch/job_progress.cc
@@ -0,0 +1,111 @@
+#include "dispatch/job_progress.h"
+
+#include <array>
+#include <nlohmann/json.hpp>
+#include <optional>
+
+#include "schema/json_parser.h"
+#include "schema/member_reader.h"
+
+namespace chivewing {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::array<std::string_view, 5> kStateNames = {
+    "queued", "running", "completed", "failed", "cancelled"};
+
+std::optional<JobPhase> StateOf(std::string_view name) {
+  for (std::size_t i = 0; i < kStateNames.size(); ++i) {
+    if (kStateNames.at(i) == name) return static_cast<JobPhase>(i);
+  }
+  return std::nullopt;
+}
+
+// Done tasks as indices; tasks with failures or saved progress as objects.
+Json ToJson(const StepProgress& step) {
+  Json done = Json::array();
+  Json open = Json::array();
+  for (const auto& [index, task] : step) {
+    if (task.done) {
+      done.push_back(index);
+      continue;
+    }
+    if (task.failed_runs.empty() && task.saved.empty()) continue;
+    Json item = {{"task", index}};
+    if (!task.failed_runs.empty()) item["failed"] = task.failed_runs;
+    if (!task.saved.empty()) item["saved"] = task.saved;
+    open.push_back(std::move(item));
+  }
+  return {{"done", std::move(done)}, {"open", std::move(open)}};
+}
+
+StepProgress ReadStep(MemberReader& reader) {
+  StepProgress step;
+  for (const JsonNode& node : reader.List("done")) {
+    step[static_cast<std::size_t>(node.integer)].done = true;
+  }
+  for (const JsonNode& node : reader.List("open")) {
+    MemberReader item(node);
+    TaskProgress& task = step[static_cast<std::size_t>(item.Integer("task"))];
+    for (const JsonNode& run : item.List("failed")) {
+      task.failed_runs.insert(static_cast<std::uint64_t>(run.integer));
+    }
+    task.saved = item.Text("saved", "");
+    if (!item.good()) reader.Fail("open", item.problem());
+  }
+  return step;
+}
+
+void ReadOccurrence(const JsonNode& node, JobProgress& progress,
+                    MemberReader& faults) {
+  MemberReader reader(node);
+  const auto number = static_cast<std::size_t>(reader.Integer("number"));
+  std::vector<StepProgress>& steps = progress.occurrences[number];
+  for (const JsonNode& item : reader.List("steps")) {
+    MemberReader step(item);
+    steps.push_back(ReadStep(step));
+    if (!step.good()) faults.Fail("steps", step.problem());
+  }
+  if (!reader.good()) faults.Fail("occurrences", reader.problem());
+}
+
+}  // namespace
+
+std::string_view Name(JobPhase state) {
+  return kStateNames.at(static_cast<std::size_t>(state));
+}
+
+std::string EncodeJobProgress(const JobProgress& progress) {
+  Json occurrences = Json::array();
+  for (const auto& [number, steps] : progress.occurrences) {
+    Json list = Json::array();
+    for (const StepProgress& step : steps) list.push_back(ToJson(step));
+    occurrences.push_back({{"number", number}, {"steps", std::move(list)}});
+  }
+  const Json out = {{"state", Name(progress.state)},
+                    {"top_run", progress.top_run},
+                    {"finished", progress.finished_occurrences},
+                    {"occurrences", std::move(occurrences)}};
+  return out.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+Result<JobProgress> DecodeJobProgress(std::string_view value) {
+  const Checked<JsonNode> root = ParseJson(value, "progress row");
+  if (!root) return ToError(ResultCode::kBadRequest, root.error());
+  MemberReader reader(root.value());
+  JobProgress progress;
+  const std::optional<JobPhase> state = StateOf(reader.Text("state"));
+  if (!state) reader.Fail("state", "is not known");
+  progress.state = state.value_or(JobPhase::kQueued);
+  progress.top_run = static_cast<std::uint64_t>(reader.Integer("top_run"));
+  progress.finished_occurrences =
+      static_cast<std::size_t>(reader.Integer("finished", 0));
+  for (const JsonNode& node : reader.List("occurrences")) {
+    ReadOccurrence(node, progress, reader);
+  }
+  if (!reader.good()) return Error{ResultCode::kBadRequest, reader.problem()};
+  return progress;
+}
+
+}  // namespace chivewing
--- /dev/null
+++ b/src/dispatch/run_book.cc
@@ -0,0 +1,48 @@
+#include "dispatch/run_book.h"
+
+namespace chivewing {
+
+Run& RunBook::Add(Run run) {
+  run.id = ++last_id_;
+  by_name_[{run.worker, run.name}] = run.id;
+  by_worker_[run.worker].insert(run.id);
+  return runs_.emplace(run.id, std::move(run)).first->second;
+}
+
+Run* RunBook::Find(std::uint64_t id) {
+  const auto found = runs_.find(id);
+  return found == runs_.end() ? nullptr : &found->second;
+}
+
+Run* RunBook::Find(const WorkerId& worker, const RunName& name) {
+  const auto found = by_name_.find({worker, name});
+  return found == by_name_.end() ? nullptr : Find(found->second);
+}
+
+const std::set<std::uint64_t>& RunBook::OnWorker(const WorkerId& worker) const {
+  static const std::set<std::uint64_t> none;
+  const auto found = by_worker_.find(worker);
+  return found == by_worker_.end() ? none : found->second;
+}
+
+void RunBook::Remove(std::uint64_t id) {
+  const auto found = runs_.find(id);
+  if (found == runs_.end()) return;
+  const Run& run = found->second;
+  by_name_.erase({run.worker, run.name});
+  const auto worker = by_worker_.find(run.worker);
+  worker->second.erase(id);
+  if (worker->second.empty()) by_worker_.erase(worker);
+  unsettled_.erase(id);
+  runs_.erase(found);
+}
+
+void RunBook::SetUnsettled(std::uint64_t id, bool unsettled) {
+  if (unsettled) {
+    unsettled_.insert(id);
+  } else {
+    unsettled_.erase(id);
+  }
+}
+
+}  // namespace chivewing
--- /dev/null
+++ b/src/dispatch/run_book.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+
+#include "base/time.h"
+#include "dispatch/worker_messages.h"
+
+namespace chivewing {
+
+// A start of a task that may be going on.
+struct Run {
+  std::uint64_t id = 0;
+  RunName name{};
+  WorkerId worker{};
+  Resources held{};  // of the worker's room
+  bool copy = false;
+
+  // The start.
+  std::string ticket{};
+  std::string saved{};
+  WorkerClock deadline{0};
+  bool acknowledged = false;  // the worker has it, or had it
+  TimePoint acknowledged_at{};
+  std::size_t unanswered = 0;  // copies of the order without an answer
+  std::size_t sends = 0;
+  bool order_open = false;  // an answer is awaited
+  TimePoint next_send{};
+
+  // The stop.
+  bool stop_wanted = false;
+  bool stop_confirmed = false;
+  TimePoint stop_confirmed_at{};
+  bool stop_open = false;
+  TimePoint next_stop{};
+
+  // As last listed.
+  int percent = 0;
+  double load = 0;
+  int pace = 100;
+  TimePoint listed_at{};
+  TimePoint progressed_at{};  // when its percent last rose
+};
+
+// All runs that may be going on, by id, by worker and by name.
+class RunBook {
+ public:
+  Run& Add(Run run);
+  Run* Find(std::uint64_t id);
+  Run* Find(const WorkerId& worker, const RunName& name);
+  const std::set<std::uint64_t>& OnWorker(const WorkerId& worker) const;
+  void Remove(std::uint64_t id);
+  const std::map<std::uint64_t, Run>& all() const { return runs_; }
+
+  // Runs whose order to start or stop may have to be sent.
+  const std::set<std::uint64_t>& unsettled() const { return unsettled_; }
+  void SetUnsettled(std::uint64_t id, bool unsettled);
+
+ private:
+  std::map<std::uint64_t, Run> runs_;
+  std::map<std::pair<WorkerId, RunName>, std::uint64_t> by_name_;
+  std::map<WorkerId, std::set<std::uint64_t>> by_worker_;
+  std::set<std::uint64_t> unsettled_;
+  std::uint64_t last_id_ = 0;
+};
+
+}  // namespace chivewing
--- /dev/null
+++ b/src/dispatch/run_keeper.cc
@@ -0,0 +1,293 @@
+#include "dispatch/run_keeper.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/log.h"
+
+namespace chivewing {
+namespace {
+
+// An order is repeated after growing pauses, up to this many times the first.
+constexpr std::size_t kMostDoublings = 3;
+constexpr std::chrono::milliseconds kStopRetry{300};
+// Skipped when a worker says that a number is not higher than one it has seen.
+constexpr std::uint64_t kOutdatedSkip = 10;
+
+std::string Describe(const RunName& name) {
+  return name.task.job.value() + "." + std::to_string(name.task.occurrence) +
+         "." + std::to_string(name.task.step) + "." +
+         std::to_string(name.task.index) +
+         " run=" + std::to_string(name.number);
+}
+
+Resources HeldBy(const StepSpec& spec) {
+  Resources held = spec.size;
+  if (spec.filler) held.processors_milli = 0;
+  return held;
+}
+
+}  // namespace
+
+void RunKeeper::Start(TimePoint now, TrackedJob& job, const TaskKey& task,
+                      Worker& worker, std::uint64_t number,
+                      const std::string& ticket, DispatchEffects& out) {
+  TaskState& state = *job.FindTask(task);
+  Run run;
+  run.name = {task, number};
+  run.worker = worker.registration().worker;
+  run.held = HeldBy(job.spec(task.step));
+  run.copy = !state.runs.empty();
+  run.ticket = ticket;
+  run.saved = state.progress.saved;
+  if (!Fits(run.held, worker.room())) {
+    state_.ReportBreach("no room for " + Describe(run.name) + " on " +
+                        run.worker.value());
+    return;
+  }
+  worker.Occupy(run.held);
+  Run& added = state_.runs.Add(std::move(run));
+  state.runs.push_back(added.id);
+  state.top_run = std::max(state.top_run, number);
+  job.top_run = std::max(job.top_run, number);
+  ++state_.counts.starts;
+  SendStart(now, added, out);
+}
+
+void RunKeeper::SendStart(TimePoint now, Run& run, DispatchEffects& out) {
+  Worker* const worker = state_.FindWorker(run.worker);
+  const TrackedJob* const job = state_.FindJob(run.name.task.job);
+  if (worker == nullptr || job == nullptr) return;
+  const auto lease = worker->GiveLease(now, state_.options.lease);
+  if (!lease) return;
+  // Copies of the order carry the first deadline, so that all are late by then.
+  if (run.sends == 0) run.deadline = *lease;
+  const std::size_t doublings = std::min(run.sends, kMostDoublings);
+  run.next_send = now + state_.options.order_retry * (1 << doublings);
+  run.order_open = true;
+  ++run.unanswered;
+  if (run.sends++ > 0) ++state_.counts.start_retries;
+  state_.runs.SetUnsettled(run.id, true);
+  out.emplace_back(StartRun{run.id, run.worker, worker->registration().address,
+                            run.name, job->record.spec.payload, run.deadline,
+                            state_.fence, run.saved, run.ticket,
+                            run.sends > 1});
+}
+
+void RunKeeper::Adopt(TimePoint now, TrackedJob& job, Worker& worker,
+                      const RunningRun& listed) {
+  TaskState& task = *job.FindTask(listed.run.task);
+  Run run;
+  run.name = listed.run;
+  run.worker = worker.registration().worker;
+  run.held = HeldBy(job.spec(listed.run.task.step));
+  run.acknowledged = true;
+  run.acknowledged_at = now;
+  run.saved = listed.saved;
+  worker.Occupy(run.held);
+  Run& added = state_.runs.Add(std::move(run));
+  task.runs.push_back(added.id);
+  task.top_run = std::max(task.top_run, listed.run.number);
+  job.top_run = std::max(job.top_run, listed.run.number);
+  jobs_.OnStarted(job);
+  jobs_.RefreshReady(job);
+}
+
+void RunKeeper::MarkAcknowledged(TimePoint now, Run& run) {
+  if (run.acknowledged) return;
+  run.acknowledged = true;
+  run.acknowledged_at = now;
+  run.progressed_at = now;
+  state_.runs.SetUnsettled(run.id, run.stop_wanted);
+  if (TrackedJob* const job = state_.FindJob(run.name.task.job))
+    jobs_.OnStarted(*job);
+}
+
+void RunKeeper::OnStartAnswer(TimePoint now, std::uint64_t run_id,
+                              const OrderAnswer& answer) {
+  Run* const run = state_.runs.Find(run_id);
+  if (run == nullptr) return;
+  run->order_open = false;
+  if (answer.outcome != OrderOutcome::kNoAnswer && run->unanswered > 0) {
+    --run->unanswered;
+  }
+  switch (answer.outcome) {
+    case OrderOutcome::kDone:
+      MarkAcknowledged(now, *run);
+      return;
+    case OrderOutcome::kNoAnswer:
+      return;
+    case OrderOutcome::kFenced:
+      state_.fenced_off = true;
+      return;
+    default:
+      OnRefusal(now, *run, answer.outcome);
+  }
+}
+
+void RunKeeper::OnRefusal(TimePoint now, Run& run, OrderOutcome outcome) {
+  ++state_.counts.start_refusals;
+  LogInfo(LogPart::kPlacer,
+          "start refused task=" + Describe(run.name) +
+              " worker=" + run.worker.value() +
+              " reason=" + std::to_string(static_cast<int>(outcome)) +
+              " unanswered=" + std::to_string(run.unanswered));
+  Worker* const worker = state_.FindWorker(run.worker);
+  TrackedJob* const job = state_.FindJob(run.name.task.job);
+  const TaskKey& key = run.name.task;
+  StepState* const step =
+      job == nullptr ? nullptr : job->FindStep(key.occurrence, key.step);
+  if (outcome == OrderOutcome::kTicketRefused && step != nullptr) {
+    step->advice.Forget(run.worker);
+  } else if (outcome == OrderOutcome::kOutdated && step != nullptr) {
+    step->tasks[key.index].top_run += kOutdatedSkip;
+  } else if (worker != nullptr) {
+    worker->paused_until = now + state_.options.refusal_pause;
+  }
+  // An earlier copy without an answer may have been carried out: the worker's
+  // list will tell.
+  if (run.acknowledged || run.unanswered > 0) return;
+  End(now, run.id, EndKind::kLapsed, "");
+}
+
+void RunKeeper::RequestStop(Run& run) {
+  if (run.stop_wanted) return;
+  run.stop_wanted = true;
+  run.next_stop = TimePoint{};
+  state_.runs.SetUnsettled(run.id, true);
+}
+
+void RunKeeper::SendStop(TimePoint now, Run& run, DispatchEffects& out) {
+  Worker* const worker = state_.FindWorker(run.worker);
+  if (worker == nullptr) return;
+  run.stop_open = true;
+  run.next_stop = now + kStopRetry;
+  out.emplace_back(StopRun{run.id, run.worker, worker->registration().address,
+                           run.name, state_.fence});
+}
+
+void RunKeeper::OnStopAnswer(TimePoint now, std::uint64_t run_id,
+                             const OrderAnswer& answer) {
+  Run* const run = state_.runs.Find(run_id);
+  if (run == nullptr) return;
+  run->stop_open = false;
+  if (answer.outcome == OrderOutcome::kFenced) {
+    state_.fenced_off = true;
+    return;
+  }
+  if (answer.outcome != OrderOutcome::kDone) return;
+  run->stop_confirmed = true;
+  run->stop_confirmed_at = now;
+  state_.runs.SetUnsettled(run_id, false);
+}
+
+void RunKeeper::SendDue(TimePoint now, DispatchEffects& out) {
+  const std::set<std::uint64_t> unsettled = state_.runs.unsettled();
+  for (const std::uint64_t id : unsettled) {
+    Run& run = *state_.runs.Find(id);
+    if (run.stop_wanted) {
+      if (!run.stop_confirmed && !run.stop_open && now >= run.next_stop) {
+        SendStop(now, run, out);
+      }
+      continue;
+    }
+    if (!run.acknowledged && !run.order_open && now >= run.next_send) {
+      SendStart(now, run, out);
+    }
+  }
+}
+
+TimePoint RunKeeper::next_send() const {
+  TimePoint next = TimePoint::max();
+  for (const std::uint64_t id : state_.runs.unsettled()) {
+    const Run& run = state_.runs.all().at(id);
+    if (run.stop_wanted) {
+      if (!run.stop_confirmed && !run.stop_open) {
+        next = std::min(next, run.next_stop);
+      }
+    } else if (!run.acknowledged && !run.order_open) {
+      next = std::min(next, run.next_send);
+    }
+  }
+  return next;
+}
+
+void RunKeeper::End(TimePoint /*now*/, std::uint64_t run_id, EndKind how,
+                    const std::string& saved) {
+  Run* const found = state_.runs.Find(run_id);
+  if (found == nullptr) return;
+  const Run run = *found;
+  if (Worker* const worker = state_.FindWorker(run.worker)) {
+    worker->Release(run.held);
+    if (how == EndKind::kDone) worker->failures_in_row = 0;
+    if (how == EndKind::kFailed) ++worker->failures_in_row;
+  }
+  state_.runs.Remove(run_id);
+  ++state_.room_version;
+  TrackedJob* const job = state_.FindJob(run.name.task.job);
+  if (job == nullptr) return;
+  if (TaskState* const task = job->FindTask(run.name.task)) {
+    std::erase(task->runs, run_id);
+    if (how == EndKind::kFailed) task->failed_on.insert(run.worker);
+    // The newest progress known serves when the end itself tells none.
+    if (saved.empty() && !run.saved.empty()) {
+      task->progress.saved = run.saved;
+    }
+  }
+  RecordEnd(*job, run.name, how, saved);
+}
+
+void RunKeeper::OnForeignEnd(TrackedJob& job, const EndedRun& end) {
+  RecordEnd(job, end.run, end.how, end.saved);
+}
+
+void RunKeeper::RecordEnd(TrackedJob& job, const RunName& name, EndKind how,
+                          const std::string& saved) {
+  const TaskKey key = name.task;
+  StepState* const step = job.FindStep(key.occurrence, key.step);
+  TaskState* const task = job.FindTask(key);
+  if (step == nullptr || task == nullptr) return;
+  const StepSpec& spec = job.spec(key.step);
+  task->top_run = std::max(task->top_run, name.number);
+  job.top_run = std::max(job.top_run, name.number);
+  if (!saved.empty() && spec.checkpoints) {
+    task->progress.saved = saved;
+    state_.dirty.insert(job.record.id);
+  }
+  if (how == EndKind::kDone && !spec.lasting) {
+    ++state_.counts.runs_done;
+    for (std::size_t i = 0; i < step->tasks.size(); ++i) {
+      if (!spec.gang && i != key.index) continue;
+      if (step->tasks[i].progress.done) continue;
+      step->tasks[i].progress.done = true;
+      ++step->done_count;
+    }
+    if (!spec.gang) StopOthers(job, key, false);
+    if (job.IsActive()) jobs_.OnTaskDone(job, key.occurrence);
+    return;
+  }
+  if (spec.gang) StopOthers(job, key, true);
+  if (how == EndKind::kFailed) {
+    ++state_.counts.runs_failed;
+    // A gang fails as a whole, whichever of its tasks it was.
+    TaskState& counted = spec.gang ? step->tasks.front() : *task;
+    counted.progress.failed_runs.insert(name.number);
+    jobs_.OnTaskFailed(job, key, counted.progress);
+  } else {
+    ++state_.counts.runs_lost;
+  }
+  jobs_.RefreshReady(job);
+}
+
+void RunKeeper::StopOthers(TrackedJob& job, const TaskKey& key,
+                           bool whole_step) {
+  StepState& step = *job.FindStep(key.occurrence, key.step);
+  for (std::size_t i = 0; i < step.tasks.size(); ++i) {
+    if (!whole_step && i != key.index) continue;
+    for (const std::uint64_t id : step.tasks[i].runs) {
+      if (Run* const run = state_.runs.Find(id)) RequestStop(*run);
+    }
+  }
+}
+
+}  // namespace chivewing
--- /dev/null
+++ b/src/dispatch/run_keeper.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "dispatch/dispatch_effect.h"
+#include "dispatch/dispatch_state.h"
+#include "dispatch/job_keeper.h"
+
+namespace chivewing {
+
+// Starts runs, sends their orders until they are settled, and takes in how they
+// end. A run holds its room until it is certain that it has ended or will never
+// begin.
+class RunKeeper {
+ public:
+  RunKeeper(DispatchState& state, JobKeeper& jobs)
+      : state_(state), jobs_(jobs) {}
+
+  // Starts a task on a worker; the order is among the next effects.
+  void Start(TimePoint now, TrackedJob& job, const TaskKey& task,
+             Worker& worker, std::uint64_t number, const std::string& ticket,
+             DispatchEffects& out);
+  // Takes over a run that an earlier dispatcher has started.
+  void Adopt(TimePoint now, TrackedJob& job, Worker& worker,
+             const RunningRun& listed);
+
+  void OnStartAnswer(TimePoint now, std::uint64_t run_id,
+                     const OrderAnswer& answer);
+  void OnStopAnswer(TimePoint now, std::uint64_t run_id,
+                    const OrderAnswer& answer);
+  // Sends orders again that have had no answer, and stops that are wanted.
+  void SendDue(TimePoint now, DispatchEffects& out);
+  TimePoint next_send() const;
+
+  // The run has ended so, or, with kLapsed, is certainly gone.
+  void End(TimePoint now, std::uint64_t run_id, EndKind how,
+           const std::string& saved);
+  // An end of a run that is not kept here.
+  void OnForeignEnd(TrackedJob& job, const EndedRun& end);
+  void RequestStop(Run& run);
+
+ private:
+  void SendStart(TimePoint now, Run& run, DispatchEffects& out);
+  void SendStop(TimePoint now, Run& run, DispatchEffects& out);
+  void MarkAcknowledged(TimePoint now, Run& run);
+  void OnRefusal(TimePoint now, Run& run, OrderOutcome outcome);
+  void RecordEnd(TrackedJob& job, const RunName& name, EndKind how,
+                 const std::string& saved);
+  void StopOthers(TrackedJob& job, const TaskKey& key, bool whole_step);
+
+  DispatchState& state_;
+  JobKeeper& jobs_;
+};
+
+}  // namespace chivewing
--- /dev/null
+++ b/src/dispatch/step_advice.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+
+#include "base/id.h"
+#include "base/time.h"
+#include "dispatch/worker_messages.h"
+
+namespace chivewing {
+
+// What the advice service has said about one step. Which workers may run a step
+// does not change during their lives; tickets expire.
+class StepAdvice {
+ public:
+  // Takes the answer to a question about `asked` that was sent at `sent`.
+  void OnAnswer(TimePoint sent, const std::set<WorkerId>& asked,
+                const AdviceAnswer& answer);
+  // The worker's life has ended, or it refused its ticket.
+  void Forget(const WorkerId& worker);
+
+  // The ticket for a worker that is valid until after `at`, or nullptr.
+  const std::string* FindTicket(const WorkerId& worker, TimePoint at) const;
+  bool IsGood(const WorkerId& worker) const { return good_.contains(worker); }
+  bool IsBad(const WorkerId& worker) const { return bad_.contains(worker); }
+
+  std::uint64_t open_ask() const { return open_ask_; }  // 0: none
+  void set_open_ask(std::uint64_t ask) { open_ask_ = ask; }
+
+ private:
+  struct Held {
+    std::string ticket;
+    TimePoint expires;
+  };
+  std::map<WorkerId, Held> good_;
+  std::set<WorkerId> bad_;
+  std::uint64_t open_ask_ = 0;
+};
+
+}  // namespace chivewing
--- /dev/null
+++ b/src/dispatch/tracked_job.cc
@@ -0,0 +1,115 @@
+#include "dispatch/tracked_job.h"
+
+#include <algorithm>
+
+namespace chivewing {
+
+StepState* TrackedJob::FindStep(std::size_t occurrence, std::size_t step) {
+  const auto found = occurrences.find(occurrence);
+  if (found == occurrences.end()) return nullptr;
+  return step < found->second.size() ? &found->second[step] : nullptr;
+}
+
+TaskState* TrackedJob::FindTask(const TaskKey& key) {
+  StepState* const step = FindStep(key.occurrence, key.step);
+  if (step == nullptr || key.index >= step->tasks.size()) return nullptr;
+  return &step->tasks[key.index];
+}
+
+std::size_t TrackedJob::OccurrenceCount() const {
+  return std::max<std::size_t>(1, record.spec.repeats);
+}
+
+std::chrono::milliseconds TrackedJob::DueTime(std::size_t occurrence) const {
+  if (record.spec.repeats == 0) return std::chrono::milliseconds(0);
+  return record.spec.first_at +
+         record.spec.interval * static_cast<std::int64_t>(occurrence);
+}
+
+bool TrackedJob::IsStepDone(std::size_t occurrence, std::size_t step) const {
+  const StepState& state = occurrences.at(occurrence)[step];
+  return state.done_count == state.tasks.size();
+}
+
+bool TrackedJob::IsOpen(std::size_t occurrence, std::size_t step) const {
+  const std::vector<std::size_t>& after = record.spec.steps[step].after;
+  return std::all_of(after.begin(), after.end(), [&](std::size_t earlier) {
+    return IsStepDone(occurrence, earlier);
+  });
+}
+
+std::vector<std::size_t> TrackedJob::WaitingTasks(std::size_t occurrence,
+                                                  std::size_t step) const {
+  const StepState& state = occurrences.at(occurrence)[step];
+  std::vector<std::size_t> waiting;
+  for (std::size_t i = 0; i < state.tasks.size(); ++i) {
+    const TaskState& task = state.tasks[i];
+    if (!task.progress.done && task.runs.empty()) waiting.push_back(i);
+  }
+  const bool gang = record.spec.steps[step].gang;
+  if (gang && waiting.size() < state.tasks.size()) waiting.clear();
+  return waiting;
+}
+
+void TrackedJob::OpenOccurrence(std::size_t occurrence) {
+  std::vector<StepState>& steps = occurrences[occurrence];
+  if (!steps.empty()) return;
+  for (const StepSpec& spec : record.spec.steps) {
+    steps.emplace_back().tasks.resize(spec.task_count);
+  }
+}
+
+JobProgress TrackedJob::progress() const {
+  JobProgress out;
+  out.state = cancelled && !IsFinal(state) ? JobPhase::kCancelled : state;
+  out.top_run = top_run;
+  out.finished_occurrences = finished_occurrences;
+  // The tasks of a job that has ended are of no use to a successor.
+  if (IsFinal(out.state)) return out;
+  for (const auto& [number, steps] : occurrences) {
+    std::vector<StepProgress>& list = out.occurrences[number];
+    for (const StepState& step : steps) {
+      StepProgress& kept = list.emplace_back();
+      for (std::size_t i = 0; i < step.tasks.size(); ++i) {
+        const TaskProgress& task = step.tasks[i].progress;
+        const bool empty =
+            !task.done && task.failed_runs.empty() && task.saved.empty();
+        if (!empty) kept.emplace(i, task);
+      }
+    }
+  }
+  return out;
+}
+
+void TrackedJob::set_progress(const JobProgress& progress) {
+  state = progress.state;
+  top_run = progress.top_run;
+  finished_occurrences = progress.finished_occurrences;
+  for (const auto& [number, list] : progress.occurrences) {
+    OpenOccurrence(number);
+    std::vector<StepState>& steps = occurrences[number];
+    for (std::size_t s = 0; s < std::min(list.size(), steps.size()); ++s) {
+      for (const auto& [index, task] : list[s]) {
+        if (index >= steps[s].tasks.size()) continue;
+        steps[s].tasks[index].progress = task;
+        if (task.done) ++steps[s].done_count;
+      }
+    }
+  }
+}
+
+std::chrono::milliseconds LongestChain(const JobDescription& spec) {
+  std::vector<std::chrono::milliseconds> ends;
+  std::chrono::milliseconds longest{0};
+  for (const StepSpec& step : spec.steps) {
+    std::chrono::milliseconds start{0};
+    for (const std::size_t earlier : step.after) {
+      if (earlier < ends.size()) start = std::max(start, ends[earlier]);
+    }
+    ends.push_back(start + step.estimate);
+    longest = std::max(longest, ends.back());
+  }
+  return longest;
+}
+
+}  // namespace chivewing
--- /dev/null
+++ b/src/dispatch/tracked_job.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "base/time.h"
+#include "dispatch/job_progress.h"
+#include "dispatch/job_record.h"
+#include "dispatch/step_advice.h"
+
+namespace chivewing {
+
+// One task: what it has achieved, and its runs that may still be going on.
+struct TaskState {
+  TaskProgress progress{};
+  std::uint64_t top_run = 0;  // highest number given to a run
+  std::set<WorkerId> failed_on{};
+  std::vector<std::uint64_t> runs{};
+};
+
+// One step of one occurrence.
+struct StepState {
+  std::vector<TaskState> tasks{};
+  std::size_t done_count = 0;
+  StepAdvice advice{};
+  // The state of the cluster's room when this step last found none.
+  std::uint64_t tried_version = 0;
+};
+
+// A job that the dispatcher knows.
+struct TrackedJob {
+  JobRecord record{};
+  JobPhase state = JobPhase::kQueued;
+  bool cancelled = false;
+  // An earlier dispatcher may have started tasks of it that are not known yet.
+  bool uncertain = false;
+  TimePoint accepted{};
+  TimePoint due{};        // its objective
+  TimePoint worthless{};  // nobody is served by an end after this
+  std::uint64_t top_run = 0;
+  std::map<std::size_t, std::vector<StepState>> occurrences{};
+  std::size_t finished_occurrences = 0;
+
+  bool IsActive() const { return !IsFinal(state) && !cancelled; }
+  StepState* FindStep(std::size_t occurrence, std::size_t step);
+  TaskState* FindTask(const TaskKey& key);
+  const StepSpec& spec(std::size_t step) const {
+    return record.spec.steps[step];
+  }
+  // Number of occurrences in all.
+  std::size_t OccurrenceCount() const;
+  // Time of day, since 1970, at which an occurrence is due.
+  std::chrono::milliseconds DueTime(std::size_t occurrence) const;
+  // Whether all steps before this one are done.
+  bool IsOpen(std::size_t occurrence, std::size_t step) const;
+  // Tasks that are not done and have no run; all or none of a gang.
+  std::vector<std::size_t> WaitingTasks(std::size_t occurrence,
+                                        std::size_t step) const;
+  bool IsStepDone(std::size_t occurrence, std::size_t step) const;
+  void OpenOccurrence(std::size_t occurrence);
+  JobProgress progress() const;
+  void set_progress(const JobProgress& progress);
+};
+
+// The longest chain of work in a job, by its estimates.
+std::chrono::milliseconds LongestChain(const JobDescription& spec);
+
+}  // namespace chivewing
--- /dev/null
+++ b/src/dispatch/worker_watch.cc
@@ -0,0 +1,324 @@
+#include "dispatch/worker_watch.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include "base/log.h"
+
+namespace chivewing {
+namespace {
+
+// A worker that has failed this many runs in a row is left alone for a while.
+constexpr int kFailuresToPause = 3;
+constexpr std::chrono::seconds kFailurePause{4};
+
+}  // namespace
+
+void WorkerWatch::Register(TimePoint now,
+                           const WorkerRegistration& registration) {
+  Worker* const known = state_.FindWorker(registration.worker);
+  ++state_.room_version;
+  if (known == nullptr) {
+    Worker worker(registration);
+    worker.next_poll = now;
+    state_.workers.emplace(registration.worker, std::move(worker));
+    return;
+  }
+  const bool moved = known->registration().address != registration.address;
+  known->set_registration(registration);
+  if (moved) known->next_poll = now;
+}
+
+void WorkerWatch::Unregister(const WorkerId& id) {
+  if (Worker* const worker = state_.FindWorker(id)) {
+    worker->set_registered(false);
+  }
+}
+
+void WorkerWatch::Expect(TimePoint now,
+                         const WorkerRegistration& registration) {
+  const auto found =
+      state_.workers.try_emplace(registration.worker, Worker(registration));
+  Worker& worker = found.first->second;
+  if (found.second) {
+    worker.set_registered(false);
+    worker.next_poll = now;
+  }
+  worker.enrolled = true;
+  const std::chrono::duration<double, std::milli> longest =
+      state_.options.longest_lease;
+  worker.set_foreign_lapse(now +
+                           std::chrono::ceil<Duration>(
+                               longest / (1.0 - state_.options.clock_drift)));
+  state_.unresolved.insert(registration.worker);
+}
+
+bool WorkerWatch::IsUsable(TimePoint now, const Worker& worker) const {
+  return worker.registered() && worker.enrolled && worker.synced &&
+         worker.has_clock() && !worker.registration().draining &&
+         !worker.IsSilent() && now >= worker.paused_until;
+}
+
+void WorkerWatch::Poll(TimePoint now, Worker& worker, DispatchEffects& out) {
+  PollWorker poll;
+  poll.poll_id = ++state_.last_poll;
+  poll.worker = worker.registration().worker;
+  poll.address = worker.registration().address;
+  poll.fence = state_.fence;
+  poll.settled_end = worker.settled_end;
+  poll.deadline = worker.GiveLease(now, state_.options.lease);
+  const bool waits = worker.synced && !worker.IsSilent() &&
+                     worker.settled_end == worker.handled_end;
+  poll.wait = waits ? state_.options.poll_wait : std::chrono::milliseconds(0);
+  poll.fresh_connection = worker.IsSilent();
+  worker.open_poll = poll.poll_id;
+  worker.poll_sent = now;
+  ++state_.counts.polls;
+  out.emplace_back(std::move(poll));
+}
+
+void WorkerWatch::SendDue(TimePoint now, DispatchEffects& out) {
+  std::vector<WorkerId> gone;
+  for (auto& [id, worker] : state_.workers) {
+    DropLapsed(now, worker);
+    if (worker.open_poll == 0 && now >= worker.next_poll) {
+      Poll(now, worker, out);
+    }
+    const bool idle =
+        state_.runs.OnWorker(id).empty() && !state_.unresolved.contains(id);
+    if (!worker.registered() && worker.IsSilent() && idle &&
+        now > worker.LapseTime(state_.options)) {
+      gone.push_back(id);
+    }
+  }
+  for (const WorkerId& id : gone) {
+    if (state_.workers.at(id).enrolled) state_.departed.insert(id);
+    state_.workers.erase(id);
+  }
+  for (StopRun& stop : stray_stops_) out.emplace_back(std::move(stop));
+  stray_stops_.clear();
+}
+
+TimePoint WorkerWatch::next_due() const {
+  TimePoint next = TimePoint::max();
+  for (const auto& [id, worker] : state_.workers) {
+    if (worker.open_poll == 0) next = std::min(next, worker.next_poll);
+    if (worker.IsSilent()) {
+      next = std::min(next, worker.LapseTime(state_.options));
+    }
+  }
+  return next;
+}
+
+void WorkerWatch::OnSilence(TimePoint now, Worker& worker) {
+  if (!worker.IsSilent()) {
+    worker.silent_since = now;
+    ++state_.room_version;  // copies may be started elsewhere
+    LogWarning(LogPart::kWorker,
+               "no answer worker=" + worker.registration().worker.value());
+  }
+}
+
+void WorkerWatch::OnOrderAnswer(TimePoint now, const WorkerId& id,
+                                const OrderAnswer& answer) {
+  Worker* const worker = state_.FindWorker(id);
+  if (worker == nullptr) return;
+  if (answer.outcome == OrderOutcome::kOtherLife) {
+    OnOtherLife(now, *worker);
+    return;
+  }
+  if (answer.outcome == OrderOutcome::kNotSent) {
+    worker->paused_until = now + state_.options.refusal_pause;
+    return;
+  }
+  if (!answer.clock) return;
+  if (worker->IsRestarted(now, *answer.clock)) {
+    LoseRuns(now, id);
+    worker->StartNewLife();
+    worker->next_poll = now;
+    return;
+  }
+  worker->SetClock(now, *answer.clock);
+  worker->answered_at = now;
+}
+
+void WorkerWatch::OnOtherLife(TimePoint now, Worker& worker) {
+  const WorkerId id = worker.registration().worker;
+  LogInfo(LogPart::kWorker, "worker has ended worker=" + id.value());
+  LoseRuns(now, id);
+  worker.StartNewLife();
+  worker.silent_since = now;
+  worker.next_poll = now + state_.options.poll_retry;
+  Resolve(id);
+}
+
+void WorkerWatch::OnPoll(TimePoint now, const WorkerId& id,
+                         std::uint64_t poll_id, const PollAnswer& answer) {
+  Worker* const worker = state_.FindWorker(id);
+  if (worker == nullptr || worker->open_poll != poll_id) return;
+  worker->open_poll = 0;
+  if (answer.outcome == OrderOutcome::kFenced) {
+    state_.fenced_off = true;
+    return;
+  }
+  if (answer.outcome == OrderOutcome::kOtherLife) {
+    OnOtherLife(now, *worker);
+    return;
+  }
+  if (answer.outcome != OrderOutcome::kDone || !answer.clock) {
+    OnSilence(now, *worker);
+    worker->next_poll = now + state_.options.poll_retry;
+    return;
+  }
+  const bool born_again =
+      worker->born.count() > 0 && answer.born != worker->born;
+  if (born_again || worker->IsRestarted(now, *answer.clock)) {
+    LogInfo(LogPart::kWorker, "worker has restarted worker=" + id.value());
+    LoseRuns(now, id);
+    worker->StartNewLife();
+  }
+  worker->born = answer.born;
+  worker->SetClock(now, *answer.clock);
+  worker->answered_at = now;
+  if (worker->IsSilent() || !worker->synced) ++state_.room_version;
+  worker->silent_since = TimePoint{};
+  TakeEnds(now, *worker, answer);
+  TakeRunning(now, *worker, answer);
+  DropAbsent(now, *worker, answer);
+  const bool first = !worker->synced;
+  worker->synced = true;
+  Resolve(id);
+  const bool unsettled = worker->settled_end != worker->handled_end;
+  worker->next_poll =
+      unsettled && !first ? now + state_.options.settle_wait : now;
+}
+
+void WorkerWatch::OnSettled(TimePoint now, const WorkerId& id,
+                            std::uint64_t end) {
+  Worker* const worker = state_.FindWorker(id);
+  if (worker == nullptr || end > worker->handled_end) return;
+  worker->settled_end = std::max(worker->settled_end, end);
+  if (worker->settled_end == worker->handled_end && !worker->IsSilent()) {
+    worker->next_poll = std::min(worker->next_poll, now);
+  }
+}
+
+void WorkerWatch::TakeEnds(TimePoint now, Worker& worker,
+                           const PollAnswer& answer) {
+  for (const EndedRun& end : answer.ended) {
+    if (end.number <= worker.handled_end) continue;
+    worker.handled_end = end.number;
+    Run* const run = state_.runs.Find(worker.registration().worker, end.run);
+    LogInfo(LogPart::kPlacer,
+            "ended job=" + end.run.task.job.value() +
+                " step=" + std::to_string(end.run.task.step) +
+                " task=" + std::to_string(end.run.task.index) +
+                " run=" + std::to_string(end.run.number) +
+                " how=" + std::to_string(static_cast<int>(end.how)) +
+                " worker=" + worker.registration().worker.value());
+    if (run != nullptr) {
+      runs_.End(now, run->id, end.how, end.saved);
+    } else if (TrackedJob* const job = state_.FindJob(end.run.task.job)) {
+      runs_.OnForeignEnd(*job, end);
+    }
+  }
+  if (worker.failures_in_row >= kFailuresToPause) {
+    worker.paused_until = now + kFailurePause;
+    worker.failures_in_row = kFailuresToPause - 1;
+  }
+}
+
+void WorkerWatch::TakeRunning(TimePoint now, Worker& worker,
+                              const PollAnswer& answer) {
+  for (const RunningRun& listed : answer.running) {
+    TakeListed(now, worker, listed);
+  }
+}
+
+void WorkerWatch::TakeListed(TimePoint now, Worker& worker,
+                             const RunningRun& listed) {
+  const WorkerId& id = worker.registration().worker;
+  if (Run* const run = state_.runs.Find(id, listed.run)) {
+    if (!run->acknowledged) {
+      OrderAnswer answer;
+      answer.outcome = OrderOutcome::kDone;
+      runs_.OnStartAnswer(now, run->id, answer);
+    }
+    if (!listed.saved.empty()) run->saved = listed.saved;
+    if (listed.percent > run->percent) run->progressed_at = now;
+    run->percent = listed.percent;
+    run->load = listed.load;
+    run->listed_at = now;
+    return;
+  }
+  TrackedJob* const job = state_.FindJob(listed.run.task.job);
+  TaskState* const task =
+      job == nullptr ? nullptr : job->FindTask(listed.run.task);
+  const bool wanted = task != nullptr && job->IsActive() &&
+                      !task->progress.done && task->runs.empty();
+  if (wanted) {
+    runs_.Adopt(now, *job, worker, listed);
+    return;
+  }
+  LogInfo(LogPart::kPlacer, "stopping a run that is not wanted job=" +
+                                listed.run.task.job.value() +
+                                " worker=" + id.value());
+  stray_stops_.push_back(
+      StopRun{0, id, worker.registration().address, listed.run, state_.fence});
+}
+
+// A run that the worker should list and does not has gone without an end.
+void WorkerWatch::DropAbsent(TimePoint now, Worker& worker,
+                             const PollAnswer& answer) {
+  std::set<RunName> listed;
+  for (const RunningRun& run : answer.running) listed.insert(run.run);
+  const WorkerId& id = worker.registration().worker;
+  std::vector<std::uint64_t> absent;
+  for (const std::uint64_t run_id : state_.runs.OnWorker(id)) {
+    const Run& run = *state_.runs.Find(run_id);
+    if (listed.contains(run.name)) continue;
+    const bool known_there =
+        run.acknowledged && run.acknowledged_at < worker.poll_sent;
+    const bool stopped_there =
+        run.stop_confirmed && run.stop_confirmed_at < worker.poll_sent;
+    const bool too_late =
+        !run.acknowledged && run.sends > 0 && *answer.clock > run.deadline;
+    if (known_there || stopped_there || too_late) absent.push_back(run_id);
+  }
+  for (const std::uint64_t run_id : absent) {
+    runs_.End(now, run_id, EndKind::kLapsed, "");
+  }
+}
+
+void WorkerWatch::DropLapsed(TimePoint now, Worker& worker) {
+  if (!worker.IsSilent()) return;
+  const WorkerId id = worker.registration().worker;
+  const bool holds =
+      !state_.runs.OnWorker(id).empty() || state_.unresolved.contains(id);
+  if (!holds || now <= worker.LapseTime(state_.options)) return;
+  LogWarning(LogPart::kWorker, "lease has ended worker=" + id.value());
+  LoseRuns(now, id);
+  worker.synced = false;
+  Resolve(id);
+}
+
+void WorkerWatch::LoseRuns(TimePoint now, const WorkerId& id) {
+  const std::set<std::uint64_t> lost = state_.runs.OnWorker(id);
+  for (const std::uint64_t run_id : lost) {
+    runs_.End(now, run_id, EndKind::kLapsed, "");
+  }
+  for (auto& [job_id, job] : state_.jobs) {
+    for (auto& [number, steps] : job.occurrences) {
+      for (StepState& step : steps) step.advice.Forget(id);
+    }
+  }
+}
+
+void WorkerWatch::Resolve(const WorkerId& id) {
+  if (state_.unresolved.erase(id) == 0) return;
+  if (state_.unresolved.empty()) jobs_.ClearUncertainty();
+}
+
+}  // namespace chivewing
--- a/src/entry/catalogue_desk.h
+++ b/src/entry/catalogue_desk.h
@@ -11,7 +11,7 @@
 #include "catalogue/catalogue.h"
 #include "catalogue/catalogue_change.h"
 #include "http/http_server.h"
-#include "platform/table.h"
+#include "store/table.h"
 
 namespace chivewing {
 
--- a/src/entry/control_event.h
+++ b/src/entry/control_event.h
@@ -11,7 +11,7 @@
 #include "entry/request_event.h"
 #include "http/http_server.h"
 #include "peer/mesh_types.h"
-#include "platform/table.h"
+#include "store/table.h"
 
 namespace chivewing {
 
--- a/src/entry/control_ports.h
+++ b/src/entry/control_ports.h
@@ -12,7 +12,7 @@
 #include "entry/request_event.h"
 #include "http/http_server.h"
 #include "peer/messages.h"
-#include "platform/table.h"
+#include "store/table.h"
 
 namespace chivewing {
 
--- a/src/entry/entry_host.h
+++ b/src/entry/entry_host.h
@@ -18,7 +18,7 @@
 #include "http/http_client.h"
 #include "http/http_server.h"
 #include "peer/peer_mesh.h"
-#include "platform/table_client.h"
+#include "store/table_client.h"
 #include "settings/settings.h"
 
 namespace chivewing {
--- a/src/entry/job_desk.h
+++ b/src/entry/job_desk.h
@@ -15,9 +15,9 @@
 #include "catalogue/catalogue.h"
 #include "entry/job_row.h"
 #include "http/http_server.h"
-#include "platform/commit_resolver.h"
-#include "platform/row_cache.h"
-#include "platform/table.h"
+#include "store/commit_resolver.h"
+#include "store/row_cache.h"
+#include "store/table.h"
 
 namespace chivewing {
 
--- a/src/entry/pending_rows.h
+++ b/src/entry/pending_rows.h
@@ -10,7 +10,7 @@
 #include "base/id.h"
 #include "entry/job_row.h"
 #include "entry/task_row.h"
-#include "platform/table.h"
+#include "store/table.h"
 
 namespace chivewing {
 
--- a/src/entry/placer_event.h
+++ b/src/entry/placer_event.h
@@ -8,7 +8,7 @@
 #include "base/id.h"
 #include "base/time.h"
 #include "entry/request_event.h"
-#include "platform/table.h"
+#include "store/table.h"
 #include "workers/worker_call.h"
 
 namespace chivewing {
--- a/src/entry/placer_ports.h
+++ b/src/entry/placer_ports.h
@@ -5,7 +5,7 @@
 #include <functional>
 #include <vector>
 
-#include "platform/table.h"
+#include "store/table.h"
 #include "workers/worker_call.h"
 
 namespace chivewing {
--- a/src/entry/placer_view.h
+++ b/src/entry/placer_view.h
@@ -11,7 +11,7 @@
 #include "entry/job_row.h"
 #include "entry/task_row.h"
 #include "entry/worker_directory.h"
-#include "platform/table.h"
+#include "store/table.h"
 
 namespace chivewing {
 
--- a/src/entry/request_event.h
+++ b/src/entry/request_event.h
@@ -13,7 +13,7 @@
 #include "http/http_client.h"
 #include "http/http_server.h"
 #include "peer/mesh_types.h"
-#include "platform/table.h"
+#include "store/table.h"
 #include "routing/instance_view.h"
 #include "routing/routing_id.h"
 
--- a/src/entry/request_ports.h
+++ b/src/entry/request_ports.h
@@ -7,7 +7,7 @@
 #include "http/http_client.h"
 #include "http/http_server.h"
 #include "peer/messages.h"
-#include "platform/table.h"
+#include "store/table.h"
 #include "routing/routing_id.h"
 
 namespace chivewing {
--- a/src/entry/row_feed.h
+++ b/src/entry/row_feed.h
@@ -8,8 +8,8 @@
 #include "base/id.h"
 #include "base/time.h"
 #include "peer/messages.h"
-#include "platform/row_cache.h"
-#include "platform/table.h"
+#include "store/row_cache.h"
+#include "store/table.h"
 
 namespace chivewing {
 
--- a/src/entry/singleton_claims.h
+++ b/src/entry/singleton_claims.h
@@ -9,7 +9,7 @@
 #include "base/id.h"
 #include "base/time.h"
 #include "entry/placer_view.h"
-#include "platform/table.h"
+#include "store/table.h"
 
 namespace chivewing {
 
--- a/src/entry/worker_directory.h
+++ b/src/entry/worker_directory.h
@@ -8,7 +8,7 @@
 #include "base/id.h"
 #include "base/time.h"
 #include "entry/placer_event.h"
-#include "platform/table.h"
+#include "store/table.h"
 
 namespace chivewing {
 
--- a/src/lease/lease_holder.h
+++ b/src/lease/lease_holder.h
@@ -9,8 +9,8 @@
 #include "base/id.h"
 #include "base/time.h"
 #include "lease/lease_row.h"
-#include "platform/commit_flight.h"
-#include "platform/table.h"
+#include "store/commit_flight.h"
+#include "store/table.h"
 
 namespace chivewing {
 
--- a/src/membership/share_keeper.h
+++ b/src/membership/share_keeper.h
@@ -12,8 +12,8 @@
 #include "base/id.h"
 #include "base/time.h"
 #include "membership/host_directory.h"
-#include "platform/commit_flight.h"
-#include "platform/table.h"
+#include "store/commit_flight.h"
+#include "store/table.h"
 
 namespace chivewing {
 
--- a/src/outcome/claim_book.h
+++ b/src/outcome/claim_book.h
@@ -13,7 +13,7 @@
 #include "base/time.h"
 #include "outcome/claim_effects.h"
 #include "outcome/claim_row.h"
-#include "platform/commit_flight.h"
+#include "store/commit_flight.h"
 
 namespace chivewing {
 
--- a/src/outcome/claim_effects.h
+++ b/src/outcome/claim_effects.h
@@ -8,7 +8,7 @@
 #include "base/id.h"
 #include "base/result_code.h"
 #include "base/time.h"
-#include "platform/table.h"
+#include "store/table.h"
 
 namespace chivewing {
 
--- a/src/peer/codec.cc
+++ b/src/peer/codec.cc
@@ -71,6 +71,19 @@
   visit(m.incarnation);
 }
 
+template <typename Visitor>
+void Fields(Visitor& visit, AdviceAsk& m) {
+  visit(m.ask, m.job, m.occurrence, m.step, m.workers, m.timeout);
+}
+template <typename Visitor>
+void Fields(Visitor& visit, AdviceTicket& m) {
+  visit(m.worker, m.ticket);
+}
+template <typename Visitor>
+void Fields(Visitor& visit, AdviceReply& m) {
+  visit(m.ask, m.answered, m.good, m.valid);
+}
+
 // Counts the fields of a structure, so that its array can be opened.
 struct Counter {
   std::uint32_t count = 0;
--- a/src/peer/messages.h
+++ b/src/peer/messages.h
@@ -8,7 +8,7 @@
 
 #include "base/id.h"
 #include "base/result_code.h"
-#include "platform/table.h"
+#include "store/table.h"
 
 // Messages between entry hosts. docs/PROTOCOLS.md lists the fields in the order
 // in which they are encoded.
@@ -102,8 +102,33 @@
   std::uint64_t incarnation = 0;
 };
 
-using PeerMessage = std::variant<Hello, Heartbeat, HeartbeatEcho, Forward,
-                                 ForwardAnswer, PeerLoadReport, RowsPush,
-                                 RowsAsk, ClaimAsk, ClaimAnswer, Leaving>;
+// Asks the other end to put a question to the advice service: which of the
+// workers may run a step of a job.
+struct AdviceAsk {
+  std::uint64_t ask = 0;
+  JobId job;
+  std::uint64_t occurrence = 0;
+  std::uint64_t step = 0;
+  std::vector<WorkerId> workers;
+  std::chrono::milliseconds timeout{0};
+};
+
+struct AdviceTicket {
+  WorkerId worker;
+  std::string ticket;
+};
+
+// The service's answer; `good` counts only when `answered`.
+struct AdviceReply {
+  std::uint64_t ask = 0;
+  bool answered = false;
+  std::vector<AdviceTicket> good;
+  std::chrono::milliseconds valid{0};
+};
+
+using PeerMessage =
+    std::variant<Hello, Heartbeat, HeartbeatEcho, Forward, ForwardAnswer,
+                 PeerLoadReport, RowsPush, RowsAsk, ClaimAsk, ClaimAnswer,
+                 Leaving, AdviceAsk, AdviceReply>;
 
 }  // namespace chivewing
--- a/src/platform/commit_flight.h
+++ b/src/store/commit_flight.h
@@ -4,7 +4,7 @@
 #include <string>
 
 #include "base/time.h"
-#include "platform/table.h"
+#include "store/table.h"
 
 namespace chivewing {
 
--- a/src/platform/commit_resolver.cc
+++ b/src/store/commit_resolver.cc
@@ -1,4 +1,4 @@
-#include "platform/commit_resolver.h"
+#include "store/commit_resolver.h"
 
 #include <algorithm>
 #include <string>
--- a/src/platform/commit_resolver.h
+++ b/src/store/commit_resolver.h
@@ -11,7 +11,7 @@
 
 #include "base/result.h"
 #include "base/time.h"
-#include "platform/table.h"
+#include "store/table.h"
 
 namespace chivewing {
 
--- a/src/platform/row_cache.cc
+++ b/src/store/row_cache.cc
@@ -1,4 +1,4 @@
-#include "platform/row_cache.h"
+#include "store/row_cache.h"
 
 #include <algorithm>
 
--- a/src/platform/table.h
+++ b/src/store/table.h
@@ -68,6 +68,9 @@
   bool ok = false;
   std::uint64_t revision = 0;  // to go on from
   bool more = false;
+  // The table no longer holds all changes since the revision asked for: all
+  // rows have to be read again.
+  bool history_lost = false;
   std::vector<TableRow> rows{};  // oldest first, removed ones included
 };
 
--- a/src/platform/table_client.cc
+++ b/src/store/table_client.cc
@@ -1,4 +1,4 @@
-#include "platform/table_client.h"
+#include "store/table_client.h"
 
 #include <atomic>
 #include <cctype>
@@ -6,7 +6,7 @@
 #include <utility>
 
 #include "http/http_client.h"
-#include "platform/table_codec.h"
+#include "store/table_codec.h"
 
 namespace chivewing {
 namespace {
--- a/src/platform/table_client.h
+++ b/src/store/table_client.h
@@ -8,7 +8,7 @@
 #include <string>
 #include <vector>
 
-#include "platform/table.h"
+#include "store/table.h"
 
 namespace chivewing {
 
--- a/src/platform/table_codec.cc
+++ b/src/store/table_codec.cc
@@ -1,4 +1,4 @@
-#include "platform/table_codec.h"
+#include "store/table_codec.h"
 
 #include <functional>
 #include <nlohmann/json.hpp>
--- a/src/platform/table_codec.h
+++ b/src/store/table_codec.h
@@ -5,7 +5,7 @@
 #include <string_view>
 #include <vector>
 
-#include "platform/table.h"
+#include "store/table.h"
 
 namespace chivewing {
 
--- a/tests/catalogue/fake_table.h
+++ b/tests/catalogue/fake_table.h
@@ -4,7 +4,7 @@
 #include <map>
 #include <string>
 
-#include "platform/table.h"
+#include "store/table.h"
 
 namespace chivewing {
 
--- a/tests/outcome/fake_table.h
+++ b/tests/outcome/fake_table.h
@@ -11,7 +11,7 @@
 #include <utility>
 #include <vector>
 
-#include "platform/table.h"
+#include "store/table.h"
 
 namespace chivewing {
 
--- a/tests/standins/platform_standin.cc
+++ b/tests/standins/platform_standin.cc
@@ -4,7 +4,7 @@
 #include <set>
 #include <utility>
 
-#include "platform/table_codec.h"
+#include "store/table_codec.h"
 
 namespace chivewing {
 namespace {
--- a/tests/standins/platform_standin.h
+++ b/tests/standins/platform_standin.h
@@ -11,8 +11,8 @@
 #include <vector>
 
 #include "base/time.h"
-#include "platform/row_cache.h"
-#include "platform/table.h"
+#include "store/row_cache.h"
+#include "store/table.h"
 #include "standins/standin_server.h"
 
 namespace chivewing {
--- a/tests/standins/worker_standin.cc
+++ b/tests/standins/worker_standin.cc
@@ -4,7 +4,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
-#include "platform/table_codec.h"
+#include "store/table_codec.h"
 #include "standins/blocking_http.h"
 
 namespace chivewing {
--- a/tests/platform/row_cache_test.cc
+++ b/tests/store/row_cache_test.cc
@@ -1,4 +1,4 @@
-#include "platform/row_cache.h"
+#include "store/row_cache.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
--- a/tests/platform/table_client_test.cc
+++ b/tests/store/table_client_test.cc
@@ -1,4 +1,4 @@
-#include "platform/table_client.h"
+#include "store/table_client.h"
 
 #include <gtest/gtest.h>
 #include <unistd.h>
