--- a/src/cluster/cluster_host.cc
+++ b/src/cluster/cluster_host.cc
@@ -132,6 +132,7 @@
     if (const auto lease = DecodeLeaseRow(*row.value)) {
       if (lease->host != leader_) {
         leader_ = lease->host;
+        LogInfo(LogPart::kPeer, "dispatching host is " + leader_.value());
         ConnectPeers();
       }
     }
@@ -256,6 +257,7 @@
 void ClusterHost::OnPeerEvent(TimePoint now, const PeerEvent& event) {
   if (const auto* up = std::get_if<PeerUp>(&event)) {
     peers_up_.insert(up->host);
+    LogInfo(LogPart::kPeer, "peer is up host=" + up->host.value());
     UpdateAskers();
   } else if (const auto* down = std::get_if<PeerDown>(&event)) {
     peers_up_.erase(down->host);
