Listed runs that are not wanted hold their room and task until they end

Ruled out: stale fences (the second start carried the higher one). Change: such runs are kept as orphans until their job is known or they have ended; a worker with one gets no tasks; jobs newer than a take-over wait 1.5 s while a worker has not listed its runs.

--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -9,6 +9,9 @@
 
 constexpr std::chrono::milliseconds kRankEvery{500};
 constexpr std::chrono::seconds kLongestSleep{1};
+// An earlier dispatcher may start jobs that are newer than the take-over until
+// it has met the new fence.
+constexpr std::chrono::milliseconds kHandOver{1500};
 constexpr int kAskBitsPerFence = 32;
 
 }  // namespace
@@ -27,8 +30,14 @@
                         JobRecord record,
                         const std::optional<JobProgress>& progress,
                         bool uncertain) {
-  const bool open = uncertain && !state_.unresolved.empty();
-  jobs_.Add(now, wall, std::move(record), progress, open);
+  if (first_decided_ == TimePoint{}) first_decided_ = now;
+  TimePoint until{};
+  if (!state_.unresolved.empty()) {
+    until = uncertain ? TimePoint::max() : first_decided_ + kHandOver;
+  }
+  const JobId id = record.id;
+  jobs_.Add(now, wall, std::move(record), progress, until);
+  runs_.AttachOrphans(now, id);
 }
 
 void Dispatcher::CancelJob(const JobId& job) { jobs_.Cancel(job); }
@@ -106,8 +115,10 @@
 
 TimePoint Dispatcher::Decide(TimePoint now, std::chrono::milliseconds wall,
                              DispatchEffects& out) {
+  if (first_decided_ == TimePoint{}) first_decided_ = now;
   GiveUpAsks(now);
   watch_.SendDue(now, out);
+  runs_.StopOrphans(now);
   runs_.SendDue(now, out);
   const auto next_due = jobs_.OpenDue(wall);
   if (now >= ranked_at_ + kRankEvery) {
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -45,6 +45,8 @@
   // A worker has seen a higher fence: there is another dispatcher.
   bool fenced_off() const { return state_.fenced_off; }
 
+  // `uncertain`: an earlier dispatcher may have started tasks of it that are
+  // not known yet.
   void AddJob(TimePoint now, std::chrono::milliseconds wall, JobRecord record,
               const std::optional<JobProgress>& progress, bool uncertain);
   void CancelJob(const JobId& job);
@@ -86,6 +88,7 @@
   WorkerWatch watch_;
   StepPlacer placer_;
   TimePoint ranked_at_{};
+  TimePoint first_decided_{};
 };
 
 }  // namespace chivewing
--- a/src/dispatch/job_keeper.cc
+++ b/src/dispatch/job_keeper.cc
@@ -29,7 +29,7 @@
 
 void JobKeeper::Add(TimePoint now, milliseconds wall, JobRecord record,
                     const std::optional<JobProgress>& progress,
-                    bool uncertain) {
+                    TimePoint uncertain_until) {
   const JobId id = record.id;
   if (state_.jobs.contains(id)) return;
   TrackedJob& job = state_.jobs[id];
@@ -43,8 +43,8 @@
   if (progress) job.set_progress(*progress);
   if (IsFinal(job.state)) return;
   if (job.record.spec.repeats == 0) job.OpenOccurrence(0);
-  job.uncertain = uncertain;
-  if (uncertain) {
+  job.uncertain_until = uncertain_until;
+  if (now < uncertain_until) {
     job.top_run = std::max(job.top_run, kRunsPerFence * (state_.fence - 1));
   }
   RefreshReady(job);
@@ -195,8 +195,8 @@
 
 void JobKeeper::ClearUncertainty() {
   for (auto& [id, job] : state_.jobs) {
-    if (!job.uncertain) continue;
-    job.uncertain = false;
+    if (job.uncertain_until == TimePoint{}) continue;
+    job.uncertain_until = TimePoint{};
     RepairGangs(job);
     RefreshReady(job);
   }
--- a/src/dispatch/job_keeper.h
+++ b/src/dispatch/job_keeper.h
@@ -13,11 +13,12 @@
  public:
   explicit JobKeeper(DispatchState& state) : state_(state) {}
 
-  // A job as read from its row; `progress` as an earlier dispatcher left it.
-  // `uncertain`: that dispatcher may have started tasks of it. `wall` is the
-  // time of day since 1970. A job that is known is left as it is.
+  // A job as read from its row; `progress` as an earlier dispatcher left it,
+  // who may have started tasks of it that are unknown here `uncertain_until`
+  // then. `wall` is the time of day since 1970. A known job is left as it is.
   void Add(TimePoint now, std::chrono::milliseconds wall, JobRecord record,
-           const std::optional<JobProgress>& progress, bool uncertain);
+           const std::optional<JobProgress>& progress,
+           TimePoint uncertain_until);
   void Cancel(const JobId& id);
   void Remove(const JobId& id);
 
--- a/src/dispatch/run_book.cc
+++ b/src/dispatch/run_book.cc
@@ -1,11 +1,14 @@
 #include "dispatch/run_book.h"
 
+#include <algorithm>
+
 namespace chivewing {
 
 Run& RunBook::Add(Run run) {
   run.id = ++last_id_;
   by_name_[{run.worker, run.name}] = run.id;
   by_worker_[run.worker].insert(run.id);
+  if (run.orphan) orphans_.insert(run.id);
   return runs_.emplace(run.id, std::move(run)).first->second;
 }
 
@@ -25,6 +28,25 @@
   return found == by_worker_.end() ? none : found->second;
 }
 
+bool RunBook::HasOrphan(const WorkerId& worker) const {
+  return std::any_of(orphans_.begin(), orphans_.end(), [&](std::uint64_t id) {
+    return runs_.at(id).worker == worker;
+  });
+}
+
+std::vector<std::uint64_t> RunBook::OrphansOf(const JobId& job) const {
+  std::vector<std::uint64_t> out;
+  for (const std::uint64_t id : orphans_) {
+    if (runs_.at(id).name.task.job == job) out.push_back(id);
+  }
+  return out;
+}
+
+void RunBook::SetAttached(std::uint64_t id) {
+  Find(id)->orphan = false;
+  orphans_.erase(id);
+}
+
 void RunBook::Remove(std::uint64_t id) {
   const auto found = runs_.find(id);
   if (found == runs_.end()) return;
@@ -34,6 +56,7 @@
   worker->second.erase(id);
   if (worker->second.empty()) by_worker_.erase(worker);
   unsettled_.erase(id);
+  orphans_.erase(id);
   runs_.erase(found);
 }
 
--- a/src/dispatch/run_book.h
+++ b/src/dispatch/run_book.h
@@ -6,6 +6,7 @@
 #include <set>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "base/time.h"
 #include "dispatch/worker_messages.h"
@@ -19,6 +20,8 @@
   WorkerId worker{};
   Resources held{};  // of the worker's room
   bool copy = false;
+  // Its job is not known here yet, and so its size is not either.
+  bool orphan = false;
 
   // The start.
   std::string ticket{};
@@ -53,6 +56,12 @@
   Run* Find(std::uint64_t id);
   Run* Find(const WorkerId& worker, const RunName& name);
   const std::set<std::uint64_t>& OnWorker(const WorkerId& worker) const;
+  // Whether a run of unknown size is there.
+  bool HasOrphan(const WorkerId& worker) const;
+  std::vector<std::uint64_t> OrphansOf(const JobId& job) const;
+  // The run's job is known from now on.
+  void SetAttached(std::uint64_t id);
+  const std::set<std::uint64_t>& orphans() const { return orphans_; }
   void Remove(std::uint64_t id);
   const std::map<std::uint64_t, Run>& all() const { return runs_; }
 
@@ -65,6 +74,7 @@
   std::map<std::pair<WorkerId, RunName>, std::uint64_t> by_name_;
   std::map<WorkerId, std::set<std::uint64_t>> by_worker_;
   std::set<std::uint64_t> unsettled_;
+  std::set<std::uint64_t> orphans_;
   std::uint64_t last_id_ = 0;
 };
 
--- a/src/dispatch/run_keeper.cc
+++ b/src/dispatch/run_keeper.cc
@@ -11,6 +11,8 @@
 // An order is repeated after growing pauses, up to this many times the first.
 constexpr std::size_t kMostDoublings = 3;
 constexpr std::chrono::milliseconds kStopRetry{300};
+// A run whose job's row has not been read after this long belongs to no job.
+constexpr std::chrono::seconds kOrphanPatience{3};
 // Skipped when a worker says that a number is not higher than one it has seen.
 constexpr std::uint64_t kOutdatedSkip = 10;
 
@@ -74,25 +76,63 @@
                             run.sends > 1});
 }
 
-void RunKeeper::Adopt(TimePoint now, TrackedJob& job, Worker& worker,
-                      const RunningRun& listed) {
-  TaskState& task = *job.FindTask(listed.run.task);
+void RunKeeper::Adopt(TimePoint now, Worker& worker, const RunningRun& listed) {
   Run run;
   run.name = listed.run;
   run.worker = worker.registration().worker;
-  run.held = HeldBy(job.spec(listed.run.task.step));
   run.acknowledged = true;
   run.acknowledged_at = now;
   run.saved = listed.saved;
-  worker.Occupy(run.held);
+  run.orphan = true;
   Run& added = state_.runs.Add(std::move(run));
-  task.runs.push_back(added.id);
-  task.top_run = std::max(task.top_run, listed.run.number);
-  job.top_run = std::max(job.top_run, listed.run.number);
-  jobs_.OnStarted(job);
+  if (TrackedJob* const job = state_.FindJob(listed.run.task.job)) {
+    Attach(added, *job);
+  }
+}
+
+void RunKeeper::AttachOrphans(TimePoint /*now*/, const JobId& id) {
+  TrackedJob* const job = state_.FindJob(id);
+  if (job == nullptr) return;
+  for (const std::uint64_t run : state_.runs.OrphansOf(id)) {
+    Attach(*state_.runs.Find(run), *job);
+  }
+}
+
+void RunKeeper::Attach(Run& run, TrackedJob& job) {
+  state_.runs.SetAttached(run.id);
+  ++state_.room_version;
+  const TaskKey& key = run.name.task;
+  if (key.step < job.record.spec.steps.size()) {
+    run.held = HeldBy(job.spec(key.step));
+  }
+  if (Worker* const worker = state_.FindWorker(run.worker)) {
+    worker->Occupy(run.held);
+  }
+  TaskState* const task = job.FindTask(key);
+  const bool wanted = task != nullptr && job.IsActive() &&
+                      !task->progress.done && task->runs.empty() &&
+                      !run.stop_wanted;
+  if (!wanted) {
+    LogInfo(LogPart::kPlacer,
+            "stopping a run that is not wanted task=" + Describe(run.name) +
+                " worker=" + run.worker.value());
+    RequestStop(run);
+  }
+  if (task == nullptr) return;
+  task->runs.push_back(run.id);
+  task->top_run = std::max(task->top_run, run.name.number);
+  job.top_run = std::max(job.top_run, run.name.number);
+  if (wanted) jobs_.OnStarted(job);
   jobs_.RefreshReady(job);
 }
 
+void RunKeeper::StopOrphans(TimePoint now) {
+  for (const std::uint64_t id : state_.runs.orphans()) {
+    Run& run = *state_.runs.Find(id);
+    if (now >= run.acknowledged_at + kOrphanPatience) RequestStop(run);
+  }
+}
+
 void RunKeeper::MarkAcknowledged(TimePoint now, Run& run) {
   if (run.acknowledged) return;
   run.acknowledged = true;
--- a/src/dispatch/run_keeper.h
+++ b/src/dispatch/run_keeper.h
@@ -21,9 +21,12 @@
   void Start(TimePoint now, TrackedJob& job, const TaskKey& task,
              Worker& worker, std::uint64_t number, const std::string& ticket,
              DispatchEffects& out);
-  // Takes over a run that an earlier dispatcher has started.
-  void Adopt(TimePoint now, TrackedJob& job, Worker& worker,
-             const RunningRun& listed);
+  // Takes over a run that an earlier dispatcher has started. It is stopped if
+  // its task is done, has another run, or is not wanted any more; until it has
+  // ended it holds its room and keeps its task from being started.
+  void Adopt(TimePoint now, Worker& worker, const RunningRun& listed);
+  // Gives the runs that were listed before their job was known to it.
+  void AttachOrphans(TimePoint now, const JobId& job);
 
   void OnStartAnswer(TimePoint now, std::uint64_t run_id,
                      const OrderAnswer& answer);
@@ -39,8 +42,11 @@
   // An end of a run that is not kept here.
   void OnForeignEnd(TrackedJob& job, const EndedRun& end);
   void RequestStop(Run& run);
+  // Stops runs whose job has stayed unknown.
+  void StopOrphans(TimePoint now);
 
  private:
+  void Attach(Run& run, TrackedJob& job);
   void SendStart(TimePoint now, Run& run, DispatchEffects& out);
   void SendStop(TimePoint now, Run& run, DispatchEffects& out);
   void MarkAcknowledged(TimePoint now, Run& run);
--- a/src/dispatch/step_placer.cc
+++ b/src/dispatch/step_placer.cc
@@ -55,7 +55,7 @@
                            DispatchEffects& out) {
   TrackedJob& job = *state_.FindJob(key.job);
   const StepSpec& spec = job.spec(key.step);
-  if (job.uncertain && !spec.copies_allowed) return false;
+  if (now < job.uncertain_until && !spec.copies_allowed) return false;
   StepState& step = *job.FindStep(key.occurrence, key.step);
   Placing placing{key,       job, step, spec, job.record.queue.advice,
                   spec.size, {},  {}};
@@ -136,10 +136,9 @@
     const WorkerId id = worker->registration().worker;
     const std::string* const ticket =
         placing.step.advice.FindTicket(id, now + state_.options.ticket_margin);
-    const std::uint64_t number =
-        std::max(task.top_run,
-                 placing.job.uncertain ? placing.job.top_run : 0) +
-        1;
+    const bool uncertain = now < placing.job.uncertain_until;
+    const std::uint64_t least = uncertain ? placing.job.top_run : 0;
+    const std::uint64_t number = std::max(task.top_run, least) + 1;
     const TaskKey key{placing.key.job, placing.key.occurrence, placing.key.step,
                       index};
     runs_.Start(now, placing.job, key, *worker, number,
--- a/src/dispatch/tracked_job.h
+++ b/src/dispatch/tracked_job.h
@@ -36,8 +36,9 @@
   JobRecord record{};
   JobPhase state = JobPhase::kQueued;
   bool cancelled = false;
-  // An earlier dispatcher may have started tasks of it that are not known yet.
-  bool uncertain = false;
+  // Until then an earlier dispatcher may have started tasks of it that are not
+  // known yet.
+  TimePoint uncertain_until{};
   TimePoint accepted{};
   TimePoint due{};        // its objective
   TimePoint worthless{};  // nobody is served by an end after this
--- a/src/dispatch/worker_watch.cc
+++ b/src/dispatch/worker_watch.cc
@@ -58,7 +58,8 @@
 bool WorkerWatch::IsUsable(TimePoint now, const Worker& worker) const {
   return worker.registered() && worker.enrolled && worker.synced &&
          worker.has_clock() && !worker.registration().draining &&
-         !worker.IsSilent() && now >= worker.paused_until;
+         !worker.IsSilent() && now >= worker.paused_until &&
+         !state_.runs.HasOrphan(worker.registration().worker);
 }
 
 void WorkerWatch::Poll(TimePoint now, Worker& worker, DispatchEffects& out) {
@@ -97,8 +98,6 @@
     if (state_.workers.at(id).enrolled) state_.departed.insert(id);
     state_.workers.erase(id);
   }
-  for (StopRun& stop : stray_stops_) out.emplace_back(std::move(stop));
-  stray_stops_.clear();
 }
 
 TimePoint WorkerWatch::next_due() const {
@@ -253,20 +252,7 @@
     run->listed_at = now;
     return;
   }
-  TrackedJob* const job = state_.FindJob(listed.run.task.job);
-  TaskState* const task =
-      job == nullptr ? nullptr : job->FindTask(listed.run.task);
-  const bool wanted = task != nullptr && job->IsActive() &&
-                      !task->progress.done && task->runs.empty();
-  if (wanted) {
-    runs_.Adopt(now, *job, worker, listed);
-    return;
-  }
-  LogInfo(LogPart::kPlacer, "stopping a run that is not wanted job=" +
-                                listed.run.task.job.value() +
-                                " worker=" + id.value());
-  stray_stops_.push_back(
-      StopRun{0, id, worker.registration().address, listed.run, state_.fence});
+  runs_.Adopt(now, worker, listed);
 }
 
 // A run that the worker should list and does not has gone without an end.
@@ -288,6 +274,13 @@
     if (known_there || stopped_there || too_late) absent.push_back(run_id);
   }
   for (const std::uint64_t run_id : absent) {
+    const Run& run = *state_.runs.Find(run_id);
+    LogInfo(LogPart::kPlacer,
+            "run is not listed job=" + run.name.task.job.value() +
+                " step=" + std::to_string(run.name.task.step) + " task=" +
+                std::to_string(run.name.task.index) + " worker=" + id.value() +
+                " acknowledged=" + std::to_string(run.acknowledged ? 1 : 0) +
+                " stopped=" + std::to_string(run.stop_confirmed ? 1 : 0));
     runs_.End(now, run_id, EndKind::kLapsed, "");
   }
 }
--- a/src/dispatch/worker_watch.h
+++ b/src/dispatch/worker_watch.h
@@ -52,7 +52,6 @@
   DispatchState& state_;
   JobKeeper& jobs_;
   RunKeeper& runs_;
-  std::vector<StopRun> stray_stops_;  // of runs that are not kept
 };
 
 }  // namespace chivewing
