Leases of workers end with the right to dispatch

Change: no lease is given beyond one lease after the end of the host's own; jobs that come while it is not held wait; silent workers get no lease; numbers start above those of earlier fences.

--- a/src/cluster/dispatch_duty.cc
+++ b/src/cluster/dispatch_duty.cc
@@ -71,7 +71,13 @@
     return;
   }
   if (!dispatcher_) return;
-  if (row.key.starts_with(kJobRows)) AddJobRow(now, row, false);
+  if (row.key.starts_with(kJobRows)) {
+    if (lease_.IsHeld(now)) {
+      AddJobRow(now, row, false);
+    } else {
+      waiting_jobs_.push_back(row);
+    }
+  }
   if (row.key.starts_with(kCancelRows) && row.value) {
     dispatcher_->CancelJob(JobOfRowKey(row.key, kCancelRows));
   }
@@ -112,6 +118,7 @@
           dispatcher_ && taken->epoch == dispatcher_->fence() + 1;
       if (unbroken) {
         dispatcher_->set_fence(taken->epoch);
+        TakeWaitingJobs(now);
       } else {
         BeginTakeOver(now, taken->epoch);
       }
@@ -214,7 +221,6 @@
   DispatchOptions options;
   options.host = settings_.host;
   options.lease = settings_.worker_lease;
-  options.longest_lease = settings_.longest_lease;
   dispatcher_ = std::make_unique<Dispatcher>(options, begun.epoch);
   dispatcher_->set_askers(askers_);
   rows_.cache().ForEach(kRosterRows, [&](const TableRow& row) {
@@ -244,9 +250,16 @@
   });
 }
 
+void DispatchDuty::TakeWaitingJobs(TimePoint now) {
+  const std::vector<TableRow> waiting = std::move(waiting_jobs_);
+  waiting_jobs_.clear();
+  for (const TableRow& row : waiting) AddJobRow(now, row, false);
+}
+
 void DispatchDuty::DropDispatcher(TimePoint /*now*/, const std::string& why) {
   ++term_;
   workers_open_ = false;
+  waiting_jobs_.clear();
   if (!dispatcher_) return;
   LogWarning(LogPart::kPlacer, "no longer dispatching fence=" +
                                    std::to_string(dispatcher_->fence()) +
@@ -343,6 +356,7 @@
   TimePoint next = now + milliseconds(100);
   if (dispatcher_) {
     DispatchEffects effects;
+    dispatcher_->set_sole_until(lease_.valid_until());
     next = std::min(next, dispatcher_->Decide(now, hooks_.wall(), effects));
     CarryOut(effects);
     if (!workers_open_) next = std::min(next, workers_next_);
--- a/src/cluster/dispatch_duty.h
+++ b/src/cluster/dispatch_duty.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "base/time.h"
 #include "cluster/cluster_settings.h"
@@ -68,6 +69,7 @@
   void ContinueTakeOver(TimePoint now);
   void AddKnownJobs(TimePoint now, std::uint64_t first_new_version);
   void AddJobRow(TimePoint now, const TableRow& row, bool uncertain);
+  void TakeWaitingJobs(TimePoint now);
   void DropDispatcher(TimePoint now, const std::string& why);
 
   void WatchWorkers(TimePoint now);
@@ -96,6 +98,8 @@
   // Answers that were asked for by an earlier dispatcher are dropped.
   std::uint64_t term_ = 0;
   std::set<HostId> askers_;
+  // Jobs that came while the lease was not held: another host may have them.
+  std::vector<TableRow> waiting_jobs_;
 
   std::uint64_t workers_revision_ = 0;
   bool workers_open_ = false;
--- a/src/dispatch/dispatch_options.h
+++ b/src/dispatch/dispatch_options.h
@@ -14,8 +14,6 @@
   // Lease that each order gives a worker. Long leases ride out cuts, short ones
   // free the tasks of lost workers sooner.
   std::chrono::milliseconds lease{6000};
-  // Longest lease that a worker grants, whatever an order says.
-  std::chrono::milliseconds longest_lease{10000};
   // A worker's clock may run slower than ours by this share.
   double clock_drift = 0.02;
   // Added to each computed end of a lease: scheduling on the worker.
--- a/src/dispatch/dispatch_state.cc
+++ b/src/dispatch/dispatch_state.cc
@@ -14,6 +14,12 @@
   return found == jobs.end() ? nullptr : &found->second;
 }
 
+std::chrono::milliseconds DispatchState::LeaseToGive(TimePoint now) const {
+  if (now <= sole_until) return options.lease;
+  return options.lease -
+         std::chrono::ceil<std::chrono::milliseconds>(now - sole_until);
+}
+
 void DispatchState::SetReady(const ReadyKey& key) {
   const auto found = ready_keys.find(key.step);
   if (found != ready_keys.end()) {
--- a/src/dispatch/dispatch_state.h
+++ b/src/dispatch/dispatch_state.h
@@ -47,6 +47,9 @@
 struct DispatchState {
   DispatchOptions options{};
   std::uint64_t fence = 0;
+  // Until then no other host can be dispatching. A successor takes all leases
+  // of workers to end one lease after it: none is given beyond.
+  TimePoint sole_until = TimePoint::max();
   bool fenced_off = false;  // a worker has seen a higher fence
   std::map<WorkerId, Worker> workers{};
   std::map<JobId, TrackedJob> jobs{};
@@ -63,6 +66,8 @@
 
   Worker* FindWorker(const WorkerId& id);
   TrackedJob* FindJob(const JobId& id);
+  // The lease that an order sent at `now` may give; 0 or less: none.
+  std::chrono::milliseconds LeaseToGive(TimePoint now) const;
   void SetReady(const ReadyKey& key);
   void ClearReady(const StepKey& step);
   // Logs a state that must never be and counts it.
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -36,7 +36,8 @@
     until = uncertain ? TimePoint::max() : first_decided_ + kHandOver;
   }
   const JobId id = record.id;
-  jobs_.Add(now, wall, std::move(record), progress, until);
+  const bool earlier = uncertain || now < first_decided_ + kHandOver;
+  jobs_.Add(now, wall, std::move(record), progress, earlier, until);
   runs_.AttachOrphans(now, id);
 }
 
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -41,6 +41,8 @@
 
   // The same holder has taken its lease anew.
   void set_fence(std::uint64_t fence) { state_.fence = fence; }
+  // Until then no other host can be dispatching.
+  void set_sole_until(TimePoint until) { state_.sole_until = until; }
   std::uint64_t fence() const { return state_.fence; }
   // A worker has seen a higher fence: there is another dispatcher.
   bool fenced_off() const { return state_.fenced_off; }
--- a/src/dispatch/job_keeper.cc
+++ b/src/dispatch/job_keeper.cc
@@ -28,7 +28,7 @@
 }  // namespace
 
 void JobKeeper::Add(TimePoint now, milliseconds wall, JobRecord record,
-                    const std::optional<JobProgress>& progress,
+                    const std::optional<JobProgress>& progress, bool earlier,
                     TimePoint uncertain_until) {
   const JobId id = record.id;
   if (state_.jobs.contains(id)) return;
@@ -44,9 +44,7 @@
   if (IsFinal(job.state)) return;
   if (job.record.spec.repeats == 0) job.OpenOccurrence(0);
   job.uncertain_until = uncertain_until;
-  if (now < uncertain_until) {
-    job.top_run = std::max(job.top_run, kRunsPerFence * (state_.fence - 1));
-  }
+  if (earlier) job.run_floor = kRunsPerFence * (state_.fence - 1);
   RefreshReady(job);
 }
 
--- a/src/dispatch/job_keeper.h
+++ b/src/dispatch/job_keeper.h
@@ -13,11 +13,12 @@
  public:
   explicit JobKeeper(DispatchState& state) : state_(state) {}
 
-  // A job as read from its row; `progress` as an earlier dispatcher left it,
-  // who may have started tasks of it that are unknown here `uncertain_until`
-  // then. `wall` is the time of day since 1970. A known job is left as it is.
+  // A job as read from its row, with what an earlier dispatcher has written of
+  // its progress. `earlier`: such a one may have started tasks of it, which may
+  // be unknown here `uncertain_until` then. `wall` is the time of day since
+  // 1970. A known job is left as it is.
   void Add(TimePoint now, std::chrono::milliseconds wall, JobRecord record,
-           const std::optional<JobProgress>& progress,
+           const std::optional<JobProgress>& progress, bool earlier,
            TimePoint uncertain_until);
   void Cancel(const JobId& id);
   void Remove(const JobId& id);
--- a/src/dispatch/run_keeper.cc
+++ b/src/dispatch/run_keeper.cc
@@ -60,7 +60,10 @@
   Worker* const worker = state_.FindWorker(run.worker);
   const TrackedJob* const job = state_.FindJob(run.name.task.job);
   if (worker == nullptr || job == nullptr) return;
-  const auto lease = worker->GiveLease(now, state_.options.lease);
+  run.next_send = now + state_.options.order_retry;
+  const std::chrono::milliseconds length = state_.LeaseToGive(now);
+  if (length.count() <= 0) return;
+  const auto lease = worker->GiveLease(now, length);
   if (!lease) return;
   // Copies of the order carry the first deadline, so that all are late by then.
   if (run.sends == 0) run.deadline = *lease;
--- a/src/dispatch/step_placer.cc
+++ b/src/dispatch/step_placer.cc
@@ -136,9 +136,8 @@
     const WorkerId id = worker->registration().worker;
     const std::string* const ticket =
         placing.step.advice.FindTicket(id, now + state_.options.ticket_margin);
-    const bool uncertain = now < placing.job.uncertain_until;
-    const std::uint64_t least = uncertain ? placing.job.top_run : 0;
-    const std::uint64_t number = std::max(task.top_run, least) + 1;
+    const std::uint64_t number =
+        std::max(task.top_run, placing.job.run_floor) + 1;
     const TaskKey key{placing.key.job, placing.key.occurrence, placing.key.step,
                       index};
     runs_.Start(now, placing.job, key, *worker, number,
@@ -167,7 +166,7 @@
     }
     return 0;
   }
-  std::uint64_t number = 0;
+  std::uint64_t number = placing.job.run_floor;
   std::string saved;
   for (const TaskState& task : placing.step.tasks) {
     number = std::max(number, task.top_run);
--- a/src/dispatch/tracked_job.cc
+++ b/src/dispatch/tracked_job.cc
@@ -91,7 +91,11 @@
     for (std::size_t s = 0; s < std::min(list.size(), steps.size()); ++s) {
       for (const auto& [index, task] : list[s]) {
         if (index >= steps[s].tasks.size()) continue;
-        steps[s].tasks[index].progress = task;
+        TaskState& state = steps[s].tasks[index];
+        state.progress = task;
+        if (!task.failed_runs.empty()) {
+          state.top_run = *task.failed_runs.rbegin();
+        }
         if (task.done) ++steps[s].done_count;
       }
     }
--- a/src/dispatch/tracked_job.h
+++ b/src/dispatch/tracked_job.h
@@ -43,6 +43,9 @@
   TimePoint due{};        // its objective
   TimePoint worthless{};  // nobody is served by an end after this
   std::uint64_t top_run = 0;
+  // Runs get higher numbers than this: an earlier dispatcher may have given
+  // those up to it.
+  std::uint64_t run_floor = 0;
   std::map<std::size_t, std::vector<StepState>> occurrences{};
   std::size_t finished_occurrences = 0;
 
--- a/src/dispatch/worker_watch.cc
+++ b/src/dispatch/worker_watch.cc
@@ -11,6 +11,8 @@
 namespace {
 
 // A worker that has failed this many runs in a row is left alone for a while.
+// With less of a lease to give no task is started.
+constexpr std::chrono::seconds kLeastLease{1};
 constexpr int kFailuresToPause = 3;
 constexpr std::chrono::seconds kFailurePause{4};
 
@@ -47,18 +49,18 @@
     worker.next_poll = now;
   }
   worker.enrolled = true;
-  const std::chrono::duration<double, std::milli> longest =
-      state_.options.longest_lease;
-  worker.set_foreign_lapse(now +
-                           std::chrono::ceil<Duration>(
-                               longest / (1.0 - state_.options.clock_drift)));
+  // Every dispatcher of a cluster gives leases of the same length.
+  const std::chrono::duration<double, std::milli> lease = state_.options.lease;
+  const auto slowest = lease / (1.0 - state_.options.clock_drift);
+  worker.set_foreign_lapse(now + std::chrono::ceil<Duration>(slowest));
   state_.unresolved.insert(registration.worker);
 }
 
 bool WorkerWatch::IsUsable(TimePoint now, const Worker& worker) const {
-  return worker.registered() && worker.enrolled && worker.synced &&
-         worker.has_clock() && !worker.registration().draining &&
-         !worker.IsSilent() && now >= worker.paused_until &&
+  return state_.LeaseToGive(now) >= kLeastLease && worker.registered() &&
+         worker.enrolled && worker.synced && worker.has_clock() &&
+         !worker.registration().draining && !worker.IsSilent() &&
+         now >= worker.paused_until &&
          !state_.runs.HasOrphan(worker.registration().worker);
 }
 
@@ -69,7 +71,12 @@
   poll.address = worker.registration().address;
   poll.fence = state_.fence;
   poll.settled_end = worker.settled_end;
-  poll.deadline = worker.GiveLease(now, state_.options.lease);
+  // A silent worker is given no lease: its tasks could never be said to be
+  // over.
+  const std::chrono::milliseconds lease = state_.LeaseToGive(now);
+  if (!worker.IsSilent() && lease.count() > 0) {
+    poll.deadline = worker.GiveLease(now, lease);
+  }
   const bool waits = worker.synced && !worker.IsSilent() &&
                      worker.settled_end == worker.handled_end;
   poll.wait = waits ? state_.options.poll_wait : std::chrono::milliseconds(0);
