--- a/src/cluster/dispatch_duty.cc
+++ b/src/cluster/dispatch_duty.cc
@@ -221,6 +221,7 @@
   DispatchOptions options;
   options.host = settings_.host;
   options.lease = settings_.worker_lease;
+  options.longest_lease = settings_.longest_lease;
   dispatcher_ = std::make_unique<Dispatcher>(options, begun.epoch);
   dispatcher_->set_askers(askers_);
   rows_.cache().ForEach(kRosterRows, [&](const TableRow& row) {
--- a/src/dispatch/dispatch_options.h
+++ b/src/dispatch/dispatch_options.h
@@ -14,6 +14,9 @@
   // Lease that each order gives a worker. Long leases ride out cuts, short ones
   // free the tasks of lost workers sooner.
   std::chrono::milliseconds lease{6000};
+  // Longest lease that a worker grants, whatever an order says. An order for a
+  // life of the worker that has ended may give its next life that much.
+  std::chrono::milliseconds longest_lease{10000};
   // A worker's clock may run slower than ours by this share.
   double clock_drift = 0.02;
   // Added to each computed end of a lease: scheduling on the worker.
@@ -32,6 +35,12 @@
   std::chrono::milliseconds ticket_margin{150};
   // A worker that refused a start is left alone for this long.
   std::chrono::milliseconds refusal_pause{1000};
+
+  // The longest that a lease of this length can last on a slow clock.
+  Duration Slowest(std::chrono::milliseconds length) const {
+    const std::chrono::duration<double, std::milli> exact = length;
+    return std::chrono::ceil<Duration>(exact / (1.0 - clock_drift));
+  }
 };
 
 }  // namespace chivewing
--- a/src/dispatch/worker_watch.cc
+++ b/src/dispatch/worker_watch.cc
@@ -50,9 +50,7 @@
   }
   worker.enrolled = true;
   // Every dispatcher of a cluster gives leases of the same length.
-  const std::chrono::duration<double, std::milli> lease = state_.options.lease;
-  const auto slowest = lease / (1.0 - state_.options.clock_drift);
-  worker.set_foreign_lapse(now + std::chrono::ceil<Duration>(slowest));
+  worker.set_foreign_lapse(now + state_.options.Slowest(state_.options.lease));
   state_.unresolved.insert(registration.worker);
 }
 
@@ -70,15 +68,17 @@
   poll.worker = worker.registration().worker;
   poll.address = worker.registration().address;
   poll.fence = state_.fence;
-  poll.settled_end = worker.settled_end;
+  // A silent worker may have restarted: the ends of a new life count anew, and
+  // none that has not been read may be forgotten.
+  const bool same_life = worker.synced && !worker.IsSilent();
+  poll.settled_end = same_life ? worker.settled_end : 0;
   // A silent worker is given no lease: its tasks could never be said to be
   // over.
   const std::chrono::milliseconds lease = state_.LeaseToGive(now);
   if (!worker.IsSilent() && lease.count() > 0) {
     poll.deadline = worker.GiveLease(now, lease);
   }
-  const bool waits = worker.synced && !worker.IsSilent() &&
-                     worker.settled_end == worker.handled_end;
+  const bool waits = same_life && worker.settled_end == worker.handled_end;
   poll.wait = waits ? state_.options.poll_wait : std::chrono::milliseconds(0);
   poll.fresh_connection = worker.IsSilent();
   worker.open_poll = poll.poll_id;
@@ -141,8 +141,7 @@
   }
   if (!answer.clock) return;
   if (worker->IsRestarted(now, *answer.clock)) {
-    LoseRuns(now, id);
-    worker->StartNewLife();
+    OnRestart(now, *worker);
     worker->next_poll = now;
     return;
   }
@@ -160,6 +159,21 @@
   Resolve(id);
 }
 
+// The runs of the ended life are not listed any more; one whose order has no
+// answer may still be begun by the new life.
+void WorkerWatch::OnRestart(TimePoint now, Worker& worker) {
+  const WorkerId& id = worker.registration().worker;
+  LogInfo(LogPart::kWorker, "worker has restarted worker=" + id.value());
+  worker.StartNewLife();
+  worker.set_foreign_lapse(
+      now + state_.options.Slowest(state_.options.longest_lease));
+  for (const std::uint64_t run_id : state_.runs.OnWorker(id)) {
+    Run& run = *state_.runs.Find(run_id);
+    if (run.unanswered > 0) runs_.RequestStop(run);
+  }
+  ForgetTickets(id);
+}
+
 void WorkerWatch::OnPoll(TimePoint now, const WorkerId& id,
                          std::uint64_t poll_id, const PollAnswer& answer) {
   Worker* const worker = state_.FindWorker(id);
@@ -181,9 +195,7 @@
   const bool born_again =
       worker->born.count() > 0 && answer.born != worker->born;
   if (born_again || worker->IsRestarted(now, *answer.clock)) {
-    LogInfo(LogPart::kWorker, "worker has restarted worker=" + id.value());
-    LoseRuns(now, id);
-    worker->StartNewLife();
+    OnRestart(now, *worker);
   }
   worker->born = answer.born;
   worker->SetClock(now, *answer.clock);
@@ -309,6 +321,11 @@
   for (const std::uint64_t run_id : lost) {
     runs_.End(now, run_id, EndKind::kLapsed, "");
   }
+  ForgetTickets(id);
+}
+
+// Tickets, and what is good, hold for one life of the worker.
+void WorkerWatch::ForgetTickets(const WorkerId& id) {
   for (auto& [job_id, job] : state_.jobs) {
     for (auto& [number, steps] : job.occurrences) {
       for (StepState& step : steps) step.advice.Forget(id);
--- a/src/dispatch/worker_watch.h
+++ b/src/dispatch/worker_watch.h
@@ -41,6 +41,8 @@
   void Poll(TimePoint now, Worker& worker, DispatchEffects& out);
   void OnSilence(TimePoint now, Worker& worker);
   void OnOtherLife(TimePoint now, Worker& worker);
+  void OnRestart(TimePoint now, Worker& worker);
+  void ForgetTickets(const WorkerId& id);
   void TakeEnds(TimePoint now, Worker& worker, const PollAnswer& answer);
   void TakeRunning(TimePoint now, Worker& worker, const PollAnswer& answer);
   void TakeListed(TimePoint now, Worker& worker, const RunningRun& listed);
