A dispatching host whose lease is over gives up no runs

Ruled out: late orders, restarts. Change: runs are given up for a lapsed lease only while no other host can be dispatching. The model keeps new jobs from a host without lease, as the duty does, and late orders die with their worker's life.

--- a/src/dispatch/worker_watch.cc
+++ b/src/dispatch/worker_watch.cc
@@ -306,6 +306,9 @@
 
 void WorkerWatch::DropLapsed(TimePoint now, Worker& worker) {
   if (!worker.IsSilent()) return;
+  // Another host may be dispatching: it may reach the worker, have noted how
+  // the runs ended, and be far beyond them.
+  if (now > state_.sole_until) return;
   const WorkerId id = worker.registration().worker;
   const bool holds =
       !state_.runs.OnWorker(id).empty() || state_.unresolved.contains(id);
--- a/tests/dispatch/cluster_model.cc
+++ b/tests/dispatch/cluster_model.cc
@@ -111,6 +111,8 @@
 void ClusterModel::AddJob(const JobRecord& record) {
   jobs_[record.id] = record;
   for (Acting& acting : acting_) {
+    // A host whose lease is over keeps new jobs waiting.
+    if (acting.unwritten) continue;
     acting.dispatcher->AddJob(now_, record.accepted_at, record, std::nullopt,
                               false);
   }
@@ -128,6 +130,9 @@
     acting.dispatcher->set_sole_until(now_);
   }
   if (!options_.faults.old_one_goes_on) acting_.clear();
+  if (options_.faults.split && !acting_.empty()) {
+    split_until_ = now_ + Between(seconds(2), seconds(8));
+  }
   Acting acting;
   acting.term = ++fence_;
   acting.dispatcher = std::make_unique<Dispatcher>(options_.dispatch, fence_);
@@ -315,10 +320,19 @@
   });
 }
 
+// During a split the newest dispatcher reaches two thirds of the workers, the
+// one before it the others.
+bool ClusterModel::IsSplitOff(std::uint64_t term,
+                              const WorkerId& worker) const {
+  if (now_ >= split_until_) return false;
+  const bool old_side = worker.value().back() % 3 == 0;
+  return (term == fence_) == old_side;
+}
+
 // Carries the order to its worker, and the answer back, with the faults of the
 // schedule.
 template <typename Order, typename Tell>
-void ClusterModel::Deliver(const Order& order, Tell tell) {
+void ClusterModel::Deliver(std::uint64_t term, const Order& order, Tell tell) {
   using Answer = decltype(Execute(order));
   const double fate = IsFaulty() ? Share() : 1.0;
   const auto fail = [this, tell] {
@@ -326,14 +340,18 @@
   };
   if (fate < options_.faults.late_orders) {
     fail();
-    After(Between(seconds(2), seconds(12)), [this, order] {
+    // The worker keeps the order until then; it is lost with its life.
+    const milliseconds born = Find(order.worker)->registration.born;
+    After(Between(seconds(2), seconds(12)), [this, order, born] {
       const ModelWorker* const worker = Find(order.worker);
-      if (now_ >= worker->dead_until) Execute(order);
+      const bool same_life = worker->registration.born == born;
+      if (same_life && now_ >= worker->dead_until) Execute(order);
     });
     return;
   }
-  After(kTravel, [this, order, tell, fail, fate] {
-    if (!IsReached(*Find(order.worker))) {
+  After(kTravel, [this, term, order, tell, fail, fate] {
+    const bool split = IsSplitOff(term, order.worker);
+    if (split || !IsReached(*Find(order.worker))) {
       fail();
       return;
     }
@@ -349,15 +367,16 @@
 }
 
 void ClusterModel::Carry(std::uint64_t term, const StartRun& order) {
-  Deliver(order, [this, term, id = order.run_id](const OrderAnswer& answer) {
-    if (Acting* const acting = FindActing(term)) {
-      acting->dispatcher->OnStartAnswer(now_, id, answer);
-    }
-  });
+  Deliver(term, order,
+          [this, term, id = order.run_id](const OrderAnswer& answer) {
+            if (Acting* const acting = FindActing(term)) {
+              acting->dispatcher->OnStartAnswer(now_, id, answer);
+            }
+          });
 }
 
 void ClusterModel::Carry(std::uint64_t term, const StopRun& order) {
-  Deliver(order, [this, term, order](const OrderAnswer& answer) {
+  Deliver(term, order, [this, term, order](const OrderAnswer& answer) {
     if (Acting* const acting = FindActing(term)) {
       acting->dispatcher->OnStopAnswer(now_, order.run_id, order.worker,
                                        answer);
@@ -375,7 +394,7 @@
                             ? Between(milliseconds(5), milliseconds(200))
                             : Duration(0);
   After(wait, [this, term, delayed] {
-    Deliver(delayed, [this, term, delayed](const PollAnswer& answer) {
+    Deliver(term, delayed, [this, term, delayed](const PollAnswer& answer) {
       if (Acting* const acting = FindActing(term)) {
         acting->dispatcher->OnPoll(now_, delayed.worker, delayed.poll_id,
                                    answer);
--- a/tests/dispatch/cluster_model.h
+++ b/tests/dispatch/cluster_model.h
@@ -25,7 +25,8 @@
   seconds crash_every{0};        // a worker dies; comes back under its id
   seconds replace_every{0};      // the dispatcher is replaced
   bool old_one_goes_on = false;  // the replaced one acts on for a while
-  double failing_runs = 0;       // runs that end as failed
+  bool split = false;       // meanwhile each reaches a part of the workers only
+  double failing_runs = 0;  // runs that end as failed
   seconds cancel_every{0};
 };
 
@@ -118,11 +119,12 @@
   void Carry(std::uint64_t term, const PaceRun& order);
   void Carry(std::uint64_t term, const PollWorker& order);
   void Carry(std::uint64_t term, const AskAdvice& ask);
+  bool IsSplitOff(std::uint64_t term, const WorkerId& worker) const;
   OrderAnswer Execute(const StartRun& order);
   OrderAnswer Execute(const StopRun& order);
   PollAnswer Execute(const PollWorker& order);
   template <typename Order, typename Tell>
-  void Deliver(const Order& order, Tell tell);
+  void Deliver(std::uint64_t term, const Order& order, Tell tell);
 
   WorkerClock ClockOf(const ModelWorker& worker) const;
   bool IsReached(const ModelWorker& worker) const;
@@ -152,6 +154,7 @@
   std::vector<std::string> broken_;
   std::size_t started_ = 0;
   std::size_t added_ = 0;
+  TimePoint split_until_{};
   TimePoint next_cut_{};
   TimePoint next_crash_{};
   TimePoint next_replace_{};
