A host that cannot reach the table refuses at once and leaves the rotation

Ruled out: the store itself (others wrote). Change: with the table out of reach (no answer for 0.6 s beyond the wait of the feed) nothing is sent, the caller is told that the job has not run and when to come back; what was sent before is said to be in doubt after 0.7 s, so that another host can be asked, which finds the row; the host reports not ready.

--- a/src/cluster/caller_desk.cc
+++ b/src/cluster/caller_desk.cc
@@ -19,6 +19,9 @@
 // Writes that the table certainly did not take are tried this often.
 constexpr int kMostTries = 4;
 constexpr milliseconds kFirstRetry{40};
+// With the table out of reach, an outcome that is not known by then is said to
+// be in doubt.
+constexpr milliseconds kDoubtPatience{700};
 // When a caller may come back after the table was not to be reached.
 constexpr milliseconds kRetryAfterTable{1000};
 constexpr milliseconds kRetryAfterStart{500};
@@ -119,7 +122,7 @@
              ReplyKind::kAccepted);
 }
 
-void CallerDesk::TellState(TimePoint /*now*/, std::uint64_t call,
+void CallerDesk::TellState(TimePoint now, std::uint64_t call,
                            const JobId& job) {
   const auto tell = [this, call](JobPhase state) {
     CallerReply reply = Plain(ReplyKind::kState);
@@ -130,7 +133,7 @@
     tell(*state);
     return;
   }
-  LookUp(call, job, [this, call, job, tell](TimePoint, bool found) {
+  LookUp(now, call, job, [this, call, job, tell](TimePoint, bool found) {
     if (!found) {
       hooks_.answer(call, Plain(ReplyKind::kNoJob));
       return;
@@ -154,7 +157,7 @@
     write(now);
     return;
   }
-  LookUp(call, job, [this, call, write](TimePoint when, bool found) {
+  LookUp(now, call, job, [this, call, write](TimePoint when, bool found) {
     if (found) {
       write(when);
     } else {
@@ -163,8 +166,12 @@
   });
 }
 
-void CallerDesk::LookUp(std::uint64_t call, const JobId& job,
+void CallerDesk::LookUp(TimePoint now, std::uint64_t call, const JobId& job,
                         std::function<void(TimePoint, bool)> then) {
+  if (hooks_.table_lost(now)) {
+    Refuse(call, kRetryAfterTable);
+    return;
+  }
   const auto done = [this, call,
                      then = std::move(then)](const ReadAnswer& answer) {
     hooks_.post([this, call, then, answer](TimePoint now) {
@@ -187,6 +194,11 @@
 void CallerDesk::StartWrite(TimePoint now, std::uint64_t call,
                             const CallerCall& request, const std::string& key,
                             std::string value, ReplyKind done) {
+  // Nothing has been sent: the caller can go to another host at once.
+  if (hooks_.table_lost(now) && !writes_.contains(key)) {
+    Refuse(call, kRetryAfterTable);
+    return;
+  }
   const milliseconds limit = request.time_limit.value_or(kUsualTimeLimit);
   const TimePoint deadline =
       now + std::max(milliseconds(0), limit - kAnswerMargin);
@@ -196,6 +208,7 @@
   write.deadline = std::max(write.deadline, deadline);
   if (!added) return;
   write.done = done;
+  write.first_sent = now;
   write.transaction.write_id = std::to_string(next_write_++);
   write.transaction.conditions = {{key, 0}};
   write.transaction.writes = {{key, std::move(value)}};
@@ -252,10 +265,15 @@
   TimePoint next = TimePoint::max();
   std::vector<std::string> over;
   for (auto& [key, write] : writes_) {
-    if (now >= write.deadline) {
+    // A caller who learns early that the outcome is not known can ask another
+    // host, which finds the row if it was written.
+    const TimePoint doubted = write.first_sent + kDoubtPatience;
+    const bool hopeless = now >= doubted && hooks_.table_lost(now);
+    if (now >= write.deadline || hopeless) {
       over.push_back(key);
       continue;
     }
+    if (now < doubted) next = std::min(next, doubted);
     if (!write.open && now >= write.next_send) Send(now, key, write);
     next = std::min(next, write.deadline);
     if (!write.open) next = std::min(next, write.next_send);
--- a/src/cluster/caller_desk.h
+++ b/src/cluster/caller_desk.h
@@ -26,6 +26,8 @@
     std::function<void(std::uint64_t call, const CallerReply& reply)> answer{};
     // A row has been written here, or was read for a caller.
     std::function<void(TimePoint, const TableRow&)> on_row{};
+    // Whether the table is out of this host's reach.
+    std::function<bool(TimePoint)> table_lost{};
     // The time of day since 1970.
     std::function<std::chrono::milliseconds()> wall{};
     std::function<Result<JobDescription>(const std::string&)> decode_job{};
@@ -50,6 +52,7 @@
     ReplyKind done = ReplyKind::kAccepted;
     std::vector<std::uint64_t> calls{};
     TimePoint deadline{};
+    TimePoint first_sent{};
     bool in_doubt = false;
     bool open = false;
     int tries = 0;
@@ -63,7 +66,7 @@
               const JobId& job);
   // Calls `then` with whether the job's row is in the table; answers the call
   // itself when the table cannot be read.
-  void LookUp(std::uint64_t call, const JobId& job,
+  void LookUp(TimePoint now, std::uint64_t call, const JobId& job,
               std::function<void(TimePoint, bool)> then);
   void StartWrite(TimePoint now, std::uint64_t call, const CallerCall& request,
                   const std::string& key, std::string value, ReplyKind done);
--- a/src/cluster/cluster_host.cc
+++ b/src/cluster/cluster_host.cc
@@ -36,12 +36,16 @@
           [this](TimePoint now, const TableRow& row) { OnRow(now, row); }),
       callers_(
           ports.table, queues_, index_,
-          {[this](Event event) { Post(std::move(event)); },
-           [this](std::uint64_t call, const CallerReply& reply) {
-             caller_server_->Answer(call, ports_.encode_reply(reply));
-           },
-           [this](TimePoint now, const TableRow& row) { OnOwnRow(now, row); },
-           [] { return WallTime(); }, ports.decode_job}),
+          {.post = [this](Event event) { Post(std::move(event)); },
+           .answer =
+               [this](std::uint64_t call, const CallerReply& reply) {
+                 caller_server_->Answer(call, ports_.encode_reply(reply));
+               },
+           .on_row = [this](TimePoint now,
+                            const TableRow& row) { OnOwnRow(now, row); },
+           .table_lost = [this](TimePoint now) { return rows_.IsLost(now); },
+           .wall = [] { return WallTime(); },
+           .decode_job = ports.decode_job}),
       dispatch_(BootClock::now(), settings_, incarnation_, ports, rows_,
                 {[this](Event event) { Post(std::move(event)); },
                  [] { return WallTime(); },
@@ -121,7 +125,7 @@
   next = std::min(next, callers_.Tick(now));
   next = std::min(next, dispatch_.Tick(now));
   if (!state_open_) next = std::min(next, state_next_);
-  ready_ = !stopping_ && queues_.ready() && rows_.ready();
+  ready_ = !stopping_ && queues_.ready() && rows_.ready() && !rows_.IsLost(now);
   return next;
 }
 
--- a/src/cluster/row_follower.cc
+++ b/src/cluster/row_follower.cc
@@ -10,7 +10,10 @@
 namespace {
 
 // How long one question waits for a change at the table.
-constexpr std::chrono::milliseconds kWait{1000};
+constexpr std::chrono::milliseconds kWait{500};
+// Beyond that wait, an answer that takes longer shows that the table is out of
+// reach; a slow table answers sooner.
+constexpr std::chrono::milliseconds kSilence{600};
 constexpr std::chrono::milliseconds kFirstRetry{100};
 constexpr int kMostDoublings = 3;
 
@@ -28,6 +31,12 @@
   return TimePoint::max();
 }
 
+bool RowFollower::IsLost(TimePoint now) const {
+  if (answered_ == TimePoint{}) return false;
+  const bool silent = open_ && now > sent_ + kWait + kSilence;
+  return silent || (faults_in_row_ > 0 && now > answered_ + kWait + kSilence);
+}
+
 void RowFollower::Apply(TimePoint now, const TableRow& row) {
   if (cache_.Apply(row)) on_row_(now, row);
 }
@@ -86,6 +95,7 @@
                                     std::to_string(faults_in_row_));
   }
   faults_in_row_ = 0;
+  answered_ = now;
   ready_ = true;
   for (const TableRow& row : answer.rows) Apply(now, row);
   cache_.set_revision(answer.revision);
--- a/src/cluster/row_follower.h
+++ b/src/cluster/row_follower.h
@@ -33,6 +33,9 @@
   // Calls `done` once all changes made until now have been applied.
   void CatchUp(TimePoint now, std::function<void(TimePoint)> done);
 
+  // Whether the table has not answered for so long that it is taken to be out
+  // of this host's reach.
+  bool IsLost(TimePoint now) const;
   // All rows have been read at least once.
   bool ready() const { return ready_; }
   const RowCache& cache() const { return cache_; }
@@ -54,6 +57,7 @@
   TimePoint next_{};
   std::chrono::milliseconds pace_{250};
   int faults_in_row_ = 0;
+  TimePoint answered_{};  // when the table last answered
   // Those who wait for changes asked for from now on.
   std::vector<std::pair<TimePoint, std::function<void(TimePoint)>>> waiting_;
 };
--- a/src/entry/entry_host.h
+++ b/src/entry/entry_host.h
@@ -18,8 +18,8 @@
 #include "http/http_client.h"
 #include "http/http_server.h"
 #include "peer/peer_mesh.h"
-#include "store/table_client.h"
 #include "settings/settings.h"
+#include "store/table_client.h"
 
 namespace chivewing {
 
--- a/src/entry/request_event.h
+++ b/src/entry/request_event.h
@@ -13,9 +13,9 @@
 #include "http/http_client.h"
 #include "http/http_server.h"
 #include "peer/mesh_types.h"
-#include "store/table.h"
 #include "routing/instance_view.h"
 #include "routing/routing_id.h"
+#include "store/table.h"
 
 namespace chivewing {
 
--- a/src/entry/request_ports.h
+++ b/src/entry/request_ports.h
@@ -7,8 +7,8 @@
 #include "http/http_client.h"
 #include "http/http_server.h"
 #include "peer/messages.h"
-#include "store/table.h"
 #include "routing/routing_id.h"
+#include "store/table.h"
 
 namespace chivewing {
 
--- a/tests/standins/platform_standin.h
+++ b/tests/standins/platform_standin.h
@@ -11,9 +11,9 @@
 #include <vector>
 
 #include "base/time.h"
+#include "standins/standin_server.h"
 #include "store/row_cache.h"
 #include "store/table.h"
-#include "standins/standin_server.h"
 
 namespace chivewing {
 
--- a/tests/standins/worker_standin.cc
+++ b/tests/standins/worker_standin.cc
@@ -4,8 +4,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
-#include "store/table_codec.h"
 #include "standins/blocking_http.h"
+#include "store/table_codec.h"
 
 namespace chivewing {
 namespace {
--- a/tests/standins/worker_standin.h
+++ b/tests/standins/worker_standin.h
@@ -11,9 +11,9 @@
 #include <vector>
 
 #include "base/time.h"
-#include "store/table.h"
 #include "standins/standin_server.h"
 #include "standins/target_standin.h"
+#include "store/table.h"
 
 namespace chivewing {
 
