--- a/src/cluster/cluster_host.cc
+++ b/src/cluster/cluster_host.cc
@@ -63,9 +63,9 @@
 void ClusterHost::Post(Event event) { duty_.Post(std::move(event)); }
 
 Status ClusterHost::Start() {
-  const Status servers = StartServers();
+  Status servers = StartServers();
   if (!servers) return servers;
-  const Status mesh = StartMesh();
+  Status mesh = StartMesh();
   if (!mesh) return mesh;
   duty_.Start([] { return BootClock::now(); },
               [this](TimePoint now, std::vector<Event>& events) {
@@ -78,7 +78,7 @@
   HttpServerOptions options;
   options.address = settings_.caller_address;
   caller_server_ = std::make_unique<HttpServer>(options);
-  const Status callers = caller_server_->Start([this](HttpCall call) {
+  Status callers = caller_server_->Start([this](HttpCall call) {
     Post([this, call = std::move(call)](TimePoint now) {
       callers_.OnCall(now, call.id, ports_.decode_call(call), call.body);
     });
--- a/src/dispatch/dispatch_state.h
+++ b/src/dispatch/dispatch_state.h
@@ -24,6 +24,7 @@
   TimePoint due{};
   StepKey step{};
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 misreads the operator
   friend auto operator<=>(const ReadyKey&, const ReadyKey&) = default;
   friend bool operator==(const ReadyKey&, const ReadyKey&) = default;
 };
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -38,7 +38,7 @@
   const JobId id = record.id;
   const bool earlier = uncertain || now < first_decided_ + kHandOver;
   jobs_.Add(now, wall, std::move(record), progress, earlier, until);
-  runs_.AttachOrphans(now, id);
+  runs_.AttachOrphans(id);
 }
 
 void Dispatcher::CancelJob(const JobId& job) { jobs_.Cancel(job); }
--- a/src/dispatch/job_description.h
+++ b/src/dispatch/job_description.h
@@ -85,6 +85,7 @@
   std::size_t step = 0;
   std::size_t index = 0;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 misreads the operator
   friend auto operator<=>(const TaskKey&, const TaskKey&) = default;
   friend bool operator==(const TaskKey&, const TaskKey&) = default;
 };
@@ -95,6 +96,7 @@
   std::size_t occurrence = 0;
   std::size_t step = 0;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 misreads the operator
   friend auto operator<=>(const StepKey&, const StepKey&) = default;
   friend bool operator==(const StepKey&, const StepKey&) = default;
 };
--- a/src/dispatch/run_keeper.cc
+++ b/src/dispatch/run_keeper.cc
@@ -93,7 +93,7 @@
   }
 }
 
-void RunKeeper::AttachOrphans(TimePoint /*now*/, const JobId& id) {
+void RunKeeper::AttachOrphans(const JobId& id) {
   TrackedJob* const job = state_.FindJob(id);
   if (job == nullptr) return;
   for (const std::uint64_t run : state_.runs.OrphansOf(id)) {
--- a/src/dispatch/run_keeper.h
+++ b/src/dispatch/run_keeper.h
@@ -26,7 +26,7 @@
   // ended it holds its room and keeps its task from being started.
   void Adopt(TimePoint now, Worker& worker, const RunningRun& listed);
   // Gives the runs that were listed before their job was known to it.
-  void AttachOrphans(TimePoint now, const JobId& job);
+  void AttachOrphans(const JobId& id);
 
   void OnStartAnswer(TimePoint now, std::uint64_t run_id,
                      const OrderAnswer& answer);
--- a/src/dispatch/worker_messages.h
+++ b/src/dispatch/worker_messages.h
@@ -36,6 +36,7 @@
   TaskKey task{};
   std::uint64_t number = 0;  // rises with each start of the task
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 misreads the operator
   friend auto operator<=>(const RunName&, const RunName&) = default;
   friend bool operator==(const RunName&, const RunName&) = default;
 };
--- a/src/lease/lease_holder.cc
+++ b/src/lease/lease_holder.cc
@@ -6,6 +6,13 @@
 #include "base/log.h"
 
 namespace chivewing {
+namespace {
+
+// A lease is this many commits longer than the usual one: the renewal, one that
+// is under way before it, and as much to spare.
+constexpr int kCommitsInLease = 4;
+
+}  // namespace
 
 LeaseHolder::LeaseHolder(TimePoint now, LeaseSettings settings,
                          LeaseFaults faults)
@@ -83,8 +90,13 @@
   }
 }
 
+Duration LeaseHolder::LeaseLength() const {
+  const Duration longest = std::max(settings_.longest_lease, settings_.lease);
+  return std::min(settings_.lease + kCommitsInLease * commit_time_, longest);
+}
+
 LeaseRow LeaseHolder::NextRow(const HostId& host, std::uint64_t epoch) const {
-  return LeaseRow{host, settings_.incarnation, epoch, settings_.lease,
+  return LeaseRow{host, settings_.incarnation, epoch, LeaseLength(),
                   row_.serial + 1};
 }
 
@@ -158,7 +170,8 @@
     return;
   }
   const TimePoint from = faults_.count_from_answer ? now : flight.sent_at;
-  const TimePoint until = from + settings_.lease - settings_.margin;
+  commit_time_ = now - flight.sent_at;
+  const TimePoint until = from + flight.written.lease - settings_.margin;
   if (flight.kind == Kind::kTake) {
     if (!faults_.ignore_time && now >= until) return;  // already over
     held_ = true;
--- a/src/lease/lease_holder.h
+++ b/src/lease/lease_holder.h
@@ -37,6 +37,8 @@
   ZoneId zone;
   std::uint64_t incarnation = 0;
   Duration lease = std::chrono::seconds(3);
+  // With a slow table the lease is written longer, up to this; 0: never.
+  Duration longest_lease{0};
   // Allowance for clocks that run at unlike speeds; each side keeps it.
   Duration margin = std::chrono::milliseconds(200);
   Duration renew_every = std::chrono::seconds(1);
@@ -109,6 +111,7 @@
   bool IsTakingDue(TimePoint now) const;
   void CheckLapse(TimePoint now, Effects& out);
   void Lose(Effects& out);
+  Duration LeaseLength() const;
   LeaseRow NextRow(const HostId& host, std::uint64_t epoch) const;
   void Send(TimePoint now, Kind kind, const LeaseRow& row, Effects& out);
   std::string NewWriteId();
@@ -127,6 +130,7 @@
   TimePoint valid_until_;
   TimePoint renewed_at_;
   std::size_t rank_ = 0;
+  Duration commit_time_{0};  // that the newest commit took
   std::optional<Flight> flight_;
   std::uint64_t next_write_ = 1;
 };
--- a/tests/dispatch/cluster_model.cc
+++ b/tests/dispatch/cluster_model.cc
@@ -125,7 +125,8 @@
 
 void ClusterModel::ReplaceDispatcher() {
   for (Acting& acting : acting_) {
-    acting.retired_at = std::min(acting.retired_at, now_);
+    if (acting.unwritten) continue;
+    acting.retired_at = now_;
     acting.unwritten = true;
     acting.dispatcher->set_sole_until(now_);
   }
