--- a/tests/http/http_server_test.cc
+++ b/tests/http/http_server_test.cc
@@ -278,6 +278,32 @@
   EXPECT_EQ(answer.Header("connection"), "close");
 }
 
+// Stops servers while connections come and go. With a listening socket in the
+// threads of libmicrohttpd some of these stops ended the process.
+TEST(HttpServerTest, StopsWhileConnectionsComeAndGo) {
+  for (int round = 0; round < 40; ++round) {
+    HttpServer server({.threads = 2});
+    ASSERT_TRUE(server.Start(
+        [&](const HttpCall& call) { server.Answer(call.id, {}); }));
+    const std::string url = LoopbackUrl(server.port(), "/");
+    std::atomic<bool> over{false};
+    std::vector<std::thread> callers;
+    for (int i = 0; i < 3; ++i) {
+      callers.emplace_back([&] {
+        HttpClient client;
+        while (!over)
+          SendAndWait(client, {.url = url, .fresh_connection = true});
+      });
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(round % 10));
+    server.StopAccepting();
+    server.Stop();
+    over = true;
+    for (std::thread& caller : callers) caller.join();
+    EXPECT_EQ(server.counts().open_connections, 0U);
+  }
+}
+
 TEST(HttpServerTest, CutAnswerIsNotTakenForAWholeOne) {
   HttpServer server({});
   ASSERT_TRUE(server.Start([&](const HttpCall& call) {
