Tests of the adapter, the cluster host and the dispatcher without the bench

Stand-ins of the store and of a worker by the published protocol, the whole path in one process (a job stored, run step by step, shown; a second host takes over; a store that refuses), callers' answers by tables, following of rows, codecs and bad input, single cases of the dispatcher.

--- /dev/null
+++ b/tests/adapter/codec_test.cc
@@ -0,0 +1,289 @@
+// The platform's words and formats, decoded and encoded.
+
+#include <gtest/gtest.h>
+
+#include <string>
+
+#include "platform/caller_codec.h"
+#include "platform/desired_state_codec.h"
+#include "platform/registration_codec.h"
+#include "platform/store_codec.h"
+#include "platform/task_name.h"
+#include "platform/wire_json.h"
+#include "platform/worker_codec.h"
+
+namespace chivewing::wire {
+namespace {
+
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+
+TEST(WireJson, Base64GoesThereAndBack) {
+  for (const std::string& text :
+       {std::string(), std::string("a"), std::string("ab"), std::string("abc"),
+        std::string("\0\xff\n", 3)}) {
+    const std::string encoded = EncodeBase64(text);
+    EXPECT_EQ(encoded.size() % 4, 0U);
+    const Result<std::string> back = DecodeBase64(encoded);
+    ASSERT_TRUE(back);
+    EXPECT_EQ(back.value(), text);
+  }
+  EXPECT_EQ(EncodeBase64("node-1"), "bm9kZS0x");
+  EXPECT_FALSE(DecodeBase64("not base64!"));
+  EXPECT_FALSE(DecodeBase64("abcde"));
+}
+
+TEST(TaskName, GoesThereAndBack) {
+  const TaskKey task{JobId("5c0e7a21d94b36f8"), 3, 1, 17};
+  EXPECT_EQ(TaskName(task), "5c0e7a21d94b36f8.3.1.17");
+  EXPECT_EQ(ParseTaskName("5c0e7a21d94b36f8.3.1.17"), task);
+  for (const char* bad : {"", ".0.0.0", "a", "a.0", "a.0.0", "a.0.0.x",
+                          "a.0.0.0.0", "a.-1.0.0", "a.0.0.0 "}) {
+    EXPECT_FALSE(ParseTaskName(bad)) << bad;
+  }
+}
+
+TEST(DesiredStateCodec, ReadsQueuesAndServices) {
+  const Result<DesiredState> state = DecodeDesiredState(R"({"version":7,
+    "routes":[{"name":"r-1","host":"nony24.example","pathPrefix":"/lohu930/",
+      "kind":"non_idempotent","timeoutMs":3000,"sloMs":250,"priority":2,
+      "service":"huvo11a","maxAttempts":4,"stretch":1.5,
+      "advice":{"decideMs":22.5,"eachMs":0.32,"validMs":2500}}],
+    "services":[{"name":"huvo11a","admissionCheck":true,"standby":false}],
+    "limits":{"maxBodyBytes":1000}})");
+  ASSERT_TRUE(state);
+  EXPECT_EQ(state.value().version, 7U);
+  const Queue& queue = state.value().queues.at(0);
+  EXPECT_EQ(queue.path_prefix, "/lohu930/");
+  EXPECT_EQ(queue.objective, milliseconds(250));
+  EXPECT_EQ(queue.max_attempts, 4U);
+  ASSERT_TRUE(queue.advice);
+  EXPECT_EQ(queue.advice->decide, microseconds(22500));
+  EXPECT_EQ(queue.advice->each, microseconds(320));
+  EXPECT_TRUE(state.value().services.at(0).workers_check_room);
+  EXPECT_EQ(state.value().max_body_bytes, 1000U);
+}
+
+struct BadText {
+  const char* name;
+  const char* text;
+};
+
+class BadDesiredState : public testing::TestWithParam<BadText> {};
+
+TEST_P(BadDesiredState, IsRefused) {
+  EXPECT_FALSE(DecodeDesiredState(GetParam().text));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Cases, BadDesiredState,
+    testing::Values(
+        BadText{"Empty", ""}, BadText{"NotJson", "{"}, BadText{"List", "[]"},
+        BadText{"NoVersion", "{}"},
+        BadText{"VersionText", R"({"version":"7"})"},
+        BadText{"RouteWithoutHost",
+                R"({"version":1,"routes":[{"name":"a","pathPrefix":"/"}]})"}),
+    [](const auto& info) { return info.param.name; });
+
+constexpr const char* kRegistration =
+    R"({"service":"s","addr":"10.1.0.1:80","zone":"z","state":"draining",
+        "labels":["b","r1-3"],"capacity":{"cpu":16000,"memMb":32768},
+        "remainingMs":1500,"born":99,"seq":4})";
+
+TEST(RegistrationCodec, ReadsAWorker) {
+  const Result<WorkerRegistration> worker =
+      DecodeRegistration(WorkerId("i-1"), kRegistration);
+  ASSERT_TRUE(worker);
+  EXPECT_TRUE(worker.value().draining);
+  EXPECT_EQ(worker.value().kind, "b");
+  EXPECT_EQ(worker.value().rack, "r1-3");
+  EXPECT_EQ(worker.value().capacity, (Resources{16000, 32768, 0}));
+  EXPECT_EQ(worker.value().leaves_after, milliseconds(1500));
+  EXPECT_EQ(worker.value().born, milliseconds(99));
+}
+
+class BadRegistration : public testing::TestWithParam<BadText> {};
+
+TEST_P(BadRegistration, NamesNoWorker) {
+  EXPECT_FALSE(DecodeRegistration(WorkerId("i-1"), GetParam().text));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Cases, BadRegistration,
+    testing::Values(
+        BadText{"Bytes", "\xff\xfe"}, BadText{"Empty", "{}"},
+        BadText{"StateNotKnown",
+                R"({"service":"s","addr":"a","zone":"z","state":"odd",
+                    "capacity":{"cpu":1,"memMb":1}})"},
+        BadText{"CapacityMissing",
+                R"({"service":"s","addr":"a","zone":"z","state":"ready"})"},
+        BadText{"CapacityText",
+                R"({"service":"s","addr":"a","zone":"z","state":"ready",
+                    "capacity":{"cpu":"1","memMb":1}})"}),
+    [](const auto& info) { return info.param.name; });
+
+TEST(CallerCodec, ReadsAJob) {
+  const Result<JobDescription> job = DecodeJob(
+      R"({"spec":"text","steps":[
+        {"count":4,"cpu":500,"memMb":256,"estMs":900,"colocate":"r1-3"},
+        {"count":20,"cpu":2000,"memMb":1024,"estMs":7000,"after":[0],
+         "checkpoint":true,"gang":true,"sameRack":true,"allowDup":true,
+         "daemon":true,"fills":true,"requires":"b","spread":2,"image":"x",
+         "targetMs":40,"allowMiss":1}],
+        "repeats":3,"firstMs":1000,"intervalMs":500})");
+  ASSERT_TRUE(job);
+  EXPECT_EQ(job.value().payload, "text");
+  EXPECT_EQ(job.value().steps.at(0).data_rack, "r1-3");
+  const StepSpec& step = job.value().steps.at(1);
+  EXPECT_EQ(step.after, std::vector<std::size_t>{0});
+  EXPECT_TRUE(step.checkpoints && step.gang && step.one_rack);
+  EXPECT_TRUE(step.copies_allowed && step.lasting && step.filler);
+  EXPECT_EQ(step.required_label, "b");
+  EXPECT_EQ(step.most_per_worker, 2U);
+  EXPECT_EQ(step.latency_target, milliseconds(40));
+  EXPECT_EQ(step.most_missing, 1U);
+  EXPECT_EQ(job.value().repeats, 3U);
+}
+
+class BadJob : public testing::TestWithParam<BadText> {};
+
+TEST_P(BadJob, IsRefused) { EXPECT_FALSE(DecodeJob(GetParam().text)); }
+
+INSTANTIATE_TEST_SUITE_P(
+    Cases, BadJob,
+    testing::Values(
+        BadText{"Empty", ""}, BadText{"NoSteps", R"({"spec":"a"})"},
+        BadText{"StepsNoList", R"({"spec":"a","steps":1})"},
+        BadText{"NoCount", R"({"spec":"a","steps":[{}]})"},
+        BadText{"NoTasks", R"({"spec":"a","steps":[{"count":0}]})"},
+        BadText{"TooMany", R"({"spec":"a","steps":[{"count":1000000}]})"},
+        BadText{"Negative", R"({"spec":"a","steps":[{"count":1,"cpu":-1}]})"},
+        BadText{"AfterItself",
+                R"({"spec":"a","steps":[{"count":1,"after":[0]}]})"},
+        BadText{"GangText",
+                R"({"spec":"a","steps":[{"count":1,"gang":"yes"}]})"}),
+    [](const auto& info) { return info.param.name; });
+
+TEST(CallerCodec, ReadsACall) {
+  HttpCall call;
+  call.method = "DELETE";
+  call.path = "/q/5c0e7a21d94b36f8";
+  call.headers = {{"host", "nony24.example:80"}, {"x-deadline-ms", "2500"}};
+  const CallerCall decoded = DecodeCallerCall(call);
+  EXPECT_EQ(decoded.kind, CallKind::kCancel);
+  EXPECT_EQ(decoded.host, "nony24.example");
+  EXPECT_EQ(decoded.time_limit, milliseconds(2500));
+  call.headers["x-deadline-ms"] = "soon";
+  EXPECT_FALSE(DecodeCallerCall(call).time_limit);
+}
+
+TEST(CallerCodec, AnswersSayWhatHappened) {
+  CallerReply reply;
+  reply.kind = ReplyKind::kNotRun;
+  reply.retry_after = milliseconds(1200);
+  const HttpReply refused = EncodeCallerReply(reply);
+  EXPECT_EQ(refused.status, 503);
+  ASSERT_EQ(refused.headers.size(), 1U);
+  EXPECT_EQ(refused.headers[0].name, "Retry-After");
+  EXPECT_EQ(refused.headers[0].value, "2");
+  reply.kind = ReplyKind::kState;
+  reply.state = JobPhase::kCompleted;
+  EXPECT_EQ(EncodeCallerReply(reply).body, R"({"state":"completed"})");
+  reply.kind = ReplyKind::kNoJob;
+  EXPECT_EQ(EncodeCallerReply(reply).status, 410);
+  reply.kind = ReplyKind::kNoQueue;
+  EXPECT_EQ(EncodeCallerReply(reply).status, 404);
+  reply.kind = ReplyKind::kInDoubt;
+  EXPECT_EQ(EncodeCallerReply(reply).status, 504);
+}
+
+struct OutcomeCase {
+  const char* name;
+  int status;
+  const char* body;
+  OrderOutcome outcome;
+};
+
+class OutcomeTest : public testing::TestWithParam<OutcomeCase> {};
+
+TEST_P(OutcomeTest, FollowsStatusAndReason) {
+  const OutcomeCase& c = GetParam();
+  EXPECT_EQ(DecodeOrderAnswer(c.status, c.body).outcome, c.outcome);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Cases, OutcomeTest,
+    testing::Values(
+        OutcomeCase{"Done", 200, R"({"clockMs":1})", OrderOutcome::kDone},
+        OutcomeCase{"Fence", 409, R"({"clockMs":1,"reason":"fence"})",
+                    OrderOutcome::kFenced},
+        OutcomeCase{"Old", 409, R"({"clockMs":1,"reason":"old"})",
+                    OrderOutcome::kOutdated},
+        OutcomeCase{"Late", 409, R"({"clockMs":1,"reason":"late"})",
+                    OrderOutcome::kLate},
+        OutcomeCase{"Room", 409, R"({"clockMs":1,"reason":"room"})",
+                    OrderOutcome::kNoRoom},
+        OutcomeCase{"WorkerTicket", 409, R"({"clockMs":1,"reason":"ticket"})",
+                    OrderOutcome::kTicketRefused},
+        OutcomeCase{"OtherBoot", 421, "", OrderOutcome::kOtherLife},
+        OutcomeCase{"Busy", 429, "", OrderOutcome::kUnhealthy},
+        OutcomeCase{"Unhealthy", 503, "", OrderOutcome::kUnhealthy},
+        OutcomeCase{"Malformed", 400, "", OrderOutcome::kRefused},
+        OutcomeCase{"Odd", 500, "", OrderOutcome::kNoAnswer}),
+    [](const auto& info) { return info.param.name; });
+
+TEST(WorkerCodec, ReadsLists) {
+  const PollAnswer answer = DecodePollAnswer(200, R"({"clockMs":482113,
+    "born":77,"running":[["j.0.1.17",2,"00bb",41,350],["odd",1,"",0]],
+    "ended":[[58,"j.0.1.9",1,"done",""],[59,"j.0.1.8",3,"failed","cc"],
+             [60,"j.0.1.7",3,"vanished",""]]})");
+  EXPECT_EQ(answer.outcome, OrderOutcome::kDone);
+  EXPECT_EQ(answer.clock, WorkerClock(482113));
+  EXPECT_EQ(answer.born, milliseconds(77));
+  ASSERT_EQ(answer.running.size(), 1U);
+  EXPECT_EQ(answer.running[0].run.task.index, 17U);
+  EXPECT_EQ(answer.running[0].saved, "00bb");
+  EXPECT_EQ(answer.running[0].percent, 41);
+  EXPECT_EQ(answer.running[0].load, 350);
+  ASSERT_EQ(answer.ended.size(), 2U);
+  EXPECT_EQ(answer.ended[1].number, 59U);
+  EXPECT_EQ(answer.ended[1].how, EndKind::kFailed);
+}
+
+TEST(WorkerCodec, LeavesOutWhatIsEmpty) {
+  StartRun start;
+  start.run = {{JobId("j"), 0, 1, 2}, 3};
+  start.payload = "p";
+  start.deadline = WorkerClock(10);
+  start.fence = 7;
+  EXPECT_EQ(
+      EncodeStart(start),
+      R"({"deadlineMs":10,"fence":7,"run":3,"spec":"p","task":"j.0.1.2"})");
+  PollWorker poll;
+  poll.fence = 7;
+  EXPECT_EQ(EncodePoll(poll), R"({"fence":7,"lastSeen":0})");
+}
+
+TEST(StoreCodec, PutsJobsInPartsAndTheRestInOne) {
+  EXPECT_EQ(PartOf("placer/all"), "control");
+  EXPECT_EQ(PartOf("progress/5c0e7a21d94b36f8"), "control");
+  EXPECT_EQ(PartOf("job/5c0e7a21d94b36f8"), PartOf("cancel/5c0e7a21d94b36f8"));
+  EXPECT_TRUE(PartOf("job/5c0e7a21d94b36f8").starts_with("jobs-"));
+}
+
+TEST(StoreCodec, UnreadableRowsAreLeftOut) {
+  const Result<RowsPage> page = DecodeRows(R"({"rows":[
+    {"table":"t","part":"p","key":"a","value":"bm9kZS0x","ver":3},
+    {"table":"t","part":"p","key":"b","value":"?","ver":4},
+    {"table":"t","part":"p","key":"c","tombstone":true,"ver":5}],
+    "morePages":true,"ver":9,"nowMs":1})");
+  ASSERT_TRUE(page);
+  ASSERT_EQ(page.value().rows.size(), 2U);
+  EXPECT_EQ(page.value().rows[0].value, "node-1");
+  EXPECT_TRUE(page.value().rows[1].removed);
+  EXPECT_TRUE(page.value().more);
+  EXPECT_FALSE(DecodeRows("[]"));
+}
+
+}  // namespace
+}  // namespace chivewing::wire
--- /dev/null
+++ b/tests/adapter/store_client_test.cc
@@ -0,0 +1,132 @@
+// The client of the platform's store against a stand-in of it.
+
+#include "platform/store_client.h"
+
+#include <gtest/gtest.h>
+
+#include <future>
+#include <set>
+#include <string>
+
+#include "platform/store_codec.h"
+#include "standins/store_standin.h"
+
+namespace chivewing::wire {
+namespace {
+
+using std::chrono::milliseconds;
+
+class StoreClientTest : public testing::Test {
+ protected:
+  CommitAnswer Commit(const TableTransaction& transaction) {
+    std::promise<CommitAnswer> answer;
+    client_.Commit(transaction,
+                   [&](const CommitAnswer& a) { answer.set_value(a); });
+    return answer.get_future().get();
+  }
+  ChangesAnswer ReadAll() {
+    std::promise<ChangesAnswer> answer;
+    client_.ReadAll([&](const ChangesAnswer& a) { answer.set_value(a); });
+    return answer.get_future().get();
+  }
+  ChangesAnswer Changes(std::uint64_t since) {
+    std::promise<ChangesAnswer> answer;
+    client_.Changes(since, milliseconds(0),
+                    [&](const ChangesAnswer& a) { answer.set_value(a); });
+    return answer.get_future().get();
+  }
+  static TableTransaction Write(const std::string& id, const std::string& key,
+                                std::uint64_t version) {
+    return {id, {{key, version}}, {{key, "value of " + id}}, ""};
+  }
+
+  StoreStandin store_{2};
+  HttpClient http_;
+  StoreClient client_{http_, store_.address()};
+};
+
+TEST_F(StoreClientTest, CommitsOnceAndShowsWhoseWriteIsInTheWay) {
+  EXPECT_EQ(Commit(Write("w1", "job/a", 0)).status, CommitStatus::kCommitted);
+  const CommitAnswer again = Commit(Write("w1", "job/a", 0));
+  EXPECT_EQ(again.status, CommitStatus::kConflict);
+  ASSERT_EQ(again.rows.size(), 1U);
+  EXPECT_EQ(again.rows[0].write_id, "w1");
+  EXPECT_EQ(again.rows[0].value, "value of w1");
+}
+
+TEST_F(StoreClientTest, AnAnswerThatIsCutLeavesTheOutcomeUnknown) {
+  store_.lose_answers = true;
+  EXPECT_EQ(Commit(Write("w1", "job/a", 0)).status, CommitStatus::kUnknown);
+  store_.lose_answers = false;
+  EXPECT_EQ(Commit(Write("w1", "job/a", 0)).rows.at(0).write_id, "w1");
+}
+
+TEST_F(StoreClientTest, RefusalsAreCertain) {
+  for (const int status : {429, 503}) {
+    store_.refuse_with = status;
+    EXPECT_EQ(Commit(Write("w1", "job/a", 0)).status,
+              CommitStatus::kUnavailable);
+    EXPECT_FALSE(ReadAll().ok);
+  }
+}
+
+TEST_F(StoreClientTest, ReadsAllRowsOfAllPartsPageByPage) {
+  std::set<std::string> keys;
+  for (int i = 0; i < 9; ++i) {
+    const std::string key = "job/" + std::to_string(i);
+    keys.insert(key);
+    Commit(Write("w" + std::to_string(i), key, 0));
+  }
+  Commit(Write("lease", "placer/all", 0));
+  keys.insert("placer/all");
+  const ChangesAnswer all = ReadAll();
+  ASSERT_TRUE(all.ok);
+  std::set<std::string> seen;
+  for (const TableRow& row : all.rows) seen.insert(row.key);
+  EXPECT_EQ(seen, keys);
+}
+
+// A part that comes into being while all rows are read must not be missed.
+TEST_F(StoreClientTest, ARowWrittenWhileReadingIsFoundAmongTheChanges) {
+  Commit(Write("w1", "job/a", 0));
+  store_.after_listing = [this] {
+    store_.Put(std::string(kOwnTable), "control", "placer/all", "w2\nlease");
+  };
+  const ChangesAnswer all = ReadAll();
+  store_.after_listing = {};
+  ASSERT_TRUE(all.ok);
+  const ChangesAnswer changes = Changes(all.revision);
+  ASSERT_EQ(changes.rows.size(), 1U);
+  EXPECT_EQ(changes.rows[0].key, "placer/all");
+}
+
+TEST_F(StoreClientTest, TellsThatTheHistoryIsLost) {
+  store_.history_lost = true;
+  const ChangesAnswer changes = Changes(1);
+  EXPECT_TRUE(changes.history_lost);
+  EXPECT_FALSE(changes.ok);
+}
+
+TEST_F(StoreClientTest, WorkersComeAndGo) {
+  const auto watch = [this](std::uint64_t after) {
+    std::promise<WorkerNews> answer;
+    client_.WatchWorkers(after, milliseconds(0),
+                         [&](const WorkerNews& n) { answer.set_value(n); });
+    return answer.get_future().get();
+  };
+  const std::string good =
+      R"({"service":"s","addr":"a","zone":"z","state":"ready",
+          "capacity":{"cpu":1,"memMb":1}})";
+  store_.Put("servers", "", "i-1", good);
+  store_.Put("servers", "", "i-2", "\xff");
+  const WorkerNews first = watch(0);
+  ASSERT_EQ(first.changed.size(), 1U);
+  EXPECT_EQ(first.changed[0].worker, WorkerId("i-1"));
+  store_.Remove("servers", "", "i-1");
+  const WorkerNews second = watch(first.revision);
+  ASSERT_EQ(second.removed.size(), 1U);
+  EXPECT_EQ(second.removed[0], WorkerId("i-1"));
+}
+
+}  // namespace
+}  // namespace chivewing::wire
--- /dev/null
+++ b/tests/cluster/cluster_host_test.cc
@@ -0,0 +1,144 @@
+// The whole path in one process: an entry host, the platform's store, workers.
+
+#include "cluster/cluster_host.h"
+
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <thread>
+
+#include "platform/platform_ports.h"
+#include "standins/blocking_http.h"
+#include "standins/free_ports.h"
+#include "standins/store_standin.h"
+#include "standins/task_runner_standin.h"
+
+namespace chivewing {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr const char* kDesiredState =
+    R"({"version":3,"routes":[{"name":"r","host":"desk.example",
+        "pathPrefix":"/jobs/","sloMs":250,"priority":0,"service":"pool",
+        "maxAttempts":2,"stretch":1.5}],
+        "services":[{"name":"pool"}]})";
+constexpr const char* kJob =
+    R"({"spec":"x","steps":[{"count":3,"cpu":500,"memMb":100,"estMs":50},
+                            {"count":2,"cpu":500,"memMb":100,"estMs":50,
+                             "after":[0]}]})";
+
+// One entry host with its own clients.
+struct Host {
+  Host(const std::string& name, const StoreStandin& store,
+       const std::vector<std::uint16_t>& ports)
+      : platform(store.address(), "") {
+    ClusterSettings settings;
+    settings.host = HostId(name);
+    settings.zone = ZoneId("z1");
+    const auto address = [](std::uint16_t port) {
+      return "127.0.0.1:" + std::to_string(port);
+    };
+    settings.caller_address = address(ports[0]);
+    settings.ready_address = address(ports[1]);
+    settings.peer_address = address(ports[2]);
+    caller_url = "http://" + settings.caller_address;
+    ready_url = "http://" + settings.ready_address + "/ready";
+    host = std::make_unique<ClusterHost>(settings, platform.ports());
+    started = static_cast<bool>(host->Start());
+  }
+  ~Host() { Stop(); }
+  void Stop() {
+    if (host) host->Stop();
+    platform.Stop();
+    host.reset();
+  }
+  int Call(const std::string& method, const std::string& job,
+           const std::string& body = "") {
+    return chivewing::Call(method, caller_url + "/jobs/" + job, body,
+                           {{"Host", "desk.example"}})
+        .status;
+  }
+  std::string StateOf(const std::string& job) {
+    return chivewing::Call("GET", caller_url + "/jobs/" + job, "",
+                           {{"Host", "desk.example"}})
+        .body;
+  }
+
+  wire::PlatformClient platform;
+  std::unique_ptr<ClusterHost> host;
+  std::string caller_url;
+  std::string ready_url;
+  bool started = false;
+};
+
+bool WaitFor(const std::function<bool()>& holds) {
+  const TimePoint end = BootClock::now() + seconds(15);
+  while (BootClock::now() < end) {
+    if (holds()) return true;
+    std::this_thread::sleep_for(milliseconds(10));
+  }
+  return false;
+}
+
+class ClusterHostTest : public testing::Test {
+ protected:
+  ClusterHostTest() {
+    store_.Put("op", "", "config", kDesiredState);
+    store_.Put("servers", "", "i-1", worker_.Registration("pool"));
+  }
+
+  const std::vector<std::uint16_t> ports_ = FreePorts(6);
+  StoreStandin store_;
+  TaskRunnerStandin worker_{"i-1"};
+};
+
+TEST_F(ClusterHostTest, AJobIsStoredRunStepByStepAndShownAsCompleted) {
+  Host host("h1", store_, {ports_[0], ports_[1], ports_[2]});
+  ASSERT_TRUE(host.started);
+  ASSERT_TRUE(WaitFor([&] { return Get(host.ready_url).status == 200; }));
+  const std::string job = "5c0e7a21d94b36f8";
+  EXPECT_EQ(host.Call("POST", job, kJob), 200);
+  EXPECT_EQ(host.Call("POST", job, kJob), 200);
+  EXPECT_TRUE(
+      WaitFor([&] { return host.StateOf(job) == R"({"state":"completed"})"; }));
+  EXPECT_EQ(worker_.starts(), 5U);
+  EXPECT_EQ(worker_.most_at_once(), 1U);
+  EXPECT_EQ(host.Call("GET", "0000000000000000"), 410);
+  EXPECT_EQ(host.Call("POST", "nonsense", kJob), 400);
+  EXPECT_EQ(host.Call("POST", "1111111111111111", "{"), 400);
+}
+
+TEST_F(ClusterHostTest, ASecondHostTakesOverAndFinishes) {
+  auto first = std::make_unique<Host>(
+      "h1", store_,
+      std::vector<std::uint16_t>{ports_[0], ports_[1], ports_[2]});
+  Host second("h2", store_, {ports_[3], ports_[4], ports_[5]});
+  ASSERT_TRUE(first->started && second.started);
+  ASSERT_TRUE(WaitFor([&] { return Get(second.ready_url).status == 200; }));
+  EXPECT_EQ(second.Call("POST", "aaaaaaaaaaaaaaaa", kJob), 200);
+  first.reset();
+  EXPECT_EQ(second.Call("POST", "bbbbbbbbbbbbbbbb", kJob), 200);
+  for (const char* job : {"aaaaaaaaaaaaaaaa", "bbbbbbbbbbbbbbbb"}) {
+    EXPECT_TRUE(WaitFor([&] {
+      return second.StateOf(job) == R"({"state":"completed"})";
+    })) << job;
+  }
+  EXPECT_EQ(worker_.starts(), 10U);
+  EXPECT_EQ(worker_.most_at_once(), 1U);
+}
+
+TEST_F(ClusterHostTest, RefusesWhileTheStoreRefuses) {
+  Host host("h1", store_, {ports_[0], ports_[1], ports_[2]});
+  ASSERT_TRUE(WaitFor([&] { return Get(host.ready_url).status == 200; }));
+  store_.refuse_with = 503;
+  EXPECT_EQ(host.Call("POST", "cccccccccccccccc", kJob), 503);
+  EXPECT_TRUE(WaitFor([&] { return Get(host.ready_url).status == 503; }));
+  store_.refuse_with = 0;
+  EXPECT_TRUE(WaitFor([&] { return Get(host.ready_url).status == 200; }));
+  EXPECT_EQ(host.Call("POST", "cccccccccccccccc", kJob), 200);
+}
+
+}  // namespace
+}  // namespace chivewing
--- /dev/null
+++ b/tests/cluster/cluster_settings_test.cc
@@ -0,0 +1,39 @@
+#include "cluster/cluster_settings.h"
+
+#include <gtest/gtest.h>
+
+#include <string>
+
+namespace chivewing {
+namespace {
+
+constexpr const char* kGood = R"({
+  "host": "front-a-1", "zone": "a",  // as the platform fills them in
+  "caller_address": "10.1.0.13:8161", "ready_address": "10.1.0.13:8167",
+  "peer_address": "10.1.0.13:7720", "store_address": "10.200.1.7:8169",
+  "longest_lease_ms": 8000})";
+
+TEST(ClusterSettingsTest, ReadsWhatThePlatformFillsIn) {
+  const Checked<ClusterSettings> settings = ReadClusterSettings(kGood, "f");
+  ASSERT_TRUE(settings) << Describe(settings.error().front());
+  EXPECT_EQ(settings.value().host, HostId("front-a-1"));
+  EXPECT_EQ(settings.value().longest_lease, std::chrono::milliseconds(8000));
+}
+
+TEST(ClusterSettingsTest, TellsAllFaultsAtOnce) {
+  const Checked<ClusterSettings> settings = ReadClusterSettings(
+      R"({"host": "", "zone": 7, "caller_address": "nowhere", "extra": 1,
+          "worker_lease_ms": 9000, "longest_lease_ms": 8000})",
+      "f");
+  ASSERT_FALSE(settings);
+  std::string all;
+  for (const Fault& fault : settings.error()) all += Describe(fault) + "\n";
+  for (const char* key :
+       {"host", "zone", "caller_address", "extra", "ready_address",
+        "peer_address", "store_address", "worker_lease_ms"}) {
+    EXPECT_NE(all.find(key), std::string::npos) << key << "\n" << all;
+  }
+}
+
+}  // namespace
+}  // namespace chivewing
--- /dev/null
+++ b/tests/cluster/fake_table_calls.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <string>
+#include <utility>
+
+#include "store/table_calls.h"
+
+namespace chivewing {
+
+// Table calls that wait until a test answers them.
+class FakeTableCalls {
+ public:
+  TableCalls calls() {
+    TableCalls out;
+    out.commit = [this](const TableTransaction& transaction, auto done) {
+      commits.emplace_back(transaction, done);
+    };
+    out.read = [this](const std::string& key, auto done) {
+      reads.emplace_back(key, done);
+    };
+    out.read_all = [this](auto done) { all_reads.push_back(done); };
+    out.changes = [this](std::uint64_t since, auto /*wait*/, auto done) {
+      change_reads.emplace_back(since, done);
+    };
+    return out;
+  }
+
+  std::deque<std::pair<TableTransaction, std::function<void(CommitAnswer)>>>
+      commits;
+  std::deque<std::pair<std::string, std::function<void(ReadAnswer)>>> reads;
+  std::deque<std::function<void(ChangesAnswer)>> all_reads;
+  std::deque<std::pair<std::uint64_t, std::function<void(ChangesAnswer)>>>
+      change_reads;
+};
+
+}  // namespace chivewing
--- /dev/null
+++ b/tests/dispatch/dispatcher_test.cc
@@ -0,0 +1,220 @@
+// Single cases of the dispatcher on the model of a cluster, by the platform's
+// rule names, and the rows that outlive it.
+
+#include "dispatch/dispatcher.h"
+
+#include <gtest/gtest.h>
+
+#include "dispatch/cluster_model.h"
+
+namespace chivewing {
+namespace {
+
+ModelOptions SmallCluster() {
+  ModelOptions options;
+  options.workers = 4;
+  options.jobs = 0;
+  return options;
+}
+
+StepSpec Step(std::size_t tasks, std::int64_t processors,
+              milliseconds estimate) {
+  StepSpec step;
+  step.task_count = tasks;
+  step.size = {processors, 1000, 0};
+  step.estimate = estimate;
+  return step;
+}
+
+class DispatcherTest : public testing::Test {
+ protected:
+  void SetUp() override { model_.RunFor(milliseconds(100)); }
+  JobPhase PhaseOf(const std::string& job) {
+    const auto found = model_.table().find(JobId(job));
+    return found == model_.table().end() ? JobPhase::kQueued
+                                         : found->second.state;
+  }
+
+  ClusterModel model_{SmallCluster()};
+};
+
+TEST_F(DispatcherTest, StepsFollowOneAnother) {
+  StepSpec second = Step(2, 1000, milliseconds(100));
+  second.after = {0};
+  model_.AddJob(
+      model_.MakeJob("j", {Step(3, 1000, milliseconds(300)), second}));
+  model_.RunFor(milliseconds(200));
+  EXPECT_EQ(model_.CountRunning(JobId("j")), 3U);
+  model_.RunFor(seconds(1));
+  EXPECT_EQ(PhaseOf("j"), JobPhase::kCompleted);
+  EXPECT_TRUE(model_.broken().empty());
+}
+
+TEST_F(DispatcherTest, AGangWaitsUntilAllOfItFits) {
+  // 48 processors in all: the filler leaves room for 3 of the 5 tasks.
+  model_.AddJob(model_.MakeJob("fill", {Step(4, 6000, seconds(2))}));
+  model_.RunFor(milliseconds(200));
+  StepSpec gang = Step(5, 7000, milliseconds(300));
+  gang.gang = true;
+  model_.AddJob(model_.MakeJob("gang", {gang}));
+  model_.RunFor(seconds(1));
+  EXPECT_EQ(model_.CountRunning(JobId("gang")), 0U);
+  model_.RunFor(seconds(3));
+  EXPECT_EQ(PhaseOf("gang"), JobPhase::kCompleted);
+  EXPECT_TRUE(model_.broken().empty());
+}
+
+TEST_F(DispatcherTest, ACancelledJobIsStopped) {
+  StepSpec lasting = Step(4, 1000, seconds(1));
+  lasting.lasting = true;
+  model_.AddJob(model_.MakeJob("j", {lasting}));
+  model_.RunFor(milliseconds(300));
+  EXPECT_EQ(model_.CountRunning(JobId("j")), 4U);
+  model_.Cancel(JobId("j"));
+  model_.RunFor(seconds(1));
+  EXPECT_EQ(model_.CountRunning(JobId("j")), 0U);
+  EXPECT_EQ(PhaseOf("j"), JobPhase::kCancelled);
+}
+
+TEST_F(DispatcherTest, DrainingWorkersGetNoNewTasks) {
+  for (std::size_t i = 1; i < 4; ++i) {
+    WorkerRegistration leaving = model_.worker(i).registration;
+    leaving.draining = true;
+    model_.dispatcher().RegisterWorker(model_.now(), leaving);
+  }
+  model_.AddJob(model_.MakeJob("j", {Step(6, 1000, seconds(5))}));
+  model_.RunFor(milliseconds(300));
+  EXPECT_EQ(model_.worker(0).running.size(), 6U);
+}
+
+TEST_F(DispatcherTest, TasksOfALostWorkerStartAgainWhenItsLeaseHasEnded) {
+  model_.AddJob(model_.MakeJob("j", {Step(1, 7500, seconds(20))}));
+  model_.RunFor(milliseconds(300));
+  for (std::size_t i = 0; i < 4; ++i) {
+    if (model_.worker(i).running.empty()) continue;
+    model_.worker(i).cut_until = model_.now() + seconds(60);
+  }
+  model_.RunFor(seconds(4));
+  EXPECT_EQ(model_.started(), 1U);
+  model_.RunFor(seconds(6));
+  EXPECT_EQ(model_.started(), 2U);
+  EXPECT_TRUE(model_.broken().empty());
+}
+
+// A replaced dispatcher had started a job that its successor reads late.
+TEST_F(DispatcherTest, RunsOfAJobThatIsNotKnownYetAreKept) {
+  Worker worker(model_.worker(0).registration);
+  Dispatcher dispatcher({}, 2);
+  dispatcher.set_askers({HostId("h0")});
+  const TimePoint now = model_.now();
+  dispatcher.ExpectWorker(now, worker.registration());
+  dispatcher.RegisterWorker(now, worker.registration());
+  dispatcher.EndTakeOver();
+  DispatchEffects effects;
+  dispatcher.Decide(now, milliseconds(0), effects);
+  ASSERT_EQ(effects.size(), 1U);
+  const auto poll = std::get<PollWorker>(effects.front());
+  PollAnswer answer;
+  answer.outcome = OrderOutcome::kDone;
+  answer.clock = WorkerClock(1000);
+  answer.running.push_back({{{JobId("late"), 0, 0, 0}, 1}, "", 10, 0});
+  dispatcher.OnPoll(now, poll.worker, poll.poll_id, answer);
+  dispatcher.AddJob(now, milliseconds(0),
+                    model_.MakeJob("late", {Step(1, 1000, seconds(1))}),
+                    std::nullopt, false);
+  effects.clear();
+  dispatcher.Decide(now + milliseconds(1), milliseconds(0), effects);
+  for (const DispatchEffect& effect : effects) {
+    EXPECT_FALSE(std::holds_alternative<StartRun>(effect));
+    EXPECT_FALSE(std::holds_alternative<StopRun>(effect));
+  }
+  EXPECT_EQ(dispatcher.state().runs.all().size(), 1U);
+}
+
+TEST(AdviceDeskTest, QuickQuestionsNeverWaitBehindSlowOnes) {
+  AdviceDesk desk;
+  desk.set_askers({HostId("a"), HostId("b"), HostId("c")});
+  const TimePoint now{seconds(1)};
+  const milliseconds slow(400);
+  const milliseconds quick(25);
+  std::set<HostId> slow_hosts;
+  while (const auto host = desk.FindAsker(now, slow)) {
+    EXPECT_TRUE(slow_hosts.insert(*host).second);
+    OpenAsk ask;
+    ask.asker = *host;
+    ask.slow = true;
+    desk.Open(ask);
+  }
+  EXPECT_EQ(slow_hosts.size(), 2U) << "one host stays free for quick ones";
+  const auto host = desk.FindAsker(now, quick);
+  ASSERT_TRUE(host);
+  EXPECT_FALSE(slow_hosts.contains(*host));
+}
+
+TEST(StepAdviceTest, TicketsExpireAndWhatIsBadStaysBad) {
+  StepAdvice advice;
+  const TimePoint now{seconds(1)};
+  AdviceAnswer answer;
+  answer.ok = true;
+  answer.valid = milliseconds(2500);
+  answer.good.push_back({WorkerId("good"), "t"});
+  advice.OnAnswer(now, {WorkerId("good"), WorkerId("bad")}, answer);
+  EXPECT_NE(advice.FindTicket(WorkerId("good"), now + seconds(2)), nullptr);
+  EXPECT_EQ(advice.FindTicket(WorkerId("good"), now + seconds(3)), nullptr);
+  EXPECT_TRUE(advice.IsGood(WorkerId("good")));
+  EXPECT_TRUE(advice.IsBad(WorkerId("bad")));
+  advice.Forget(WorkerId("bad"));
+  EXPECT_FALSE(advice.IsBad(WorkerId("bad")));
+}
+
+TEST(JobRowsTest, RecordsGoThereAndBack) {
+  ClusterModel model(SmallCluster());
+  StepSpec step = Step(3, 1500, milliseconds(700));
+  step.gang = true;
+  step.data_rack = "r1";
+  step.most_missing = 0;
+  step.after = {};
+  JobRecord record = model.MakeJob("j", {step});
+  record.queue.advice =
+      AdvicePolicy{milliseconds(5), milliseconds(1), milliseconds(2500)};
+  record.spec.repeats = 2;
+  const std::string text = EncodeJobRecord(record);
+  const Result<JobRecord> back = DecodeJobRecord(record.id, text);
+  ASSERT_TRUE(back);
+  EXPECT_EQ(EncodeJobRecord(back.value()), text);
+  EXPECT_EQ(back.value().spec.steps[0].most_missing, 0U);
+  EXPECT_FALSE(DecodeJobRecord(record.id, "{}"));
+}
+
+TEST(JobRowsTest, ProgressGoesThereAndBack) {
+  JobProgress progress;
+  progress.state = JobPhase::kRunning;
+  progress.top_run = 1003;
+  progress.occurrences[0].resize(2);
+  progress.occurrences[0][0][1].done = true;
+  progress.occurrences[0][1][4].failed_runs = {1, 1001};
+  progress.occurrences[0][1][4].saved = "00ab";
+  const std::string text = EncodeJobProgress(progress);
+  const Result<JobProgress> back = DecodeJobProgress(text);
+  ASSERT_TRUE(back);
+  EXPECT_EQ(EncodeJobProgress(back.value()), text);
+  EXPECT_FALSE(DecodeJobProgress(R"({"state":"odd","top_run":0})"));
+}
+
+TEST(WorkerTest, LeasesEndBySlowClocks) {
+  DispatchOptions options;
+  Worker worker{WorkerRegistration{}};
+  const TimePoint now{seconds(100)};
+  EXPECT_FALSE(worker.GiveLease(now, seconds(5)));
+  worker.SetClock(now, WorkerClock(50'000));
+  EXPECT_EQ(worker.GiveLease(now + seconds(1), seconds(5)),
+            WorkerClock(56'000));
+  // Six seconds on a clock that is two in a hundred slow, and the margin.
+  EXPECT_GT(worker.LapseTime(options), now + milliseconds(6400));
+  EXPECT_LT(worker.LapseTime(options), now + milliseconds(6500));
+  EXPECT_FALSE(worker.IsRestarted(now + seconds(2), WorkerClock(51'000)));
+  EXPECT_TRUE(worker.IsRestarted(now + seconds(2), WorkerClock(100)));
+}
+
+}  // namespace
+}  // namespace chivewing
--- a/tests/http/http_server_test.cc
+++ b/tests/http/http_server_test.cc
@@ -288,6 +288,7 @@
     const std::string url = LoopbackUrl(server.port(), "/");
     std::atomic<bool> over{false};
     std::vector<std::thread> callers;
+    callers.reserve(3);
     for (int i = 0; i < 3; ++i) {
       callers.emplace_back([&] {
         HttpClient client;
--- a/tests/peer/codec_test.cc
+++ b/tests/peer/codec_test.cc
@@ -63,8 +63,18 @@
     case 9:
       return ClaimAnswer{AnyNumber(), ClaimState::kDone, AnyNumber(), AnyText(),
                          AnyCode()};
-    default:
+    case 10:
       return Leaving{AnyNumber()};
+    case 11:
+      return AdviceAsk{AnyNumber(),
+                       JobId(AnyText()),
+                       AnyNumber(),
+                       AnyNumber(),
+                       {WorkerId(AnyText()), WorkerId(AnyText())},
+                       AnyTime()};
+    default:
+      return AdviceReply{
+          AnyNumber(), true, {{WorkerId(AnyText()), AnyText()}}, AnyTime()};
   }
 }
 
--- /dev/null
+++ b/tests/standins/store_standin.cc
@@ -0,0 +1,174 @@
+#include "standins/store_standin.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+#include "platform/wire_json.h"
+
+namespace chivewing {
+namespace {
+
+using Json = nlohmann::json;
+
+HttpReply Reply(int status, const Json& body) {
+  HttpReply reply;
+  reply.status = status;
+  reply.body = body.dump();
+  return reply;
+}
+
+std::uint64_t Number(std::string_view text) {
+  return text.empty() ? 0 : std::stoull(std::string(text));
+}
+
+}  // namespace
+
+StoreStandin::StoreStandin(std::size_t page_rows)
+    : page_rows_(page_rows), server_({}) {
+  const Status started =
+      server_.Start([this](const HttpCall& call) { OnCall(call); });
+  if (!started) std::abort();
+}
+
+std::string StoreStandin::address() const {
+  return "127.0.0.1:" + std::to_string(server_.port());
+}
+
+void StoreStandin::Put(const std::string& table, const std::string& part,
+                       const std::string& key, const std::string& value) {
+  const std::lock_guard lock(mutex_);
+  rows_[{table, part, key}] = {wire::EncodeBase64(value), ++version_, false};
+}
+
+void StoreStandin::Remove(const std::string& table, const std::string& part,
+                          const std::string& key) {
+  const std::lock_guard lock(mutex_);
+  rows_[{table, part, key}] = {"", ++version_, true};
+}
+
+std::size_t StoreStandin::CountRows(const std::string& table) const {
+  const std::lock_guard lock(mutex_);
+  return static_cast<std::size_t>(
+      std::count_if(rows_.begin(), rows_.end(), [&table](const auto& item) {
+        return std::get<0>(item.first) == table && !item.second.removed;
+      }));
+}
+
+void StoreStandin::OnCall(const HttpCall& call) {
+  if (refuse_with != 0) {
+    server_.Answer(call.id, Reply(refuse_with, Json::object()));
+    return;
+  }
+  HttpReply reply = Reply(404, Json::object());
+  if (call.path == "/rows-tx") {
+    reply = Transact(call.body);
+    if (lose_answers) reply.cut_after = 1;
+  } else if (call.path == "/rows-get") {
+    reply = GetRows(call);
+  } else if (call.path == "/rows-parts") {
+    reply = ListParts(call);
+    if (after_listing) after_listing();
+  } else if (call.path == "/rows-feed") {
+    reply = Feed(call);
+  }
+  server_.Answer(call.id, std::move(reply));
+}
+
+HttpReply StoreStandin::Transact(const std::string& body) {
+  const Json tx = Json::parse(body);
+  const std::lock_guard lock(mutex_);
+  const auto name = [](const Json& row) {
+    return Name{row["table"], row["part"], row["key"]};
+  };
+  bool holds = true;
+  Json present = Json::array();
+  for (const Json& row : tx["expected"]) {
+    const auto found = rows_.find(name(row));
+    const bool there = found != rows_.end() && !found->second.removed;
+    const std::uint64_t version = there ? found->second.version : 0;
+    holds = holds && version == row["ver"].get<std::uint64_t>();
+    if (!there) continue;
+    present.push_back({{"table", row["table"]},
+                       {"part", row["part"]},
+                       {"key", row["key"]},
+                       {"value", found->second.value},
+                       {"ver", version}});
+  }
+  if (!holds) {
+    return Reply(412, {{"rows", present}, {"ver", version_}, {"nowMs", 1}});
+  }
+  ++version_;
+  for (const Json& row : tx["writes"]) {
+    rows_[name(row)] = {row["value"], version_, false};
+  }
+  for (const Json& row : tx["remove"]) rows_[name(row)] = {"", version_, true};
+  return Reply(200, {{"ver", version_}, {"nowMs", 1}});
+}
+
+HttpReply StoreStandin::GetRows(const HttpCall& call) {
+  const std::lock_guard lock(mutex_);
+  const std::string table(call.Query("table"));
+  const std::string part(call.Query("part"));
+  const std::string from(call.Query("from"));
+  const std::uint64_t limit = Number(call.Query("limit"));
+  const std::size_t most = limit == 0 ? page_rows_ : limit;
+  Json rows = Json::array();
+  bool more = false;
+  for (const auto& [name, row] : rows_) {
+    const auto& [row_table, row_part, key] = name;
+    if (row_table != table || row_part != part || key < from) continue;
+    if (row.removed) continue;
+    if (rows.size() == most) {
+      more = true;
+      break;
+    }
+    rows.push_back({{"table", table},
+                    {"part", part},
+                    {"key", key},
+                    {"value", row.value},
+                    {"ver", row.version}});
+  }
+  return Reply(
+      200,
+      {{"rows", rows}, {"morePages", more}, {"ver", version_}, {"nowMs", 1}});
+}
+
+HttpReply StoreStandin::ListParts(const HttpCall& call) {
+  const std::lock_guard lock(mutex_);
+  const std::string table(call.Query("table"));
+  std::vector<std::string> parts;
+  for (const auto& [name, row] : rows_) {
+    if (std::get<0>(name) != table) continue;
+    const std::string& part = std::get<1>(name);
+    if (parts.empty() || parts.back() != part) parts.push_back(part);
+  }
+  return Reply(200, {{"parts", parts}, {"ver", version_}, {"nowMs", 1}});
+}
+
+HttpReply StoreStandin::Feed(const HttpCall& call) {
+  if (history_lost.exchange(false)) return Reply(410, Json::object());
+  const std::lock_guard lock(mutex_);
+  const std::string table(call.Query("table"));
+  const std::uint64_t after = Number(call.Query("after"));
+  std::vector<std::pair<std::uint64_t, Json>> changed;
+  for (const auto& [name, row] : rows_) {
+    if (std::get<0>(name) != table || row.version <= after) continue;
+    Json out = {{"table", table},
+                {"part", std::get<1>(name)},
+                {"key", std::get<2>(name)},
+                {"ver", row.version}};
+    if (row.removed) {
+      out["tombstone"] = true;
+    } else {
+      out["value"] = row.value;
+    }
+    changed.emplace_back(row.version, std::move(out));
+  }
+  std::sort(changed.begin(), changed.end(),
+            [](const auto& a, const auto& b) { return a.first < b.first; });
+  Json rows = Json::array();
+  for (auto& [version, row] : changed) rows.push_back(std::move(row));
+  return Reply(200, {{"rows", rows}, {"ver", version_}, {"nowMs", 1}});
+}
+
+}  // namespace chivewing
--- /dev/null
+++ b/tests/standins/task_runner_standin.cc
@@ -0,0 +1,142 @@
+#include "standins/task_runner_standin.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+#include "base/time.h"
+
+namespace chivewing {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr int kOtherBoot = 421;
+
+std::int64_t Clock() {
+  const auto now = BootClock::now().time_since_epoch();
+  return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+}
+
+HttpReply Reply(int status, Json body) {
+  body["clockMs"] = Clock();
+  body["born"] = 1000;
+  HttpReply reply;
+  reply.status = status;
+  reply.body = body.dump();
+  return reply;
+}
+
+HttpReply Refuse(const char* reason) {
+  return Reply(409, {{"reason", reason}});
+}
+
+}  // namespace
+
+TaskRunnerStandin::TaskRunnerStandin(std::string id)
+    : id_(std::move(id)), server_({}) {
+  const Status started =
+      server_.Start([this](const HttpCall& call) { OnCall(call); });
+  if (!started) std::abort();
+}
+
+std::string TaskRunnerStandin::address() const {
+  return "127.0.0.1:" + std::to_string(server_.port());
+}
+
+std::string TaskRunnerStandin::Registration(const std::string& service) const {
+  const Json out = {
+      {"service", service},
+      {"addr", address()},
+      {"zone", "z1"},
+      {"version", "v1"},
+      {"slots", 8},
+      {"state", "ready"},
+      {"coldLeftMs", 0},
+      {"seq", 1},
+      {"born", 1000},
+      {"labels", {"a", "r1-1"}},
+      {"capacity", {{"cpu", 16000}, {"memMb", 32768}, {"gpu", 0}}}};
+  return out.dump();
+}
+
+std::size_t TaskRunnerStandin::starts() const {
+  const std::lock_guard lock(mutex_);
+  return starts_;
+}
+
+std::size_t TaskRunnerStandin::most_at_once() const {
+  const std::lock_guard lock(mutex_);
+  return most_at_once_;
+}
+
+void TaskRunnerStandin::OnCall(const HttpCall& call) {
+  HttpReply reply = Reply(404, Json::object());
+  if (call.Header("x-expect-instance") != id_) {
+    reply = Reply(kOtherBoot, Json::object());
+  } else if (call.path == "/run-start") {
+    reply = Start(call.body);
+  } else if (call.path == "/run-stop") {
+    reply = Stop(call.body);
+  } else if (call.path == "/hold") {
+    reply = List(call.body);
+  }
+  server_.Answer(call.id, std::move(reply));
+}
+
+HttpReply TaskRunnerStandin::Start(const std::string& body) {
+  const Json order = Json::parse(body);
+  const std::lock_guard lock(mutex_);
+  const std::uint64_t fence = order["fence"];
+  if (fence < fence_) return Refuse("fence");
+  fence_ = fence;
+  if (order["deadlineMs"].get<std::int64_t>() < Clock()) return Refuse("late");
+  const RunKey run{order["task"], order["run"]};
+  if (!running_.emplace(run, false).second) return Reply(200, Json::object());
+  ++starts_;
+  const auto same = std::count_if(
+      running_.begin(), running_.end(),
+      [&run](const auto& item) { return item.first.first == run.first; });
+  most_at_once_ = std::max(most_at_once_, static_cast<std::size_t>(same));
+  return Reply(200, Json::object());
+}
+
+HttpReply TaskRunnerStandin::Stop(const std::string& body) {
+  const Json order = Json::parse(body);
+  const std::lock_guard lock(mutex_);
+  const std::uint64_t fence = order["fence"];
+  if (fence < fence_) return Refuse("fence");
+  const RunKey run{order["task"], order["run"]};
+  if (running_.erase(run) > 0) ended_.emplace_back(++last_end_, run, "stopped");
+  return Reply(200, Json::object());
+}
+
+HttpReply TaskRunnerStandin::List(const std::string& body) {
+  const Json order = Json::parse(body);
+  const std::lock_guard lock(mutex_);
+  const std::uint64_t fence = order["fence"];
+  if (fence < fence_) return Refuse("fence");
+  fence_ = fence;
+  const std::uint64_t seen = order["lastSeen"];
+  std::erase_if(ended_,
+                [seen](const auto& end) { return std::get<0>(end) <= seen; });
+  for (auto run = running_.begin(); run != running_.end();) {
+    if (!run->second) {
+      run->second = true;
+      ++run;
+      continue;
+    }
+    ended_.emplace_back(++last_end_, run->first, "done");
+    run = running_.erase(run);
+  }
+  Json running = Json::array();
+  for (const auto& [run, listed] : running_) {
+    running.push_back({run.first, run.second, "", 50, 0});
+  }
+  Json ended = Json::array();
+  for (const auto& [number, run, how] : ended_) {
+    ended.push_back({number, run.first, run.second, how, ""});
+  }
+  return Reply(200, {{"running", running}, {"ended", ended}});
+}
+
+}  // namespace chivewing
