Metrics of the cluster host as text; bounded log lines

Cause: the on-call engineers had only log lines. Change: counters, gauges and latencies (store writes, first start) on the metrics address, by prometheus-cpp's serializer; no label grows with jobs or workers. A part and level of the log writes 400 lines a second at most and counts what it leaves out. Ruled out: a registry of counters (a second copy of what the dispatcher counts).

--- a/src/base/log.cc
+++ b/src/base/log.cc
@@ -12,7 +12,7 @@
 namespace chivewing {
 namespace {
 
-constexpr int kLinesPerSecond = 2000;
+constexpr int kLinesPerSecond = 400;
 constexpr std::size_t kParts = static_cast<std::size_t>(LogPart::kHttp) + 1;
 constexpr std::size_t kLevels = static_cast<std::size_t>(LogLevel::kError) + 1;
 constexpr std::array<std::string_view, kParts> kPrefixes = {
--- a/src/cluster/caller_desk.cc
+++ b/src/cluster/caller_desk.cc
@@ -56,8 +56,34 @@
 
 }  // namespace
 
+void CallerDesk::Answer(std::uint64_t call, const CallerReply& reply) {
+  switch (reply.kind) {
+    case ReplyKind::kAccepted:
+      ++counts_.accepted;
+      break;
+    case ReplyKind::kCancelled:
+      ++counts_.cancelled;
+      break;
+    case ReplyKind::kNotRun:
+      ++counts_.refused;
+      break;
+    case ReplyKind::kInDoubt:
+      ++counts_.in_doubt;
+      break;
+    case ReplyKind::kBadRequest:
+    case ReplyKind::kNoQueue:
+      ++counts_.malformed;
+      break;
+    case ReplyKind::kState:
+    case ReplyKind::kWaiting:
+    case ReplyKind::kNoJob:
+      break;
+  }
+  hooks_.answer(call, reply);
+}
+
 void CallerDesk::Refuse(std::uint64_t call, milliseconds retry_after) {
-  hooks_.answer(call, NotRun(retry_after));
+  Answer(call, NotRun(retry_after));
 }
 
 void CallerDesk::OnCall(TimePoint now, std::uint64_t call,
@@ -68,18 +94,18 @@
   }
   const Queue* const queue = queues_.Find(request.host, request.path);
   if (queue == nullptr) {
-    hooks_.answer(call, Plain(ReplyKind::kNoQueue));
+    Answer(call, Plain(ReplyKind::kNoQueue));
     return;
   }
   const std::string name = request.path.substr(queue->path_prefix.size());
   if (name.empty() && request.kind == CallKind::kState) {
     CallerReply reply = Plain(ReplyKind::kWaiting);
     reply.waiting = index_.CountWaiting(queue->name);
-    hooks_.answer(call, reply);
+    Answer(call, reply);
     return;
   }
   if (!IsJobId(name)) {
-    hooks_.answer(call, Bad("the path names no job"));
+    Answer(call, Bad("the path names no job"));
     return;
   }
   const JobId job(name);
@@ -94,7 +120,7 @@
       Cancel(now, call, request, job);
       return;
     case CallKind::kUnknown:
-      hooks_.answer(call, Bad("the method is not known"));
+      Answer(call, Bad("the method is not known"));
       return;
   }
 }
@@ -103,14 +129,14 @@
                         const CallerCall& request, const Queue& queue,
                         const JobId& job, const std::string& body) {
   if (index_.StateOf(job)) {
-    hooks_.answer(call, Plain(ReplyKind::kAccepted));
+    Answer(call, Plain(ReplyKind::kAccepted));
     return;
   }
   Result<JobDescription> spec = hooks_.decode_job(body);
   if (!spec) {
     LogInfo(LogPart::kRouter,
             "refused job=" + job.value() + " why=" + spec.error().detail);
-    hooks_.answer(call, Bad(spec.error().detail));
+    Answer(call, Bad(spec.error().detail));
     return;
   }
   JobRecord record;
@@ -127,7 +153,7 @@
   const auto tell = [this, call](JobPhase state) {
     CallerReply reply = Plain(ReplyKind::kState);
     reply.state = state;
-    hooks_.answer(call, reply);
+    Answer(call, reply);
   };
   if (const std::optional<JobPhase> state = index_.StateOf(job)) {
     tell(*state);
@@ -135,7 +161,7 @@
   }
   LookUp(now, call, job, [this, call, job, tell](TimePoint, bool found) {
     if (!found) {
-      hooks_.answer(call, Plain(ReplyKind::kNoJob));
+      Answer(call, Plain(ReplyKind::kNoJob));
       return;
     }
     tell(index_.StateOf(job).value_or(JobPhase::kQueued));
@@ -150,7 +176,7 @@
   };
   const std::optional<JobPhase> state = index_.StateOf(job);
   if (state == JobPhase::kCancelled) {
-    hooks_.answer(call, Plain(ReplyKind::kCancelled));
+    Answer(call, Plain(ReplyKind::kCancelled));
     return;
   }
   if (state) {
@@ -161,7 +187,7 @@
     if (found) {
       write(when);
     } else {
-      hooks_.answer(call, Plain(ReplyKind::kNoJob));
+      Answer(call, Plain(ReplyKind::kNoJob));
     }
   });
 }
@@ -233,6 +259,13 @@
   if (answer.status == CommitStatus::kCommitted) {
     const TableRow row{key, write.transaction.writes.front().value,
                        answer.revision, write.transaction.write_id};
+    counts_.writes.Add(now - write.first_sent);
+    LogInfo(LogPart::kRouter,
+            "stored row=" + key + " ms=" +
+                std::to_string(std::chrono::duration_cast<milliseconds>(
+                                   now - write.first_sent)
+                                   .count()) +
+                " tries=" + std::to_string(write.tries));
     hooks_.on_row(now, row);
     End(key, Plain(write.done));
     return;
@@ -257,7 +290,7 @@
 void CallerDesk::End(const std::string& key, const CallerReply& reply) {
   const auto node = writes_.extract(key);
   for (const std::uint64_t call : node.mapped().calls) {
-    hooks_.answer(call, reply);
+    Answer(call, reply);
   }
 }
 
--- a/src/cluster/caller_desk.h
+++ b/src/cluster/caller_desk.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "base/latency_histogram.h"
 #include "base/time.h"
 #include "cluster/job_index.h"
 #include "cluster/platform_ports.h"
@@ -14,6 +15,16 @@
 
 namespace chivewing {
 
+// What callers were told, counted since the start.
+struct CallerCounts {
+  std::uint64_t accepted = 0;
+  std::uint64_t cancelled = 0;
+  std::uint64_t refused = 0;
+  std::uint64_t in_doubt = 0;
+  std::uint64_t malformed = 0;
+  LatencyHistogram writes{};  // from the request to its stored row
+};
+
 // Answers callers. A job or a cancel is acknowledged once its row is in the
 // table; the row's key is the job's id, so that a request which comes again, at
 // any host, finds it.
@@ -45,6 +56,8 @@
   // Sends writes again that are due; returns when it is to be called again.
   TimePoint Tick(TimePoint now);
 
+  const CallerCounts& counts() const { return counts_; }
+
  private:
   // A row on its way to the table, and the calls that wait for it.
   struct Write {
@@ -74,12 +87,14 @@
   void OnCommit(TimePoint now, const std::string& key,
                 const CommitAnswer& answer);
   void End(const std::string& key, const CallerReply& reply);
+  void Answer(std::uint64_t call, const CallerReply& reply);
   void Refuse(std::uint64_t call, std::chrono::milliseconds retry_after);
 
   TableCalls calls_;
   const QueueTable& queues_;
   const JobIndex& index_;
   Hooks hooks_;
+  CallerCounts counts_;
   std::map<std::string, Write> writes_;  // by row key
   std::uint64_t next_write_ = 1;
 };
--- a/src/cluster/cluster_host.cc
+++ b/src/cluster/cluster_host.cc
@@ -6,6 +6,7 @@
 #include <variant>
 
 #include "base/log.h"
+#include "cluster/metrics_text.h"
 
 namespace chivewing {
 namespace {
@@ -65,6 +66,8 @@
 Status ClusterHost::Start() {
   Status servers = StartServers();
   if (!servers) return servers;
+  Status metrics = StartMetrics();
+  if (!metrics) return metrics;
   Status mesh = StartMesh();
   if (!mesh) return mesh;
   duty_.Start([] { return BootClock::now(); },
@@ -90,6 +93,33 @@
       [this](const HttpCall& call) { OnReadyCall(call); });
 }
 
+Status ClusterHost::StartMetrics() {
+  if (settings_.metrics_address.empty()) return Ok();
+  HttpServerOptions options;
+  options.address = settings_.metrics_address;
+  metrics_server_ = std::make_unique<HttpServer>(options);
+  return metrics_server_->Start([this](const HttpCall& call) {
+    Post([this, id = call.id](TimePoint now) {
+      HttpReply reply;
+      reply.content_type = "text/plain; version=0.0.4";
+      reply.body = MetricsText(now);
+      metrics_server_->Answer(id, std::move(reply));
+    });
+  });
+}
+
+std::string ClusterHost::MetricsText(TimePoint now) const {
+  ClusterMetrics metrics;
+  metrics.ready = ready_;
+  metrics.table_lost = rows_.IsLost(now);
+  metrics.desired_state_version = queues_.state().version;
+  metrics.jobs_known = index_.size();
+  metrics.peers_up = peers_up_.size();
+  metrics.callers = &callers_.counts();
+  metrics.dispatcher = dispatch_.dispatcher();
+  return WriteMetrics(metrics);
+}
+
 void ClusterHost::OnReadyCall(const HttpCall& call) {
   HttpReply reply;
   reply.status = ready_ ? 200 : 503;
@@ -344,6 +374,7 @@
   std::this_thread::sleep_for(serve / 2);
   caller_server_->Stop();
   ready_server_->Stop();
+  if (metrics_server_) metrics_server_->Stop();
   duty_.Stop();
   mesh_.reset();
 }
--- a/src/cluster/cluster_host.h
+++ b/src/cluster/cluster_host.h
@@ -43,6 +43,8 @@
   Status StartServers();
   Status StartMesh();
   void OnReadyCall(const HttpCall& call);
+  Status StartMetrics();
+  std::string MetricsText(TimePoint now) const;
   void OnRow(TimePoint now, const TableRow& row);
   void OnOwnRow(TimePoint now, const TableRow& row);
   void WatchDesiredState(TimePoint now);
@@ -80,6 +82,7 @@
 
   std::unique_ptr<HttpServer> caller_server_;
   std::unique_ptr<HttpServer> ready_server_;
+  std::unique_ptr<HttpServer> metrics_server_;  // if it has an address
   std::unique_ptr<PeerMesh> mesh_;
   DutyThread<Event> duty_;
 };
--- /dev/null
+++ b/src/cluster/metrics_text.cc
@@ -0,0 +1,139 @@
+#include "cluster/metrics_text.h"
+
+#include <prometheus/metric_family.h>
+#include <prometheus/text_serializer.h>
+
+#include <utility>
+#include <vector>
+
+namespace chivewing {
+namespace {
+
+using Families = std::vector<prometheus::MetricFamily>;
+
+constexpr double kNanosPerSecond = 1e9;
+
+double Seconds(std::chrono::nanoseconds value) {
+  return static_cast<double>(value.count()) / kNanosPerSecond;
+}
+
+prometheus::MetricFamily Family(std::string name, std::string help,
+                                prometheus::MetricType type) {
+  prometheus::MetricFamily family;
+  family.name = "chivewing_" + std::move(name);
+  family.help = std::move(help);
+  family.type = type;
+  family.metric.emplace_back();
+  return family;
+}
+
+void AddGauge(Families& out, std::string name, std::string help,
+              std::uint64_t value) {
+  prometheus::MetricFamily family =
+      Family(std::move(name), std::move(help), prometheus::MetricType::Gauge);
+  family.metric.front().gauge.value = static_cast<double>(value);
+  out.push_back(std::move(family));
+}
+
+void AddCounter(Families& out, std::string name, std::string help,
+                std::uint64_t value) {
+  prometheus::MetricFamily family =
+      Family(std::move(name), std::move(help), prometheus::MetricType::Counter);
+  family.metric.front().counter.value = static_cast<double>(value);
+  out.push_back(std::move(family));
+}
+
+void AddLatency(Families& out, std::string name, std::string help,
+                const LatencyHistogram& latency) {
+  prometheus::MetricFamily family =
+      Family(std::move(name), std::move(help), prometheus::MetricType::Summary);
+  prometheus::ClientMetric::Summary& summary = family.metric.front().summary;
+  summary.sample_count = latency.count();
+  summary.sample_sum =
+      Seconds(latency.mean()) * static_cast<double>(latency.count());
+  for (const double share : {0.5, 0.9, 0.99}) {
+    summary.quantile.push_back({share, Seconds(latency.Quantile(share))});
+  }
+  out.push_back(std::move(family));
+}
+
+void AddCallers(Families& out, const CallerCounts& callers) {
+  AddCounter(out, "jobs_accepted_total", "jobs stored and acknowledged here",
+             callers.accepted);
+  AddCounter(out, "cancels_accepted_total", "cancels stored here",
+             callers.cancelled);
+  AddCounter(out, "requests_refused_total",
+             "requests answered as not run, to come back later",
+             callers.refused);
+  AddCounter(out, "requests_in_doubt_total",
+             "requests whose outcome was not known in time", callers.in_doubt);
+  AddCounter(out, "requests_malformed_total",
+             "requests that could not be read or name no queue",
+             callers.malformed);
+  AddLatency(out, "table_write_seconds",
+             "from a caller's request to its stored row", callers.writes);
+}
+
+void AddDispatcher(Families& out, const DispatchState& state) {
+  std::uint64_t silent = 0;
+  for (const auto& [id, worker] : state.workers) {
+    if (worker.IsSilent()) ++silent;
+  }
+  AddGauge(out, "fence", "fence of the orders given", state.fence);
+  AddGauge(out, "workers", "workers known", state.workers.size());
+  AddGauge(out, "workers_silent", "workers without an answer", silent);
+  AddGauge(out, "workers_unresolved",
+           "workers that may run tasks of an earlier dispatcher",
+           state.unresolved.size());
+  AddGauge(out, "runs", "runs that may be going on", state.runs.all().size());
+  AddGauge(out, "steps_ready", "steps with tasks that wait for room or advice",
+           state.ready.size());
+  AddGauge(out, "progress_unsaved", "jobs whose progress row is out of date",
+           state.dirty.size());
+  const DispatchCounts& counts = state.counts;
+  AddCounter(out, "starts_total", "tasks ordered to start", counts.starts);
+  AddCounter(out, "start_refusals_total", "orders to start that were refused",
+             counts.start_refusals);
+  AddCounter(out, "start_retries_total", "orders to start sent again",
+             counts.start_retries);
+  AddCounter(out, "runs_done_total", "runs that ended as done",
+             counts.runs_done);
+  AddCounter(out, "runs_failed_total", "runs that ended as failed",
+             counts.runs_failed);
+  AddCounter(out, "runs_lost_total",
+             "runs that were stopped, lapsed or went with their worker",
+             counts.runs_lost);
+  AddCounter(out, "polls_total", "polls of workers", counts.polls);
+  AddCounter(out, "advice_asks_total", "questions to the advice service",
+             counts.asks);
+  AddCounter(out, "advice_failures_total", "questions without an answer",
+             counts.asks_failed);
+  AddCounter(out, "invariant_breaches_total", "states that must never be",
+             counts.invariant_breaches);
+  AddLatency(out, "first_start_seconds",
+             "from the acceptance of a job to its first started task",
+             state.first_start);
+}
+
+}  // namespace
+
+std::string WriteMetrics(const ClusterMetrics& metrics) {
+  Families out;
+  AddGauge(out, "ready", "whether this host takes callers",
+           metrics.ready ? 1 : 0);
+  AddGauge(out, "table_lost", "whether the table is out of reach",
+           metrics.table_lost ? 1 : 0);
+  AddGauge(out, "desired_state_version", "desired state in force",
+           metrics.desired_state_version);
+  AddGauge(out, "jobs_known", "jobs with a row", metrics.jobs_known);
+  AddGauge(out, "peers_up", "entry hosts connected", metrics.peers_up);
+  AddGauge(out, "dispatching", "whether this host dispatches",
+           metrics.dispatcher == nullptr ? 0 : 1);
+  if (metrics.callers != nullptr) AddCallers(out, *metrics.callers);
+  if (metrics.dispatcher != nullptr) {
+    AddDispatcher(out, metrics.dispatcher->state());
+  }
+  return prometheus::TextSerializer().Serialize(out);
+}
+
+}  // namespace chivewing
--- a/src/dispatch/dispatch_state.h
+++ b/src/dispatch/dispatch_state.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "base/latency_histogram.h"
 #include "base/time.h"
 #include "dispatch/advice_desk.h"
 #include "dispatch/dispatch_options.h"
@@ -64,6 +65,7 @@
   std::uint64_t room_version = 1;   // rises when room or tickets come free
   std::uint64_t last_poll = 0;
   DispatchCounts counts{};
+  LatencyHistogram first_start{};  // from a job's acceptance
 
   Worker* FindWorker(const WorkerId& id);
   TrackedJob* FindJob(const JobId& id);
--- a/src/dispatch/run_keeper.cc
+++ b/src/dispatch/run_keeper.cc
@@ -142,8 +142,12 @@
   run.acknowledged_at = now;
   run.progressed_at = now;
   state_.runs.SetUnsettled(run.id, run.stop_wanted);
-  if (TrackedJob* const job = state_.FindJob(run.name.task.job))
-    jobs_.OnStarted(*job);
+  TrackedJob* const job = state_.FindJob(run.name.task.job);
+  if (job == nullptr) return;
+  if (job->state == JobPhase::kQueued) {
+    state_.first_start.Add(now - job->accepted);
+  }
+  jobs_.OnStarted(*job);
 }
 
 void RunKeeper::OnStartAnswer(TimePoint now, std::uint64_t run_id,
--- a/tests/cluster/cluster_host_test.cc
+++ b/tests/cluster/cluster_host_test.cc
@@ -43,6 +43,8 @@
     settings.caller_address = address(ports[0]);
     settings.ready_address = address(ports[1]);
     settings.peer_address = address(ports[2]);
+    settings.metrics_address = address(ports[3]);
+    metrics_url = "http://" + settings.metrics_address + "/metrics";
     caller_url = "http://" + settings.caller_address;
     ready_url = "http://" + settings.ready_address + "/ready";
     host = std::make_unique<ClusterHost>(settings, platform.ports());
@@ -70,6 +72,7 @@
   std::unique_ptr<ClusterHost> host;
   std::string caller_url;
   std::string ready_url;
+  std::string metrics_url;
   bool started = false;
 };
 
@@ -89,13 +92,13 @@
     store_.Put("servers", "", "i-1", worker_.Registration("pool"));
   }
 
-  const std::vector<std::uint16_t> ports_ = FreePorts(6);
+  const std::vector<std::uint16_t> ports_ = FreePorts(8);
   StoreStandin store_;
   TaskRunnerStandin worker_{"i-1"};
 };
 
 TEST_F(ClusterHostTest, AJobIsStoredRunStepByStepAndShownAsCompleted) {
-  Host host("h1", store_, {ports_[0], ports_[1], ports_[2]});
+  Host host("h1", store_, {ports_[0], ports_[1], ports_[2], ports_[6]});
   ASSERT_TRUE(host.started);
   ASSERT_TRUE(WaitFor([&] { return Get(host.ready_url).status == 200; }));
   const std::string job = "5c0e7a21d94b36f8";
@@ -105,6 +108,13 @@
       WaitFor([&] { return host.StateOf(job) == R"({"state":"completed"})"; }));
   EXPECT_EQ(worker_.starts(), 5U);
   EXPECT_EQ(worker_.most_at_once(), 1U);
+  const std::string metrics = Get(host.metrics_url).body;
+  for (const char* line :
+       {"chivewing_dispatching 1", "chivewing_starts_total 5",
+        "chivewing_runs_done_total 5", "chivewing_first_start_seconds_count 1",
+        "chivewing_invariant_breaches_total 0"}) {
+    EXPECT_NE(metrics.find(line), std::string::npos) << line << "\n" << metrics;
+  }
   EXPECT_EQ(host.Call("GET", "0000000000000000"), 410);
   EXPECT_EQ(host.Call("POST", "nonsense", kJob), 400);
   EXPECT_EQ(host.Call("POST", "1111111111111111", "{"), 400);
@@ -113,8 +123,8 @@
 TEST_F(ClusterHostTest, ASecondHostTakesOverAndFinishes) {
   auto first = std::make_unique<Host>(
       "h1", store_,
-      std::vector<std::uint16_t>{ports_[0], ports_[1], ports_[2]});
-  Host second("h2", store_, {ports_[3], ports_[4], ports_[5]});
+      std::vector<std::uint16_t>{ports_[0], ports_[1], ports_[2], ports_[6]});
+  Host second("h2", store_, {ports_[3], ports_[4], ports_[5], ports_[7]});
   ASSERT_TRUE(first->started && second.started);
   ASSERT_TRUE(WaitFor([&] { return Get(second.ready_url).status == 200; }));
   EXPECT_EQ(second.Call("POST", "aaaaaaaaaaaaaaaa", kJob), 200);
@@ -130,7 +140,7 @@
 }
 
 TEST_F(ClusterHostTest, RefusesWhileTheStoreRefuses) {
-  Host host("h1", store_, {ports_[0], ports_[1], ports_[2]});
+  Host host("h1", store_, {ports_[0], ports_[1], ports_[2], ports_[6]});
   ASSERT_TRUE(WaitFor([&] { return Get(host.ready_url).status == 200; }));
   store_.refuse_with = 503;
   EXPECT_EQ(host.Call("POST", "cccccccccccccccc", kJob), 503);
--- a/tests/dispatch/cluster_model.cc
+++ b/tests/dispatch/cluster_model.cc
@@ -233,6 +233,11 @@
       step.checkpoints = random_() % 3 == 0;
       step.copies_allowed = !step.gang && random_() % 6 == 0;
       if (random_() % 5 == 0) step.most_per_worker = 2;
+      // Not wider than the workers that any advice allows.
+      if (step.gang) {
+        step.task_count = std::min<std::size_t>(step.task_count, 4);
+        step.most_per_worker = 0;
+      }
     }
     if (random_() % 10 == 0) {
       steps.resize(1);
