Pages of the platform; the usual lease fits any platform's bound

Cause of the change of code: a platform whose workers grant less than 6 s would have been refused at start by the check of the default lease; without a key the shorter one is taken. Test: TheUsualLeaseIsNoLongerThanWorkersGrant, failing first.

--- a/src/cluster/cluster_settings.cc
+++ b/src/cluster/cluster_settings.cc
@@ -119,6 +119,10 @@
     Fields()[index].binding.set(settings, value);
   };
   ReadFields(specs, root.value(), "", assign, faults);
+  if (root.value().Find("worker_lease_ms") == nullptr) {
+    settings.worker_lease =
+        std::min(settings.worker_lease, settings.longest_lease);
+  }
   if (settings.worker_lease > settings.longest_lease) {
     faults.AddLocated("worker_lease_ms", "must not be over longest_lease_ms");
   }
--- a/tests/cluster/cluster_settings_test.cc
+++ b/tests/cluster/cluster_settings_test.cc
@@ -20,6 +20,14 @@
   EXPECT_EQ(settings.value().longest_lease, std::chrono::milliseconds(8000));
 }
 
+TEST(ClusterSettingsTest, TheUsualLeaseIsNoLongerThanWorkersGrant) {
+  std::string text = kGood;
+  text.replace(text.find("8000"), 4, "3000");
+  const Checked<ClusterSettings> settings = ReadClusterSettings(text, "f");
+  ASSERT_TRUE(settings);
+  EXPECT_EQ(settings.value().worker_lease, std::chrono::milliseconds(3000));
+}
+
 TEST(ClusterSettingsTest, TellsAllFaultsAtOnce) {
   const Checked<ClusterSettings> settings = ReadClusterSettings(
       R"({"host": "", "zone": 7, "caller_address": "nowhere", "extra": 1,
--- a/tests/docs/docs_test.cc
+++ b/tests/docs/docs_test.cc
@@ -8,6 +8,7 @@
 #include "base/result_code.h"
 #include "catalogue/entry_fields.h"
 #include "cli/cli.h"
+#include "cluster/cluster_settings.h"
 #include "schema/text_file.h"
 #include "settings/settings_fields.h"
 
@@ -41,6 +42,7 @@
   const std::string page = Page("SETTINGS.md");
   ExpectHolds(page, SettingsTable());
   ExpectHolds(page, PeerTable());
+  ExpectHolds(page, ClusterSettingsTable());
 }
 
 TEST(Docs, CatalogueListsEveryKeyAndItsClasses) {
