Copies of tasks whose worker does not answer, where a step allows them

Ruled out: longer leases (worse). Change: when a worker falls silent, a task of such a step whose only run is there is started once more elsewhere; the first end counts, the other run is stopped. Test, failing first: ACopyIsStarted- WhenTheWorkerDoesNotAnswer.

--- a/src/dispatch/dispatch_state.cc
+++ b/src/dispatch/dispatch_state.cc
@@ -20,6 +20,24 @@
          std::chrono::ceil<std::chrono::milliseconds>(now - sole_until);
 }
 
+std::vector<std::size_t> DispatchState::TasksToCopy(const StepKey& key) const {
+  std::vector<std::size_t> out;
+  const auto job = jobs.find(key.job);
+  if (job == jobs.end()) return out;
+  const StepSpec& spec = job->second.spec(key.step);
+  if (!spec.copies_allowed || spec.gang || spec.lasting) return out;
+  const StepState& step = job->second.occurrences.at(key.occurrence)[key.step];
+  for (std::size_t i = 0; i < step.tasks.size(); ++i) {
+    const TaskState& task = step.tasks[i];
+    if (task.progress.done || task.runs.size() != 1) continue;
+    const auto run = runs.all().find(task.runs.front());
+    if (run == runs.all().end()) continue;
+    const auto worker = workers.find(run->second.worker);
+    if (worker != workers.end() && worker->second.IsSilent()) out.push_back(i);
+  }
+  return out;
+}
+
 void DispatchState::SetReady(const ReadyKey& key) {
   const auto found = ready_keys.find(key.step);
   if (found != ready_keys.end()) {
--- a/src/dispatch/dispatch_state.h
+++ b/src/dispatch/dispatch_state.h
@@ -71,6 +71,9 @@
   TrackedJob* FindJob(const JobId& id);
   // The lease that an order sent at `now` may give; 0 or less: none.
   std::chrono::milliseconds LeaseToGive(TimePoint now) const;
+  // Tasks of a step that may run twice and whose only run is on a worker that
+  // does not answer: a copy of each may be started.
+  std::vector<std::size_t> TasksToCopy(const StepKey& key) const;
   void SetReady(const ReadyKey& key);
   void ClearReady(const StepKey& step);
   // Logs a state that must never be and counts it.
--- a/src/dispatch/job_keeper.cc
+++ b/src/dispatch/job_keeper.cc
@@ -72,7 +72,8 @@
     for (std::size_t s = 0; s < steps.size(); ++s) {
       const StepKey key{job.record.id, number, s};
       const bool wanted = job.IsActive() && job.IsOpen(number, s) &&
-                          !job.WaitingTasks(number, s).empty();
+                          (!job.WaitingTasks(number, s).empty() ||
+                           !state_.TasksToCopy(key).empty());
       if (!wanted) {
         state_.ClearReady(key);
         continue;
--- a/src/dispatch/step_placer.cc
+++ b/src/dispatch/step_placer.cc
@@ -61,6 +61,9 @@
                   spec.size, {},  {}};
   if (spec.filler) placing.held.processors_milli = 0;
   placing.waiting = job.WaitingTasks(key.occurrence, key.step);
+  for (const std::size_t index : state_.TasksToCopy(key)) {
+    placing.waiting.push_back(index);
+  }
   if (placing.waiting.empty()) return false;
   for (const TaskState& task : step.tasks) {
     for (const std::uint64_t id : task.runs) {
@@ -72,7 +75,7 @@
   const std::size_t wanted = placing.waiting.size();
   const std::size_t placed =
       spec.gang ? PlaceGang(now, placing, out) : PlaceTasks(now, placing, out);
-  if (placed > 0 && job.WaitingTasks(key.occurrence, key.step).empty()) {
+  if (placed == wanted) {
     state_.ClearReady(key);
   }
   if (placed == wanted) return true;
--- a/src/dispatch/worker_watch.cc
+++ b/src/dispatch/worker_watch.cc
@@ -121,12 +121,23 @@
 void WorkerWatch::OnSilence(TimePoint now, Worker& worker) {
   if (!worker.IsSilent()) {
     worker.silent_since = now;
-    ++state_.room_version;  // copies may be started elsewhere
+    ++state_.room_version;
+    OfferCopies(worker.registration().worker);
     LogWarning(LogPart::kWorker,
                "no answer worker=" + worker.registration().worker.value());
   }
 }
 
+// Steps with a task there may have a copy of it started elsewhere.
+void WorkerWatch::OfferCopies(const WorkerId& id) {
+  for (const std::uint64_t run_id : state_.runs.OnWorker(id)) {
+    const Run& run = *state_.runs.Find(run_id);
+    TrackedJob* const job = state_.FindJob(run.name.task.job);
+    if (job == nullptr || run.orphan) continue;
+    if (job->spec(run.name.task.step).copies_allowed) jobs_.RefreshReady(*job);
+  }
+}
+
 void WorkerWatch::OnOrderAnswer(TimePoint now, const WorkerId& id,
                                 const OrderAnswer& answer) {
   Worker* const worker = state_.FindWorker(id);
--- a/src/dispatch/worker_watch.h
+++ b/src/dispatch/worker_watch.h
@@ -42,6 +42,7 @@
   void OnSilence(TimePoint now, Worker& worker);
   void OnOtherLife(TimePoint now, Worker& worker);
   void OnRestart(TimePoint now, Worker& worker);
+  void OfferCopies(const WorkerId& id);
   void ForgetTickets(const WorkerId& id);
   void TakeEnds(TimePoint now, Worker& worker, const PollAnswer& answer);
   void TakeRunning(TimePoint now, Worker& worker, const PollAnswer& answer);
--- a/tests/dispatch/dispatcher_test.cc
+++ b/tests/dispatch/dispatcher_test.cc
@@ -101,6 +101,23 @@
   EXPECT_TRUE(model_.broken().empty());
 }
 
+TEST_F(DispatcherTest, ACopyIsStartedWhenTheWorkerDoesNotAnswer) {
+  StepSpec step = Step(2, 1000, seconds(3));
+  step.copies_allowed = true;
+  model_.AddJob(model_.MakeJob("j", {step}));
+  model_.RunFor(milliseconds(300));
+  EXPECT_EQ(model_.started(), 2U);
+  for (std::size_t i = 0; i < 4; ++i) {
+    if (model_.worker(i).running.empty()) continue;
+    model_.worker(i).cut_until = model_.now() + seconds(60);
+  }
+  model_.RunFor(milliseconds(2500));
+  EXPECT_EQ(model_.started(), 4U) << "one copy of each task, no more";
+  model_.RunFor(seconds(4));
+  EXPECT_EQ(PhaseOf("j"), JobPhase::kCompleted);
+  EXPECT_EQ(model_.started(), 4U);
+}
+
 // A replaced dispatcher had started a job that its successor reads late.
 TEST_F(DispatcherTest, RunsOfAJobThatIsNotKnownYetAreKept) {
   Worker worker(model_.worker(0).registration);
