--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -1,25 +1,18 @@
 #include "http/http_server.h"
 
 #include <microhttpd.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
-#include <poll.h>
-#include <sys/eventfd.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include <algorithm>
-#include <array>
 #include <atomic>
 #include <cctype>
-#include <cerrno>
 #include <condition_variable>
 #include <mutex>
 #include <thread>
 #include <unordered_map>
 #include <unordered_set>
 #include <utility>
-#include <vector>
 
 #include "base/log.h"
 #include "base/time.h"
@@ -168,10 +161,7 @@
   void MarkReceived(MHD_Connection* connection);
   void EndCall();
   void AnswerWaiting();
-  Status StartDaemons();
-  void AcceptAndSweep();
-  void AcceptAll();
-  void Wake();
+  void Sweep();
   void CloseLate(TimePoint now);
 
   static MHD_Result OnRequest(void* self, MHD_Connection* connection,
@@ -186,13 +176,9 @@
 
   const HttpServerOptions options_;
   Handler handler_;
-  // One for each thread. They are handed accepted connections: two threads of
-  // libmicrohttpd that both stop listening at once may end the process.
-  std::vector<MHD_Daemon*> daemons_;
-  std::size_t next_daemon_ = 0;
+  MHD_Daemon* daemon_ = nullptr;
   std::uint16_t port_ = 0;
-  int listen_fd_ = -1;
-  int wake_fd_ = -1;
+  int quiesced_fd_ = -1;  // the listening socket after StopAccepting
   std::atomic<bool> accepting_{false};
   std::atomic<bool> stopping_{false};
 
@@ -203,9 +189,10 @@
   std::uint64_t last_call_ = 0;
 
   std::mutex connections_mutex_;
+  std::condition_variable sweep_wake_;
   std::unordered_set<Connection*> connections_;
   std::uint64_t last_connection_ = 0;
-  std::thread acceptor_;  // also closes connections that are late
+  std::thread sweeper_;
 
   std::atomic<std::uint64_t> calls_{0};
   std::atomic<std::uint64_t> refused_{0};
@@ -221,40 +208,29 @@
   Result<ListenSocket> socket = OpenListenSocket(options_.address);
   if (!socket) return socket.error();
   port_ = socket.value().port;
-  listen_fd_ = socket.value().fd;
   handler_ = std::move(handler);
-  const Status started = StartDaemons();
-  wake_fd_ = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
-  if (!started || wake_fd_ < 0) {
-    for (MHD_Daemon* const daemon : daemons_) MHD_stop_daemon(daemon);
-    daemons_.clear();
-    close(listen_fd_);
-    return Error{ResultCode::kInternal, "cannot serve " + options_.address};
+  std::vector<MHD_OptionItem> extra;
+  if (options_.threads > 1) {
+    extra.push_back({MHD_OPTION_THREAD_POOL_SIZE,
+                     static_cast<intptr_t>(options_.threads), nullptr});
   }
-  accepting_ = true;
-  acceptor_ = std::thread([this] { AcceptAndSweep(); });
-  return Ok();
-}
-
-Status HttpServer::Daemon::StartDaemons() {
+  extra.push_back({MHD_OPTION_END, 0, nullptr});
   // Room for the header fields as text and as libmicrohttpd's list of them.
   const std::size_t memory = 2 * options_.max_header_bytes + 4096;
-  const unsigned threads = std::max(1U, options_.threads);
-  const unsigned connections =
-      std::max(1U, (options_.max_connections + threads - 1) / threads);
-  for (unsigned i = 0; i < threads; ++i) {
-    MHD_Daemon* const daemon = MHD_start_daemon(
-        MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME |
-            MHD_USE_NO_LISTEN_SOCKET,
-        0, nullptr, nullptr, &Daemon::OnRequest, this,
-        MHD_OPTION_CONNECTION_LIMIT, connections,
-        MHD_OPTION_CONNECTION_MEMORY_LIMIT, memory,
-        MHD_OPTION_STRICT_FOR_CLIENT, 1, MHD_OPTION_NOTIFY_COMPLETED,
-        &Daemon::OnCompleted, this, MHD_OPTION_NOTIFY_CONNECTION,
-        &Daemon::OnConnection, this, MHD_OPTION_END);
-    if (daemon == nullptr) return Error{ResultCode::kInternal, "no server"};
-    daemons_.push_back(daemon);
+  daemon_ = MHD_start_daemon(
+      MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME, port_, nullptr,
+      nullptr, &Daemon::OnRequest, this, MHD_OPTION_LISTEN_SOCKET,
+      socket.value().fd, MHD_OPTION_CONNECTION_LIMIT, options_.max_connections,
+      MHD_OPTION_CONNECTION_MEMORY_LIMIT, memory, MHD_OPTION_STRICT_FOR_CLIENT,
+      1, MHD_OPTION_NOTIFY_COMPLETED, &Daemon::OnCompleted, this,
+      MHD_OPTION_NOTIFY_CONNECTION, &Daemon::OnConnection, this,
+      MHD_OPTION_ARRAY, extra.data(), MHD_OPTION_END);
+  if (daemon_ == nullptr) {
+    close(socket.value().fd);
+    return Error{ResultCode::kInternal, "cannot serve " + options_.address};
   }
+  accepting_ = true;
+  sweeper_ = std::thread([this] { Sweep(); });
   return Ok();
 }
 
@@ -435,58 +411,14 @@
 
 // The timeout of libmicrohttpd starts again at each byte, so that a slow sender
 // could hold a connection for ever. This one counts until a request is whole.
-void HttpServer::Daemon::AcceptAndSweep() {
+void HttpServer::Daemon::Sweep() {
   const auto period =
       std::max(options_.idle_timeout / kSweepsPerTimeout, kShortestSweep);
-  TimePoint next_sweep = BootClock::now() + period;
-  bool listening = true;
+  std::unique_lock lock(connections_mutex_);
   while (!stopping_) {
-    const auto left = std::chrono::ceil<std::chrono::milliseconds>(
-        next_sweep - BootClock::now());
-    std::array<pollfd, 2> fds = {
-        {{wake_fd_, POLLIN, 0}, {listening ? listen_fd_ : -1, POLLIN, 0}}};
-    const auto wait = std::max<std::int64_t>(0, left.count());
-    poll(fds.data(), fds.size(), static_cast<int>(wait));
-    if (listening && !accepting_) {
-      close(listen_fd_);
-      listening = false;
-    }
-    if (listening && fds[1].revents != 0) AcceptAll();
-    if (BootClock::now() < next_sweep) continue;
-    next_sweep = BootClock::now() + period;
-    const std::lock_guard lock(connections_mutex_);
+    sweep_wake_.wait_for(lock, period);
     CloseLate(BootClock::now());
   }
-  if (listening) close(listen_fd_);
-}
-
-void HttpServer::Daemon::AcceptAll() {
-  while (true) {
-    sockaddr_storage peer{};
-    socklen_t length = sizeof(peer);
-    auto* const generic = reinterpret_cast<sockaddr*>(&peer);
-    const int fd =
-        accept4(listen_fd_, generic, &length, SOCK_NONBLOCK | SOCK_CLOEXEC);
-    if (fd < 0) {
-      const bool out_of_files = errno == EMFILE || errno == ENFILE;
-      if (out_of_files) {
-        LogWarning(LogPart::kHttp, "no descriptor for a connection");
-        std::this_thread::sleep_for(kShortestSweep);
-      }
-      return;
-    }
-    const int on = 1;
-    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-    // Takes the socket over, also when it fails.
-    MHD_add_connection(daemons_[next_daemon_], fd, generic, length);
-    next_daemon_ = (next_daemon_ + 1) % daemons_.size();
-  }
-}
-
-void HttpServer::Daemon::Wake() {
-  const std::uint64_t one = 1;
-  const ssize_t written = write(wake_fd_, &one, sizeof(one));
-  static_cast<void>(written);  // a full counter wakes as well
 }
 
 void HttpServer::Daemon::CloseLate(TimePoint now) {
@@ -501,9 +433,10 @@
 
 void HttpServer::Daemon::StopAccepting() {
   if (!accepting_.exchange(false)) return;
-  // Refuses new connections from now on; the acceptor closes the socket.
-  shutdown(listen_fd_, SHUT_RDWR);
-  Wake();
+  quiesced_fd_ = MHD_quiesce_daemon(daemon_);
+  // Refuses new connections. Closed only by Stop: until then the threads of
+  // libmicrohttpd may use the number of the socket.
+  if (quiesced_fd_ >= 0) shutdown(quiesced_fd_, SHUT_RDWR);
 }
 
 void HttpServer::Daemon::AnswerWaiting() {
@@ -518,7 +451,7 @@
 }
 
 void HttpServer::Daemon::Stop() {
-  if (daemons_.empty()) return;
+  if (daemon_ == nullptr) return;
   StopAccepting();
   {
     const std::scoped_lock lock(calls_mutex_, connections_mutex_);
@@ -529,11 +462,12 @@
     std::unique_lock lock(calls_mutex_);
     calls_done_.wait_for(lock, kFlushTime, [this] { return unfinished_ == 0; });
   }
-  Wake();
-  acceptor_.join();
-  for (MHD_Daemon* const daemon : daemons_) MHD_stop_daemon(daemon);
-  daemons_.clear();
-  close(wake_fd_);
+  sweep_wake_.notify_all();
+  sweeper_.join();
+  MHD_stop_daemon(daemon_);
+  daemon_ = nullptr;
+  if (quiesced_fd_ >= 0) close(quiesced_fd_);
+  quiesced_fd_ = -1;
 }
 
 HttpServerCounts HttpServer::Daemon::counts() const {
