HTTP servers run the library on threads of their own

Cause: MHD_quiesce_daemon on the stopping thread and the library's own thread both take the listening socket out of the epoll set; the one that comes second aborts the process. Change: one thread a daemon polls the daemon's epoll set and an eventfd; it alone quiesces the daemon, and each answer wakes it.

--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -17,6 +17,7 @@
 #include "base/log.h"
 #include "base/time.h"
 #include "http/listen_socket.h"
+#include "http/server_loop.h"
 
 namespace chivewing {
 namespace {
@@ -163,6 +164,8 @@
   void AnswerWaiting();
   void Sweep();
   void CloseLate(TimePoint now);
+  MHD_Daemon* StartDaemon();
+  void CloseLoops();
 
   static MHD_Result OnRequest(void* self, MHD_Connection* connection,
                               const char* url, const char* method,
@@ -176,9 +179,10 @@
 
   const HttpServerOptions options_;
   Handler handler_;
-  MHD_Daemon* daemon_ = nullptr;
+  std::vector<std::unique_ptr<ServerLoop>> loops_;
   std::uint16_t port_ = 0;
-  int quiesced_fd_ = -1;  // the listening socket after StopAccepting
+  // Open until Stop: before that a loop may still use the number.
+  int listen_fd_ = -1;
   std::atomic<bool> accepting_{false};
   std::atomic<bool> stopping_{false};
 
@@ -208,32 +212,37 @@
   Result<ListenSocket> socket = OpenListenSocket(options_.address);
   if (!socket) return socket.error();
   port_ = socket.value().port;
+  listen_fd_ = socket.value().fd;
   handler_ = std::move(handler);
-  std::vector<MHD_OptionItem> extra;
-  if (options_.threads > 1) {
-    extra.push_back({MHD_OPTION_THREAD_POOL_SIZE,
-                     static_cast<intptr_t>(options_.threads), nullptr});
-  }
-  extra.push_back({MHD_OPTION_END, 0, nullptr});
-  // Room for the header fields as text and as libmicrohttpd's list of them.
-  const std::size_t memory = 2 * options_.max_header_bytes + 4096;
-  daemon_ = MHD_start_daemon(
-      MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME, port_, nullptr,
-      nullptr, &Daemon::OnRequest, this, MHD_OPTION_LISTEN_SOCKET,
-      socket.value().fd, MHD_OPTION_CONNECTION_LIMIT, options_.max_connections,
-      MHD_OPTION_CONNECTION_MEMORY_LIMIT, memory, MHD_OPTION_STRICT_FOR_CLIENT,
-      1, MHD_OPTION_NOTIFY_COMPLETED, &Daemon::OnCompleted, this,
-      MHD_OPTION_NOTIFY_CONNECTION, &Daemon::OnConnection, this,
-      MHD_OPTION_ARRAY, extra.data(), MHD_OPTION_END);
-  if (daemon_ == nullptr) {
-    close(socket.value().fd);
-    return Error{ResultCode::kInternal, "cannot serve " + options_.address};
-  }
   accepting_ = true;
+  for (unsigned i = 0; i < options_.threads; ++i) {
+    MHD_Daemon* const daemon = StartDaemon();
+    if (daemon == nullptr) {
+      CloseLoops();
+      return Error{ResultCode::kInternal, "cannot serve " + options_.address};
+    }
+    loops_.push_back(std::make_unique<ServerLoop>(daemon));
+  }
+  for (const auto& loop : loops_) loop->Start();
   sweeper_ = std::thread([this] { Sweep(); });
   return Ok();
 }
 
+// Starts a daemon without threads on the listening socket.
+MHD_Daemon* HttpServer::Daemon::StartDaemon() {
+  const unsigned most =
+      std::max(options_.max_connections / options_.threads, 1U);
+  // Room for the header fields as text and as libmicrohttpd's list of them.
+  const std::size_t memory = 2 * options_.max_header_bytes + 4096;
+  return MHD_start_daemon(
+      MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, port_, nullptr, nullptr,
+      &Daemon::OnRequest, this, MHD_OPTION_LISTEN_SOCKET, listen_fd_,
+      MHD_OPTION_CONNECTION_LIMIT, most, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+      memory, MHD_OPTION_STRICT_FOR_CLIENT, 1, MHD_OPTION_NOTIFY_COMPLETED,
+      &Daemon::OnCompleted, this, MHD_OPTION_NOTIFY_CONNECTION,
+      &Daemon::OnConnection, this, MHD_OPTION_END);
+}
+
 MHD_Result HttpServer::Daemon::OnRequest(void* self, MHD_Connection* connection,
                                          const char* url, const char* method,
                                          const char* /*version*/,
@@ -358,7 +367,13 @@
   Exchange& exchange = *found->second;
   waiting_.erase(found);
   exchange.reply = std::move(reply);
+  MHD_Daemon* const daemon =
+      MHD_get_connection_info(exchange.connection, MHD_CONNECTION_INFO_DAEMON)
+          ->daemon;
   MHD_resume_connection(exchange.connection);
+  for (const auto& loop : loops_) {
+    if (loop->daemon() == daemon) loop->Wake();
+  }
 }
 
 void HttpServer::Daemon::EndCall() {
@@ -433,10 +448,9 @@
 
 void HttpServer::Daemon::StopAccepting() {
   if (!accepting_.exchange(false)) return;
-  quiesced_fd_ = MHD_quiesce_daemon(daemon_);
-  // Refuses new connections. Closed only by Stop: until then the threads of
-  // libmicrohttpd may use the number of the socket.
-  if (quiesced_fd_ >= 0) shutdown(quiesced_fd_, SHUT_RDWR);
+  for (const auto& loop : loops_) loop->StopAccepting();
+  // Refuses new connections at once, and wakes the loops.
+  shutdown(listen_fd_, SHUT_RDWR);
 }
 
 void HttpServer::Daemon::AnswerWaiting() {
@@ -451,7 +465,7 @@
 }
 
 void HttpServer::Daemon::Stop() {
-  if (daemon_ == nullptr) return;
+  if (loops_.empty()) return;
   StopAccepting();
   {
     const std::scoped_lock lock(calls_mutex_, connections_mutex_);
@@ -464,10 +478,13 @@
   }
   sweep_wake_.notify_all();
   sweeper_.join();
-  MHD_stop_daemon(daemon_);
-  daemon_ = nullptr;
-  if (quiesced_fd_ >= 0) close(quiesced_fd_);
-  quiesced_fd_ = -1;
+  CloseLoops();
+}
+
+void HttpServer::Daemon::CloseLoops() {
+  loops_.clear();
+  close(listen_fd_);
+  listen_fd_ = -1;
 }
 
 HttpServerCounts HttpServer::Daemon::counts() const {
--- /dev/null
+++ b/src/http/server_loop.cc
@@ -0,0 +1,70 @@
+#include "http/server_loop.h"
+
+#include <microhttpd.h>
+#include <poll.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <cstdint>
+#include <limits>
+
+namespace chivewing {
+
+ServerLoop::ServerLoop(MHD_Daemon* daemon)
+    : daemon_(daemon), wake_fd_(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)) {}
+
+void ServerLoop::Start() {
+  thread_ = std::thread([this] { Run(); });
+}
+
+ServerLoop::~ServerLoop() {
+  ended_ = true;
+  Wake();
+  if (thread_.joinable()) thread_.join();
+  // Otherwise the library would close the socket, which it does not own.
+  if (!quiesced_) MHD_quiesce_daemon(daemon_);
+  MHD_stop_daemon(daemon_);
+  close(wake_fd_);
+}
+
+void ServerLoop::Wake() {
+  // Fails only while wake-ups are waiting that have not been read.
+  static_cast<void>(eventfd_write(wake_fd_, 1));
+}
+
+void ServerLoop::StopAccepting() {
+  accepting_ = false;
+  Wake();
+}
+
+void ServerLoop::Run() {
+  while (!ended_) {
+    WaitForWork();
+    MHD_run(daemon_);
+    if (accepting_ || quiesced_) continue;
+    MHD_quiesce_daemon(daemon_);
+    quiesced_ = true;
+  }
+}
+
+// Waits for a socket of the daemon, a wake-up, or the daemon's next timeout.
+void ServerLoop::WaitForWork() {
+  constexpr MHD_UNSIGNED_LONG_LONG kMostWait = std::numeric_limits<int>::max();
+  MHD_UNSIGNED_LONG_LONG timeout = 0;
+  int wait_ms = -1;
+  if (MHD_get_timeout(daemon_, &timeout) == MHD_YES) {
+    wait_ms = static_cast<int>(std::min(timeout, kMostWait));
+  }
+  const MHD_DaemonInfo* const info =
+      MHD_get_daemon_info(daemon_, MHD_DAEMON_INFO_EPOLL_FD);
+  std::array<pollfd, 2> sockets{
+      {{info->epoll_fd, POLLIN, 0}, {wake_fd_, POLLIN, 0}}};
+  poll(sockets.data(), sockets.size(), wait_ms);
+  if (sockets[1].revents == 0) return;
+  eventfd_t wakes = 0;
+  eventfd_read(wake_fd_, &wakes);
+}
+
+}  // namespace chivewing
--- a/tests/http/http_server_test.cc
+++ b/tests/http/http_server_test.cc
@@ -5,9 +5,12 @@
 #include <unistd.h>
 
 #include <atomic>
+#include <condition_variable>
 #include <future>
+#include <mutex>
 #include <optional>
 
+#include "base/time.h"
 #include "http/raw_server.h"
 #include "standins/blocking_http.h"
 
@@ -278,8 +281,8 @@
   EXPECT_EQ(answer.Header("connection"), "close");
 }
 
-// Stops servers while connections come and go. With a listening socket in the
-// threads of libmicrohttpd some of these stops ended the process.
+// Stops servers while connections come and go: threads of the library would
+// end the process at some of these stops.
 TEST(HttpServerTest, StopsWhileConnectionsComeAndGo) {
   for (int round = 0; round < 40; ++round) {
     HttpServer server({.threads = 2});
@@ -305,6 +308,70 @@
   }
 }
 
+// Answers that are given by other threads, and bodies that come in several
+// pieces, must not wait for something else to wake the server.
+struct PromptCase {
+  const char* name;
+  std::size_t body_bytes;
+  milliseconds answered_after;
+  bool fresh_connection;
+};
+
+class PromptAnswerTest : public ::testing::TestWithParam<PromptCase> {};
+
+TEST_P(PromptAnswerTest, ComesWithoutDelay) {
+  const PromptCase& given = GetParam();
+  HttpServer server({});
+  std::mutex mutex;
+  std::condition_variable wake;
+  std::vector<std::uint64_t> calls;
+  bool over = false;
+  std::thread answering([&] {
+    std::unique_lock lock(mutex);
+    while (!over) {
+      wake.wait(lock, [&] { return over || !calls.empty(); });
+      const std::vector<std::uint64_t> taken = std::exchange(calls, {});
+      lock.unlock();
+      std::this_thread::sleep_for(given.answered_after);
+      for (const std::uint64_t id : taken) server.Answer(id, {.body = "ok"});
+      lock.lock();
+    }
+  });
+  ASSERT_TRUE(server.Start([&](const HttpCall& call) {
+    const std::lock_guard lock(mutex);
+    calls.push_back(call.id);
+    wake.notify_all();
+  }));
+  HttpClient client;
+  for (int i = 0; i < 100; ++i) {
+    const TimePoint sent = BootClock::now();
+    const HttpAnswer answer =
+        SendAndWait(client, {.method = "POST",
+                             .url = LoopbackUrl(server.port(), "/"),
+                             .body = std::string(given.body_bytes, 'x'),
+                             .fresh_connection = given.fresh_connection});
+    EXPECT_EQ(answer.body, "ok");
+    EXPECT_LT(BootClock::now() - sent, milliseconds(400)) << "call " << i;
+  }
+  {
+    const std::lock_guard lock(mutex);
+    over = true;
+  }
+  wake.notify_all();
+  answering.join();
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Calls, PromptAnswerTest,
+    ::testing::Values(PromptCase{"NoBody", 0, milliseconds(0), false},
+                      PromptCase{"NoBodyLater", 0, milliseconds(2), false},
+                      PromptCase{"NoBodyFresh", 0, milliseconds(2), true},
+                      PromptCase{"Body", 3000, milliseconds(0), false},
+                      PromptCase{"BodyLater", 3000, milliseconds(2), true},
+                      PromptCase{"Large", 500000, milliseconds(0), false},
+                      PromptCase{"LargeLater", 500000, milliseconds(2), true}),
+    [](const auto& test) { return std::string(test.param.name); });
+
 TEST(HttpServerTest, CutAnswerIsNotTakenForAWholeOne) {
   HttpServer server({});
   ASSERT_TRUE(server.Start([&](const HttpCall& call) {
