--- a/tests/adapter/codec_test.cc
+++ b/tests/adapter/codec_test.cc
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <map>
+
 #include <string>
 
 #include "platform/caller_codec.h"
@@ -271,6 +273,17 @@
   EXPECT_TRUE(PartOf("job/5c0e7a21d94b36f8").starts_with("jobs-"));
 }
 
+// A store that is seventy times slower takes two transactions a second in each
+// part; thirty jobs a second must not overload one of them.
+TEST(StoreCodecTest, JobsSpreadOverManyParts) {
+  std::map<std::string, int> jobs;
+  constexpr int kJobs = 2000;
+  for (int i = 0; i < kJobs; ++i) ++jobs[PartOf("job/" + std::to_string(i))];
+  for (const auto& [part, count] : jobs) {
+    EXPECT_LT(count * 30, kJobs * 2) << part;
+  }
+}
+
 TEST(StoreCodec, UnreadableRowsAreLeftOut) {
   const Result<RowsPage> page = DecodeRows(R"({"rows":[
     {"table":"t","part":"p","key":"a","value":"bm9kZS0x","ver":3},
--- a/tests/adapter/store_client_test.cc
+++ b/tests/adapter/store_client_test.cc
@@ -72,7 +72,7 @@
 
 TEST_F(StoreClientTest, ReadsAllRowsOfAllPartsPageByPage) {
   std::set<std::string> keys;
-  for (int i = 0; i < 9; ++i) {
+  for (int i = 0; i < 200; ++i) {
     const std::string key = "job/" + std::to_string(i);
     keys.insert(key);
     Commit(Write("w" + std::to_string(i), key, 0));
