--- /dev/null
+++ b/src/base/signals.cc
@@ -0,0 +1,19 @@
+#include "base/signals.h"
+
+namespace chivewing {
+
+WaitedSignals::WaitedSignals(std::initializer_list<int> signals) {
+  sigemptyset(&set_);
+  for (const int signal : signals) sigaddset(&set_, signal);
+  pthread_sigmask(SIG_BLOCK, &set_, nullptr);
+  // A write to a closed connection is an error of the write.
+  std::signal(SIGPIPE, SIG_IGN);
+}
+
+int WaitedSignals::Wait() const {
+  int signal = 0;
+  sigwait(&set_, &signal);
+  return signal;
+}
+
+}  // namespace chivewing
--- a/src/cluster/row_follower.cc
+++ b/src/cluster/row_follower.cc
@@ -15,7 +15,7 @@
 // reach; a slow table answers sooner.
 constexpr std::chrono::milliseconds kSilence{600};
 constexpr std::chrono::milliseconds kFirstRetry{100};
-constexpr int kMostDoublings = 3;
+constexpr int kMostDoublings = 1;  // callers are refused meanwhile
 
 }  // namespace
 
@@ -23,7 +23,7 @@
   if (open_) return TimePoint::max();
   if (now < next_) return next_;
   if (ready_) {
-    ReadChanges(now);
+    ReadChanges();
   } else {
     ReadAll();
   }
@@ -61,11 +61,11 @@
   });
 }
 
-void RowFollower::ReadChanges(TimePoint now) {
+void RowFollower::ReadChanges() {
   open_ = true;
   const std::uint64_t call = ++call_;
-  const bool hurry = !waiting_.empty();
-  static_cast<void>(now);
+  // After a fault the first answer tells that the table is back.
+  const bool hurry = !waiting_.empty() || faults_in_row_ > 0;
   calls_.changes(cache_.revision(),
                  hurry ? std::chrono::milliseconds(0) : kWait,
                  [this, call](const ChangesAnswer& answer) {
--- a/src/cluster/row_follower.h
+++ b/src/cluster/row_follower.h
@@ -44,7 +44,7 @@
 
  private:
   void ReadAll();
-  void ReadChanges(TimePoint now);
+  void ReadChanges();
   void OnRows(TimePoint now, const ChangesAnswer& answer, bool complete);
   void OnFault(TimePoint now);
 
--- a/src/entry/serve.cc
+++ b/src/entry/serve.cc
@@ -4,6 +4,7 @@
 #include <iostream>
 
 #include "base/log.h"
+#include "base/signals.h"
 #include "entry/entry_host.h"
 
 namespace chivewing {
@@ -12,22 +13,11 @@
 constexpr int kExitDone = 0;
 constexpr int kExitBadInput = 2;
 
-// Signals that ask for a planned stop, blocked in every thread.
-sigset_t BlockStopSignals() {
-  sigset_t signals;
-  sigemptyset(&signals);
-  sigaddset(&signals, SIGTERM);
-  sigaddset(&signals, SIGINT);
-  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-  return signals;
-}
-
 }  // namespace
 
 int RunServe(const Settings& settings) {
   StartLog(settings.log_level);
-  std::signal(SIGPIPE, SIG_IGN);
-  const sigset_t signals = BlockStopSignals();
+  const WaitedSignals stop({SIGTERM, SIGINT});
   EntryHost host(settings);
   const Status started = host.Start();
   if (!started) {
@@ -36,8 +26,7 @@
     return kExitBadInput;
   }
   LogInfo(LogPart::kMain, "serving as " + settings.host.value());
-  int signal = 0;
-  sigwait(&signals, &signal);
+  stop.Wait();
   LogInfo(LogPart::kMain, "planned stop");
   host.Stop();
   LogInfo(LogPart::kMain, "stopped");
--- a/tests/cluster/cluster_host_test.cc
+++ b/tests/cluster/cluster_host_test.cc
@@ -7,7 +7,7 @@
 #include <memory>
 #include <thread>
 
-#include "platform/platform_ports.h"
+#include "platform/platform_client.h"
 #include "standins/blocking_http.h"
 #include "standins/free_ports.h"
 #include "standins/store_standin.h"
--- a/tests/cluster/fake_table_calls.h
+++ b/tests/cluster/fake_table_calls.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <deque>
 #include <functional>
 #include <string>
@@ -21,7 +22,8 @@
       reads.emplace_back(key, done);
     };
     out.read_all = [this](auto done) { all_reads.push_back(done); };
-    out.changes = [this](std::uint64_t since, auto /*wait*/, auto done) {
+    out.changes = [this](std::uint64_t since, auto wait, auto done) {
+      waits.push_back(wait);
       change_reads.emplace_back(since, done);
     };
     return out;
@@ -33,6 +35,7 @@
   std::deque<std::function<void(ChangesAnswer)>> all_reads;
   std::deque<std::pair<std::uint64_t, std::function<void(ChangesAnswer)>>>
       change_reads;
+  std::deque<std::chrono::milliseconds> waits;  // of the reads of changes
 };
 
 }  // namespace chivewing
--- a/tests/cluster/row_follower_test.cc
+++ b/tests/cluster/row_follower_test.cc
@@ -77,6 +77,19 @@
   EXPECT_TRUE(follower_.IsLost(now_ + milliseconds(1200)));
 }
 
+// Callers are refused until the table has answered again.
+TEST_F(RowFollowerTest, LooksSoonAndWithoutWaitingForATableThatWasAway) {
+  Start();
+  Pass(milliseconds(300));
+  for (int fault = 0; fault < 8; ++fault) {
+    const std::size_t reads = table_.change_reads.size();
+    table_.change_reads.back().second(ChangesAnswer{});
+    Pass(milliseconds(200));
+    ASSERT_EQ(table_.change_reads.size(), reads + 1) << "fault " << fault;
+    EXPECT_EQ(table_.waits.back(), milliseconds(0));
+  }
+}
+
 TEST_F(RowFollowerTest, CatchingUpWaitsForAnAnswerAskedForLater) {
   Start();
   Pass(milliseconds(300));
