--- a/src/base/signals.h
+++ b/src/base/signals.h
@@ -9,7 +9,7 @@
 // before other threads start, which then have the signals blocked as well.
 class WaitedSignals {
  public:
-  explicit WaitedSignals(std::initializer_list<int> signals);
+  WaitedSignals(std::initializer_list<int> signals);
 
   // Returns the next of the signals that arrives.
   int Wait() const;
--- a/src/entry/serve.cc
+++ b/src/entry/serve.cc
@@ -17,7 +17,7 @@
 
 int RunServe(const Settings& settings) {
   StartLog(settings.log_level);
-  const WaitedSignals stop({SIGTERM, SIGINT});
+  const WaitedSignals stop{SIGTERM, SIGINT};
   EntryHost host(settings);
   const Status started = host.Start();
   if (!started) {
--- a/src/http/server_loop.cc
+++ b/src/http/server_loop.cc
@@ -11,6 +11,12 @@
 #include <limits>
 
 namespace chivewing {
+namespace {
+
+// The longest wait that poll() can be given, in ms.
+constexpr MHD_UNSIGNED_LONG_LONG kMostWait = std::numeric_limits<int>::max();
+
+}  // namespace
 
 ServerLoop::ServerLoop(MHD_Daemon* daemon)
     : daemon_(daemon), wake_fd_(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)) {}
@@ -51,7 +57,6 @@
 
 // Waits for a socket of the daemon, a wake-up, or the daemon's next timeout.
 void ServerLoop::WaitForWork() {
-  constexpr MHD_UNSIGNED_LONG_LONG kMostWait = std::numeric_limits<int>::max();
   MHD_UNSIGNED_LONG_LONG timeout = 0;
   int wait_ms = -1;
   if (MHD_get_timeout(daemon_, &timeout) == MHD_YES) {
--- a/tests/adapter/codec_test.cc
+++ b/tests/adapter/codec_test.cc
@@ -275,11 +275,12 @@
 // A store that is seventy times slower takes two transactions a second in each
 // part; thirty jobs a second must not overload one of them.
 TEST(StoreCodecTest, JobsSpreadOverManyParts) {
-  std::map<std::string, int> jobs;
-  constexpr int kJobs = 2000;
-  for (int i = 0; i < kJobs; ++i) ++jobs[PartOf("job/" + std::to_string(i))];
-  for (const auto& [part, count] : jobs) {
-    EXPECT_LT(count * 30, kJobs * 2) << part;
+  std::map<std::string, int> jobs_in;
+  const int all_jobs = 2000;
+  for (int i = 0; i < all_jobs; ++i)
+    ++jobs_in[PartOf("job/" + std::to_string(i))];
+  for (const auto& [part, count] : jobs_in) {
+    EXPECT_LT(count * 30, all_jobs * 2) << part;
   }
 }
 
