--- a/src/cluster/dispatch_duty.cc
+++ b/src/cluster/dispatch_duty.cc
@@ -106,7 +106,7 @@
 
 void DispatchDuty::TickLease(TimePoint now) {
   if (!rows_.ready()) return;
-  lease_.set_table_answers_since(rows_.answers_since());
+  lease_.set_table_answers_since(rows_.AnswersSince(now));
   std::vector<LeaseEffect> effects;
   lease_.Tick(now, effects);
   CarryOutLease(now, effects);
--- a/src/cluster/row_follower.cc
+++ b/src/cluster/row_follower.cc
@@ -37,6 +37,11 @@
   return silent || (faults_in_row_ > 0 && now > answered_ + kWait + kSilence);
 }
 
+std::optional<TimePoint> RowFollower::AnswersSince(TimePoint now) const {
+  if (IsLost(now)) return std::nullopt;
+  return answers_since_;
+}
+
 void RowFollower::Apply(TimePoint now, const TableRow& row) {
   if (cache_.Apply(row)) on_row_(now, row);
 }
--- a/src/cluster/row_follower.h
+++ b/src/cluster/row_follower.h
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <optional>
 
 #include "base/time.h"
 #include "store/row_cache.h"
@@ -36,8 +37,9 @@
   // Whether the table has not answered for so long that it is taken to be out
   // of this host's reach.
   bool IsLost(TimePoint now) const;
-  // Since when the table has answered without a fault.
-  TimePoint answers_since() const { return answers_since_; }
+  // Since when the table has answered without a fault; nothing while it is
+  // lost.
+  std::optional<TimePoint> AnswersSince(TimePoint now) const;
   // All rows have been read at least once.
   bool ready() const { return ready_; }
   const RowCache& cache() const { return cache_; }
@@ -59,8 +61,8 @@
   TimePoint next_{};
   std::chrono::milliseconds pace_{250};
   int faults_in_row_ = 0;
-  TimePoint answered_{};  // when the table last answered
-  TimePoint answers_since_{};
+  TimePoint answered_{};       // when the table last answered
+  TimePoint answers_since_{};  // after the newest fault
   // Those who wait for changes asked for from now on.
   std::vector<std::pair<TimePoint, std::function<void(TimePoint)>>> waiting_;
 };
--- a/src/lease/lease_holder.cc
+++ b/src/lease/lease_holder.cc
@@ -65,10 +65,11 @@
   // An own row that is not held has lapsed or is of an earlier process of this
   // host, whose address this one has bound: nobody has to be waited for.
   if (row_.host == settings_.host) return true;
+  if (!table_since_) return false;
   const Duration delay = settings_.stagger * static_cast<std::int64_t>(rank_);
   if (row_.host.empty()) return now >= seen_at_ + delay;
   const Duration lease = std::max(row_.lease, settings_.lease);
-  const TimePoint from = std::max(seen_at_, table_since_);
+  const TimePoint from = std::max(seen_at_, *table_since_);
   return now >= from + lease + settings_.margin + delay;
 }
 
--- a/src/lease/lease_holder.h
+++ b/src/lease/lease_holder.h
@@ -75,9 +75,11 @@
                 const CommitAnswer& answer, Effects& out);
   // Position of this host among those that may take the lease; 0 goes first.
   void set_rank(std::size_t rank) { rank_ = rank; }
-  // Since then the table has answered this host without a gap. Before, the
-  // holder may have been alive and unable to renew.
-  void set_table_answers_since(TimePoint since) { table_since_ = since; }
+  // Since when the table has answered this host without a gap; nothing while it
+  // does not. Before, the holder may have been alive and unable to renew.
+  void set_table_answers_since(std::optional<TimePoint> since) {
+    table_since_ = since;
+  }
   // Renews and takes; to be called a few times a second.
   void Tick(TimePoint now, Effects& out);
 
@@ -135,7 +137,7 @@
   TimePoint valid_until_;
   TimePoint renewed_at_;
   std::size_t rank_ = 0;
-  TimePoint table_since_{};
+  std::optional<TimePoint> table_since_ = TimePoint{};
   Duration commit_time_{0};  // that the newest commit took
   std::optional<Flight> flight_;
   std::uint64_t next_write_ = 1;
--- a/tests/lease/lease_holder_test.cc
+++ b/tests/lease/lease_holder_test.cc
@@ -290,6 +290,9 @@
   waiting.OnRow(kStart,
                 {LeaseHolder::RowKey(kZone), EncodeLeaseRow(row), 1, "w"}, out);
   const TimePoint back = kStart + settings.lease + seconds(5);
+  waiting.set_table_answers_since(std::nullopt);
+  waiting.Tick(back - milliseconds(10), out);
+  EXPECT_TRUE(out.empty()) << "nothing is begun while the table is silent";
   waiting.set_table_answers_since(back);
   waiting.Tick(back + milliseconds(10), out);
   EXPECT_TRUE(out.empty());
