A server that cannot be woken does not start; a return value that nobody used

Found when the change was read again. Cause: without file descriptors left, eventfd fails; the server started all the same and would have answered nothing. NoteFenced returned what no caller looked at. Change: Start fails with kInternal; NoteFenced returns nothing. Not tested: the failing eventfd.

--- a/src/dispatch/dispatch_state.cc
+++ b/src/dispatch/dispatch_state.cc
@@ -14,10 +14,8 @@
   return found == jobs.end() ? nullptr : &found->second;
 }
 
-bool DispatchState::NoteFenced(std::uint64_t order_fence) {
-  if (order_fence < fence) return false;
-  fenced_off = true;
-  return true;
+void DispatchState::NoteFenced(std::uint64_t order_fence) {
+  if (order_fence >= fence) fenced_off = true;
 }
 
 std::chrono::milliseconds DispatchState::LeaseToGive(TimePoint now) const {
--- a/src/dispatch/dispatch_state.h
+++ b/src/dispatch/dispatch_state.h
@@ -71,8 +71,8 @@
   TrackedJob* FindJob(const JobId& id);
   // A worker has refused an order with this fence. Orders sent before this
   // dispatcher took its lease anew carry a lower one than it has now; their
-  // refusal shows no other dispatcher. Returns whether there is one.
-  bool NoteFenced(std::uint64_t order_fence);
+  // refusal shows no other dispatcher.
+  void NoteFenced(std::uint64_t order_fence);
   // The lease that an order sent at `now` may give; 0 or less: none.
   std::chrono::milliseconds LeaseToGive(TimePoint now) const;
   // Tasks of a step that may run twice and whose only run is on a worker that
--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -217,11 +217,13 @@
   accepting_ = true;
   for (unsigned i = 0; i < options_.threads; ++i) {
     MHD_Daemon* const daemon = StartDaemon();
-    if (daemon == nullptr) {
+    if (daemon != nullptr) {
+      loops_.push_back(std::make_unique<ServerLoop>(daemon));
+    }
+    if (daemon == nullptr || !loops_.back()->IsUsable()) {
       CloseLoops();
       return Error{ResultCode::kInternal, "cannot serve " + options_.address};
     }
-    loops_.push_back(std::make_unique<ServerLoop>(daemon));
   }
   for (const auto& loop : loops_) loop->Start();
   sweeper_ = std::thread([this] { Sweep(); });
--- a/src/http/server_loop.cc
+++ b/src/http/server_loop.cc
@@ -32,10 +32,11 @@
   // Otherwise the library would close the socket, which it does not own.
   if (!quiesced_) MHD_quiesce_daemon(daemon_);
   MHD_stop_daemon(daemon_);
-  close(wake_fd_);
+  if (wake_fd_ >= 0) close(wake_fd_);
 }
 
 void ServerLoop::Wake() {
+  if (wake_fd_ < 0) return;  // never started, see IsUsable
   // Fails only while wake-ups are waiting that have not been read.
   static_cast<void>(eventfd_write(wake_fd_, 1));
 }
--- a/src/http/server_loop.h
+++ b/src/http/server_loop.h
@@ -22,6 +22,8 @@
   ServerLoop(const ServerLoop&) = delete;
   ServerLoop& operator=(const ServerLoop&) = delete;
 
+  // Whether other threads can wake it; without file descriptors they cannot.
+  bool IsUsable() const { return wake_fd_ >= 0; }
   void Start();
   const MHD_Daemon* daemon() const { return daemon_; }
   // Lets the daemon go on with connections that have been resumed: the library
