Dispatcher logs its load each second, by kind of work of its loop

Callers saw too little served (SHORT) and the lease change hands again and again. The logs told that a lease was lost, but not whether the loop was busy, what with, or how much was waiting, so load could not be told from the network. One line a second while dispatching: events, turns, longest turn, milliseconds by kind of work, queue, rest of the lease, pending commands, unsaved rows.

--- a/src/cluster/cluster_host.cc
+++ b/src/cluster/cluster_host.cc
@@ -34,11 +34,13 @@
       platform_(platform),
       incarnation_(static_cast<std::uint64_t>(WallClockNow().count())),
       table_watcher_(
-          platform.table, [this](Event event) { Post(std::move(event)); },
+          platform.table,
+          [this](auto run) { Post(LoopWork::kTable, std::move(run)); },
           [this](TimePoint now, const TableRow& row) { OnRow(now, row); }),
       caller_requests_(
           platform.table, desired_state_, job_status_,
-          {.post = [this](Event event) { Post(std::move(event)); },
+          {.post =
+               [this](auto run) { Post(LoopWork::kCallers, std::move(run)); },
            .respond_to_caller =
                [this](std::uint64_t request, const CallerResponse& response) {
                  caller_server_->Respond(request,
@@ -54,7 +56,7 @@
            .decode_job = platform.decode_job}),
       dispatcher_runner_(
           BootClock::now(), settings_, incarnation_, platform, table_watcher_,
-          {[this](Event event) { Post(std::move(event)); },
+          {[this](LoopWork work, auto run) { Post(work, std::move(run)); },
            [] { return WallClockNow(); },
            [this](TimePoint now, const std::vector<TableRow>& rows) {
              for (const TableRow& row : rows) table_watcher_.Apply(now, row);
@@ -69,7 +71,9 @@
 
 ClusterHost::~ClusterHost() { event_loop_.Stop(); }
 
-void ClusterHost::Post(Event event) { event_loop_.Post(std::move(event)); }
+void ClusterHost::Post(LoopWork work, std::function<void(TimePoint)> run) {
+  event_loop_.Post({work, std::move(run)});
+}
 
 Status ClusterHost::Start() {
   Status servers_started = StartServers();
@@ -91,7 +95,8 @@
   caller_server_ = std::make_unique<HttpServer>(options);
   Status caller_server_started =
       caller_server_->Start([this](HttpServerRequest request) {
-        Post([this, request = std::move(request)](TimePoint now) {
+        Post(LoopWork::kCallers, [this,
+                                  request = std::move(request)](TimePoint now) {
           caller_requests_.OnRequest(
               now, request.id, platform_.decode_request(request), request.body);
         });
@@ -110,7 +115,7 @@
   options.address = settings_.metrics_address;
   metrics_server_ = std::make_unique<HttpServer>(options);
   return metrics_server_->Start([this](const HttpServerRequest& request) {
-    Post([this, id = request.id](TimePoint now) {
+    Post(LoopWork::kCallers, [this, id = request.id](TimePoint now) {
       HttpServerResponse response;
       response.content_type = "text/plain; version=0.0.4";
       response.body = MetricsText(now);
@@ -147,7 +152,7 @@
   mesh.listen_address = settings_.peer_address;
   Result<std::unique_ptr<PeerMesh>> started =
       PeerMesh::Start(mesh, [this](PeerEvent event) {
-        Post([this, event = std::move(event)](TimePoint now) {
+        Post(LoopWork::kPeers, [this, event = std::move(event)](TimePoint now) {
           OnPeerEvent(now, event);
         });
       });
@@ -156,8 +161,18 @@
   return Ok();
 }
 
+TimePoint ClusterHost::AccountSince(TimePoint from, LoopWork work) {
+  const TimePoint now = BootClock::now();
+  loop_monitor_.Add(work, now - from);
+  return now;
+}
+
 TimePoint ClusterHost::HandleEvents(TimePoint now, std::vector<Event>& events) {
-  for (Event& event : events) event(now);
+  TimePoint measured = now;
+  for (Event& event : events) {
+    event.run(now);
+    measured = AccountSince(measured, event.work);
+  }
   WatchDesiredState(now);
   WriteHostRow(now);
   TimePoint next = now + kMaxTickInterval;
@@ -166,13 +181,27 @@
                                            : kStandbyPollInterval);
   next = std::min(next, table_watcher_.Tick(now));
   next = std::min(next, caller_requests_.Tick(now));
+  measured = AccountSince(measured, LoopWork::kTableTimer);
   next = std::min(next, dispatcher_runner_.Tick(now));
+  measured = AccountSince(measured, LoopWork::kDeciding);
+  loop_monitor_.AddIteration(measured - now, events.size(),
+                             event_loop_.waiting());
   if (!state_watch_in_flight_) next = std::min(next, next_state_watch_);
   ready_ = !stopping_ && desired_state_.ready() && table_watcher_.ready() &&
            !table_watcher_.IsTableUnreachable(now);
+  LogLoad(now);
   return next;
 }
 
+// The load of the dispatching host: without it, a lease that was lost to load
+// cannot be told from one that was lost to the network.
+void ClusterHost::LogLoad(TimePoint now) {
+  const std::optional<std::string> summary = loop_monitor_.TakeSummary(now);
+  if (!summary || !dispatcher_runner_.dispatching()) return;
+  LogInfo(LogPart::kMain, "dispatcher load " + *summary + " " +
+                              dispatcher_runner_.LoadSummary(now));
+}
+
 void ClusterHost::OnRow(TimePoint now, const TableRow& row) {
   job_status_.OnRow(row);
   if (row.key.starts_with(kHostRowPrefix)) OnHostRow(row);
@@ -205,7 +234,8 @@
   platform_.watch_desired_state(
       state_revision_, kStateWatchWait,
       [this](const DesiredStateUpdate& update) {
-        Post([this, update](TimePoint then) { OnDesiredState(then, update); });
+        Post(LoopWork::kTable,
+             [this, update](TimePoint then) { OnDesiredState(then, update); });
       });
 }
 
@@ -248,7 +278,7 @@
   write.writes = {{key, EncodeHostRow({settings_.host, settings_.zone,
                                        settings_.peer_address, incarnation_})}};
   platform_.table.commit(write, [this, write](const CommitResponse& response) {
-    Post([this, write, response](TimePoint then) {
+    Post(LoopWork::kTable, [this, write, response](TimePoint then) {
       host_row_in_flight_ = false;
       next_host_row_write_ = then + kHostRowRetryDelay;
       for (const TableRow& row : response.rows) {
@@ -344,12 +374,12 @@
 void ClusterHost::SendAdviceRequest(const AdviceRequest& request) {
   const std::uint64_t id = request.request_id;
   if (request.advice_host == settings_.host) {
-    platform_.request_advice(request,
-                             [this, id](const AdviceResponse& response) {
-                               Post([this, id, response](TimePoint now) {
-                                 dispatcher_runner_.OnAdvice(now, id, response);
-                               });
-                             });
+    platform_.request_advice(
+        request, [this, id](const AdviceResponse& response) {
+          Post(LoopWork::kPeers, [this, id, response](TimePoint now) {
+            dispatcher_runner_.OnAdvice(now, id, response);
+          });
+        });
     return;
   }
   PeerAdviceRequest message;
@@ -360,7 +390,7 @@
   message.workers = request.workers;
   message.timeout = request.timeout;
   if (mesh_->Send(request.advice_host, PeerMessage(message))) return;
-  Post([this, id](TimePoint now) {
+  Post(LoopWork::kPeers, [this, id](TimePoint now) {
     dispatcher_runner_.OnAdvice(now, id, AdviceResponse{});
   });
 }
@@ -388,7 +418,7 @@
 
 void ClusterHost::Stop() {
   ready_ = false;
-  Post([this](TimePoint now) {
+  Post(LoopWork::kLease, [this](TimePoint now) {
     stopping_ = true;
     dispatcher_runner_.Stop(now);
   });
--- a/src/cluster/cluster_host.h
+++ b/src/cluster/cluster_host.h
@@ -12,6 +12,7 @@
 #include "cluster/dispatcher_runner.h"
 #include "cluster/host_row.h"
 #include "cluster/job_status_index.h"
+#include "cluster/loop_monitor.h"
 #include "cluster/platform_interface.h"
 #include "cluster/table_watcher.h"
 #include "entry/event_loop_thread.h"
@@ -39,10 +40,16 @@
   void Stop();
 
  private:
-  using Event = std::function<void(TimePoint)>;
+  struct Event {
+    LoopWork work = LoopWork::kCallers;
+    std::function<void(TimePoint)> run{};
+  };
 
-  void Post(Event event);
+  void Post(LoopWork work, std::function<void(TimePoint)> run);
   TimePoint HandleEvents(TimePoint now, std::vector<Event>& events);
+  // Returns the time, after adding the time since `from` to the kind of work.
+  TimePoint AccountSince(TimePoint from, LoopWork work);
+  void LogLoad(TimePoint now);
   Status StartServers();
   Status StartMesh();
   void OnReadinessRequest(const HttpServerRequest& request);
@@ -81,6 +88,7 @@
   bool host_row_written_ = false;
   bool host_row_in_flight_ = false;
   TimePoint next_host_row_write_{};
+  LoopMonitor loop_monitor_;
   std::atomic<bool> ready_{false};
   bool stopping_ = false;
 
--- a/src/cluster/dispatcher_runner.cc
+++ b/src/cluster/dispatcher_runner.cc
@@ -139,9 +139,10 @@
     const TableTransaction& transaction) {
   platform_.table.commit(
       transaction, [this, transaction](const CommitResponse& response) {
-        callbacks_.post([this, transaction, response](TimePoint now) {
-          OnLeaseCommitResponse(now, transaction, response);
-        });
+        callbacks_.post(LoopWork::kLease,
+                        [this, transaction, response](TimePoint now) {
+                          OnLeaseCommitResponse(now, transaction, response);
+                        });
       });
 }
 
@@ -173,13 +174,15 @@
   const std::uint64_t generation = generation_;
   const milliseconds wait =
       workers_revision_ == 0 ? milliseconds(0) : kWorkersWatchWait;
-  platform_.watch_workers(
-      workers_revision_, wait,
-      [this, generation](const WorkerListUpdate& update) {
-        callbacks_.post([this, generation, update](TimePoint now) {
-          if (generation == generation_) OnWorkers(now, update);
-        });
-      });
+  platform_.watch_workers(workers_revision_, wait,
+                          [this, generation](const WorkerListUpdate& update) {
+                            callbacks_.post(
+                                LoopWork::kTable,
+                                [this, generation, update](TimePoint now) {
+                                  if (generation == generation_)
+                                    OnWorkers(now, update);
+                                });
+                          });
 }
 
 void DispatcherRunner::OnWorkers(TimePoint now,
@@ -291,7 +294,7 @@
       batch_in_flight_ = true;
       platform_.table.commit(
           batch_transaction_, [this](const CommitResponse& response) {
-            callbacks_.post([this, response](TimePoint then) {
+            callbacks_.post(LoopWork::kLease, [this, response](TimePoint then) {
               OnBatchCommitResponse(then, response);
             });
           });
@@ -399,6 +402,26 @@
   return next;
 }
 
+std::string DispatcherRunner::LoadSummary(TimePoint now) const {
+  if (!dispatcher_) return "";
+  const DispatchState& state = dispatcher_->state();
+  const auto lease_left =
+      std::chrono::duration_cast<milliseconds>(lease_.valid_until() - now);
+  return "fence=" + std::to_string(state.fence) +
+         " lease_left_ms=" + std::to_string(lease_left.count()) +
+         " jobs=" + std::to_string(state.jobs.size()) +
+         " steps_ready=" + std::to_string(state.ready.size()) +
+         " runs=" + std::to_string(state.runs.all().size()) +
+         " commands_pending=" +
+         std::to_string(state.runs.pending_commands().size()) +
+         " progress_unsaved=" + std::to_string(state.dirty.size()) +
+         " deferred_jobs=" + std::to_string(deferred_job_rows_.size()) +
+         " workers_unsynced=" + std::to_string(state.unsynced_workers.size()) +
+         " starts=" + std::to_string(state.counts.starts) +
+         " polls=" + std::to_string(state.counts.polls) +
+         " advice=" + std::to_string(state.counts.asks);
+}
+
 void DispatcherRunner::Stop(TimePoint now) {
   DropDispatcher(now, "graceful stop");
   take_over_.reset();
@@ -418,9 +441,11 @@
   const std::uint64_t generation = generation_;
   return [this, generation, fence, function](Answer response) {
     response.fence = fence;
-    callbacks_.post([this, generation, function, response](TimePoint now) {
-      if (generation == generation_ && dispatcher_) function(now, response);
-    });
+    callbacks_.post(LoopWork::kWorkers,
+                    [this, generation, function, response](TimePoint now) {
+                      if (generation == generation_ && dispatcher_)
+                        function(now, response);
+                    });
   };
 }
 
--- a/src/cluster/dispatcher_runner.h
+++ b/src/cluster/dispatcher_runner.h
@@ -11,6 +11,7 @@
 
 #include "base/time.h"
 #include "cluster/cluster_settings.h"
+#include "cluster/loop_monitor.h"
 #include "cluster/platform_interface.h"
 #include "cluster/table_watcher.h"
 #include "dispatch/dispatcher.h"
@@ -23,7 +24,7 @@
 // progress to the table. Runs on the thread of its owner.
 class DispatcherRunner {
  public:
-  using Post = std::function<void(std::function<void(TimePoint)>)>;
+  using Post = std::function<void(LoopWork, std::function<void(TimePoint)>)>;
   struct Callbacks {
     Post post{};
     std::function<std::chrono::milliseconds()> wall_clock{};
@@ -52,6 +53,8 @@
   bool IsStopped() const { return lease_.IsStopped(); }
   bool dispatching() const { return dispatcher_ != nullptr; }
   const Dispatcher* dispatcher() const { return dispatcher_.get(); }
+  // The dispatcher's queues and the rest of its lease, for the log.
+  std::string LoadSummary(TimePoint now) const;
 
  private:
   // A take-over in progress: what must be read before the dispatcher starts.
