The loop sleeps although a silent worker's lease is over

Cause: WorkerManager::next_due returned the expiry of a silent worker's lease also after it had passed. Where nothing is left to do at that time (the worker has no runs, or another host may be dispatching), the loop was called again after its least pause of 50 us, for good. One dead worker was enough, on any site.

Ruled out: retries of commands (next_send moves on before each early return), advice timeouts (taken when due). Why this works: SendDue runs just before with the same time and has done all that a passed expiry allows; what it could not do waits for an event.

--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -137,7 +137,7 @@
   }
   scheduler_.ScheduleReadySteps(now, out);
   TimePoint next = now + kMaxSleep;
-  next = std::min(next, workers_.next_due());
+  next = std::min(next, workers_.next_due(now));
   next = std::min(next, runs_.next_send());
   next = std::min(next, state_.advice.next_timeout().value_or(next));
   if (next_due) next = std::min(next, now + (*next_due - wall));
--- a/src/dispatch/worker_manager.cc
+++ b/src/dispatch/worker_manager.cc
@@ -114,13 +114,14 @@
   }
 }
 
-TimePoint WorkerManager::next_due() const {
+TimePoint WorkerManager::next_due(TimePoint now) const {
   TimePoint next = TimePoint::max();
   for (const auto& [id, worker] : state_.workers) {
     if (worker.pending_poll == 0) next = std::min(next, worker.next_poll);
-    if (worker.IsUnresponsive()) {
-      next = std::min(next, worker.LeaseExpiry(state_.options));
-    }
+    if (!worker.IsUnresponsive()) continue;
+    // Nothing is left to do at an expiry that has passed.
+    const TimePoint expiry = worker.LeaseExpiry(state_.options);
+    if (expiry >= now) next = std::min(next, expiry);
   }
   return next;
 }
--- a/src/dispatch/worker_manager.h
+++ b/src/dispatch/worker_manager.h
@@ -34,7 +34,9 @@
   void OnEndsPersisted(TimePoint now, const WorkerId& id, std::uint64_t end);
 
   void SendDue(TimePoint now, DispatchEffects& out);
-  TimePoint next_due() const;
+  // The next time at which SendDue has something to do, after it has been
+  // called at `now`.
+  TimePoint next_due(TimePoint now) const;
 
   // True if new tasks may be started on the worker.
   bool AcceptsTasks(TimePoint now, const TrackedWorker& worker) const;
--- a/tests/dispatch/dispatcher_test.cc
+++ b/tests/dispatch/dispatcher_test.cc
@@ -175,6 +175,46 @@
   EXPECT_TRUE(dispatcher.fenced_off());
 }
 
+struct ExpiredWorkerCase {
+  std::string name;
+  bool holds_host_lease = true;
+};
+
+class ExpiredWorkerLeaseTest
+    : public testing::TestWithParam<ExpiredWorkerCase> {};
+
+TEST_P(ExpiredWorkerLeaseTest, TheLoopDoesNotSpin) {
+  const DispatchOptions options;
+  Dispatcher dispatcher(options, 1);
+  const TimePoint start{std::chrono::hours(1)};
+  WorkerRegistration worker;
+  worker.worker = WorkerId("w");
+  dispatcher.RegisterWorker(start, worker);
+  if (!GetParam().holds_host_lease) dispatcher.set_sole_until(start);
+  std::size_t turns = 0;
+  TimePoint now = start;
+  const TimePoint end = start + 3 * options.lease;
+  while (now < end) {
+    ++turns;
+    DispatchEffects effects;
+    const TimePoint next = dispatcher.Decide(now, milliseconds(0), effects);
+    for (const DispatchEffect& effect : effects) {
+      const auto& poll = std::get<PollWorker>(effect);
+      dispatcher.OnPollResponse(now, poll.worker, poll.poll_id, {});
+    }
+    now = std::max(next, now + std::chrono::microseconds(50));
+  }
+  const auto polls =
+      static_cast<std::size_t>((end - start) / options.poll_retry_delay);
+  // A turn for each poll, one for its response, and the reprioritizations.
+  EXPECT_LE(turns, 3 * polls);
+}
+
+INSTANTIATE_TEST_SUITE_P(All, ExpiredWorkerLeaseTest,
+                         testing::Values(ExpiredWorkerCase{"LeaseHeld", true},
+                                         ExpiredWorkerCase{"LeaseLost", false}),
+                         [](const auto& info) { return info.param.name; });
+
 TEST(AdviceRequestManagerTest, QuickRequestsNeverWaitBehindSlowOnes) {
   AdviceRequestManager manager;
   manager.set_advice_hosts({HostId("a"), HostId("b"), HostId("c")});
