Rank hosts for the dispatcher's lease by processor time

Cause: the rank went by the host's name alone; 38 of the 44 hosts are weak, so a weak host mostly was first in line.

--- a/src/cluster/cluster_host.cc
+++ b/src/cluster/cluster_host.cc
@@ -6,6 +6,7 @@
 #include <variant>
 
 #include "base/log.h"
+#include "cluster/lease_rank.h"
 #include "cluster/metrics_text.h"
 
 namespace chivewing {
@@ -263,6 +264,11 @@
   }
 }
 
+HostRow ClusterHost::OwnHostRow() const {
+  return {settings_.host, settings_.zone, settings_.peer_address, incarnation_,
+          ProcessorMilli(settings_)};
+}
+
 // Writes this host's row, in which the other hosts find its address.
 void ClusterHost::WriteHostRow(TimePoint now) {
   if (host_row_written_ || host_row_in_flight_ || !table_watcher_.ready() ||
@@ -275,8 +281,7 @@
   write.write_id =
       "host-" + settings_.host.value() + "-" + std::to_string(incarnation_);
   write.conditions = {{key, table_watcher_.cache().version(key)}};
-  write.writes = {{key, EncodeHostRow({settings_.host, settings_.zone,
-                                       settings_.peer_address, incarnation_})}};
+  write.writes = {{key, EncodeHostRow(OwnHostRow())}};
   platform_.table.commit(write, [this, write](const CommitResponse& response) {
     Post(LoopWork::kTable, [this, write, response](TimePoint then) {
       host_row_in_flight_ = false;
@@ -316,9 +321,7 @@
 
 // The dispatching host connects to all others, and they connect to it.
 void ClusterHost::ConnectPeers() {
-  std::size_t rank = 0;
   for (const auto& [host, row] : other_hosts_) {
-    if (host < settings_.host) ++rank;
     const bool wanted =
         dispatching_host_ == settings_.host || dispatching_host_ == host;
     if (wanted && mesh_peers_.insert(host).second) {
@@ -328,7 +331,7 @@
       connected_peers_.erase(host);
     }
   }
-  dispatcher_runner_.set_rank(rank);
+  dispatcher_runner_.set_rank(LeaseRank(OwnHostRow(), other_hosts_));
   UpdateAdviceHosts();
 }
 
--- a/src/cluster/cluster_host.h
+++ b/src/cluster/cluster_host.h
@@ -59,6 +59,7 @@
   void OnCallerRow(TimePoint now, const TableRow& row);
   void WatchDesiredState(TimePoint now);
   void OnDesiredState(TimePoint now, const DesiredStateUpdate& update);
+  HostRow OwnHostRow() const;
   void WriteHostRow(TimePoint now);
   void OnHostRow(const TableRow& row);
   void ConnectPeers();
--- a/src/cluster/cluster_settings.cc
+++ b/src/cluster/cluster_settings.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <utility>
 #include <vector>
 
@@ -17,6 +18,8 @@
 constexpr std::array<std::string_view, 4> kLogLevelNames = {"debug", "info",
                                                             "warning", "error"};
 constexpr double kMaxIntervalMs = 600'000;
+constexpr double kMaxCores = 1024;
+constexpr double kMilliPerCore = 1000;
 
 struct Field {
   FieldSpec spec;
@@ -41,6 +44,13 @@
   return spec;
 }
 
+FieldSpec MakeCoresSpec(std::string_view name, std::string_view meaning) {
+  FieldSpec spec = MakeFieldSpec(name, FieldKind::kNumber, false, meaning);
+  spec.unit = "cores";
+  spec.most = kMaxCores;
+  return spec;
+}
+
 FieldBinding<ClusterSettings> BindLogLevel() {
   return {[](const ClusterSettings& settings) -> FieldValue {
             const auto index = static_cast<std::size_t>(settings.log_level);
@@ -96,6 +106,12 @@
        Bind(&S::host_lease)},
       {MakeIntervalSpec("stop_within_ms", "longest time of a planned stop"),
        Bind(&S::stop_timeout)},
+      {MakeCoresSpec("processor_share",
+                     "share of a core that this host may use; 0 if unknown"),
+       Bind(&S::processor_share)},
+      {MakeCoresSpec("processor_cores",
+                     "how many times as fast as one core the processor is"),
+       Bind(&S::processor_cores)},
       {level, BindLogLevel()},
   };
 }
@@ -113,6 +129,11 @@
 
 }  // namespace
 
+std::int64_t ProcessorMilli(const ClusterSettings& settings) {
+  return std::llround(settings.processor_share * settings.processor_cores *
+                      kMilliPerCore);
+}
+
 ValidationResult<ClusterSettings> ReadClusterSettings(std::string_view text,
                                                       const std::string& file) {
   const ValidationResult<JsonNode> root = ParseJson(text, file);
--- a/src/cluster/cluster_settings.h
+++ b/src/cluster/cluster_settings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 #include <string>
 
 #include "base/id.h"
@@ -24,9 +25,16 @@
   std::chrono::milliseconds worker_lease{6000};       // granted by commands
   std::chrono::milliseconds host_lease{600};          // dispatcher's lease
   std::chrono::milliseconds stop_timeout{5000};       // of a graceful stop
+  // Share of a core that this host may use, and how many times as fast as one
+  // core it is; a share of 0 is not known.
+  double processor_share = 0;
+  double processor_cores = 1;
   LogLevel log_level = LogLevel::kInfo;
 };
 
+// The processor time of this host in thousandths of a core; 0 if not known.
+std::int64_t ProcessorMilli(const ClusterSettings& settings);
+
 // Reads the settings from JSON text with comments, or returns all its errors.
 // `file` names the text in them.
 ValidationResult<ClusterSettings> ReadClusterSettings(std::string_view text,
--- a/src/cluster/host_row.h
+++ b/src/cluster/host_row.h
@@ -17,6 +17,8 @@
   ZoneId zone{};
   std::string address{};          // "ip:port" for peer connections
   std::uint64_t incarnation = 0;  // of the process that wrote the row
+  // Thousandths of a core that the host may use; 0 if it is not known.
+  std::int64_t processor_milli = 0;
 };
 
 std::string HostRowKey(const HostId& host);
--- a/tests/cluster/cluster_settings_test.cc
+++ b/tests/cluster/cluster_settings_test.cc
@@ -30,6 +30,16 @@
   EXPECT_EQ(settings.value().worker_lease, std::chrono::milliseconds(3000));
 }
 
+TEST(ClusterSettingsTest, ProcessorTimeIsShareTimesCores) {
+  std::string text = kValidSettings;
+  text.replace(text.find("8000}"), 5,
+               R"(8000, "processor_share": 0.12, "processor_cores": 2})");
+  const ValidationResult<ClusterSettings> settings =
+      ReadClusterSettings(text, "f");
+  ASSERT_TRUE(settings) << Describe(settings.error().front());
+  EXPECT_EQ(ProcessorMilli(settings.value()), 240);
+}
+
 TEST(ClusterSettingsTest, ReturnsAllErrorsAtOnce) {
   const ValidationResult<ClusterSettings> settings = ReadClusterSettings(
       R"({"host": "", "zone": 7, "caller_address": "nowhere", "extra": 1,
