A cancel holds for a job whose row is committed after it

Callers saw: nothing yet; the table allows it. A caller without a response to its submission cancels at another host. That host reads no job row and answers 410, and the submission's write, sent again by the first host or carried out late by the store, commits afterwards: the job runs although its end was confirmed (UNASKED).

Cause: a cancel of an unknown job left nothing in the table.

Evidence: the new test fails on the code before (no commit after the read). Ruled out: a condition on the absence of the cancel row in the job's write, which would need a second answer to callers; the dispatcher already ends a job whose cancel row is known before the job's own row.

Change: the cancel row is written before 410 is answered. The answer stays 410.

Conclusion: a confirmed cancel is durable whatever the order of the two writes.

--- a/src/cluster/caller_request_handler.cc
+++ b/src/cluster/caller_request_handler.cc
@@ -181,9 +181,9 @@
 void CallerRequestHandler::Cancel(TimePoint now, std::uint64_t call_id,
                                   const CallerRequest& request,
                                   const JobId& job) {
-  const auto write = [this, call_id, request, job](TimePoint when) {
-    StartWrite(when, call_id, request, CancelRowKey(job), "{}",
-               CallerResponseKind::kCancelled);
+  const auto write = [this, call_id, request, job](TimePoint when,
+                                                   CallerResponseKind kind) {
+    StartWrite(when, call_id, request, CancelRowKey(job), "{}", kind);
   };
   const std::optional<JobPhase> state = job_status_.PhaseOf(job);
   if (state == JobPhase::kCancelled) {
@@ -191,17 +191,16 @@
     return;
   }
   if (state) {
-    write(now);
+    write(now, CallerResponseKind::kCancelled);
     return;
   }
-  ReadJobRow(
-      now, call_id, job, [this, call_id, write](TimePoint when, bool found) {
-        if (found) {
-          write(when);
-        } else {
-          Respond(call_id, MakeResponse(CallerResponseKind::kJobNotFound));
-        }
-      });
+  // The write of the job's row may still be on its way: the caller that got no
+  // response to it takes "not found" for the end of the job. The cancel row
+  // holds for a job row that is committed after it.
+  ReadJobRow(now, call_id, job, [write](TimePoint when, bool found) {
+    write(when, found ? CallerResponseKind::kCancelled
+                      : CallerResponseKind::kJobNotFound);
+  });
 }
 
 void CallerRequestHandler::ReadJobRow(
--- a/tests/cluster/caller_request_handler_test.cc
+++ b/tests/cluster/caller_request_handler_test.cc
@@ -179,6 +179,24 @@
   EXPECT_EQ(responses_[state].state, JobPhase::kCancelled);
 }
 
+// Guards against a job that runs although its cancel was acknowledged as "not
+// found" while the write of its row was on its way.
+TEST_F(CallerRequestHandlerTest, ACancelHoldsForAJobThatIsStoredAfterIt) {
+  const std::uint64_t cancel =
+      Request(CallerRequestKind::kCancel, "/q/" + job_);
+  ASSERT_EQ(table_.reads.size(), 1U);
+  table_.reads.front().second(ReadResponse{.ok = true});
+  EXPECT_FALSE(responses_.contains(cancel));
+  ASSERT_EQ(table_.commits.size(), 1U);
+  EXPECT_EQ(table_.commits.front().first.writes[0].key, "cancel/" + job_);
+  CompleteCommit(CommitStatus::kCommitted);
+  EXPECT_EQ(ResponseKind(cancel), CallerResponseKind::kJobNotFound);
+  Request(CallerRequestKind::kSubmit, "/q/" + job_);
+  CompleteCommit(CommitStatus::kCommitted);
+  const std::uint64_t state = Request(CallerRequestKind::kState, "/q/" + job_);
+  EXPECT_EQ(responses_[state].state, JobPhase::kCancelled);
+}
+
 struct PathCase {
   const char* name;
   CallerRequestKind kind;
