Each start is checked and traced in one place before it leaves

What operators saw: a worker told to run what nobody had sent, with a log line of the start that names neither the fence nor the rows it was decided on, so the way could not be told.

Change: StartGuard checks each finished start command: known job and task, job neither cancelled nor ended, task not done, payload of the job's row, checkpoint recorded for the task. A command with a fault is logged, counted by reason (starts_withheld_total) and not sent; its run ends as lost, or is stopped if an earlier attempt had no response. The log line of a start has the fence, version and age of the job row, the revision to which rows are known, and the version of a known cancel. Counters are added for runs stopped before their start was confirmed, adopted runs and orphans stopped, and repeated stops.

Conclusion: a start that nobody asked for can now be traced from the log.

--- a/src/cluster/dispatcher_runner.cc
+++ b/src/cluster/dispatcher_runner.cc
@@ -95,6 +95,7 @@
   const JobId id = JobOfRowKey(row.key, kJobRows);
   Result<JobRecord> record = DecodeJobRecord(id, *row.value);
   if (!record) return;  // logged by JobStatusIndex
+  record.value().row_version = row.version;
   std::optional<JobProgress> progress;
   if (const TableRow* saved = table_watcher_.cache().Find(ProgressRowKey(id))) {
     const Result<JobProgress> decoded = DecodeJobProgress(*saved->value);
@@ -455,13 +456,28 @@
   }
 }
 
-void DispatcherRunner::Execute(const StartRun& command) {
+// What a start was decided on, so that one that no caller asked for can be
+// traced from the log alone.
+void DispatcherRunner::LogStart(const StartRun& command) const {
+  const TableRow* const cancel =
+      table_watcher_.cache().Find(CancelRowKey(command.run.task.job));
   LogInfo(LogPart::kPlacer,
           "start job=" + command.run.task.job.value() +
               " step=" + std::to_string(command.run.task.step) +
               " task=" + std::to_string(command.run.task.index) +
               " run=" + std::to_string(command.run.number) +
-              " worker=" + command.worker.value());
+              " worker=" + command.worker.value() +
+              " fence=" + std::to_string(command.fence) +
+              " row_version=" + std::to_string(command.job_row_version) +
+              " row_age_ms=" + std::to_string(command.job_age.count()) +
+              " rows_known_to=" +
+              std::to_string(table_watcher_.cache().revision()) +
+              " cancel_version=" +
+              std::to_string(cancel == nullptr ? 0 : cancel->version));
+}
+
+void DispatcherRunner::Execute(const StartRun& command) {
+  LogStart(command);
   const std::uint64_t run = command.run_id;
   platform_.start_run(
       command,
--- a/src/cluster/dispatcher_runner.h
+++ b/src/cluster/dispatcher_runner.h
@@ -87,6 +87,7 @@
   void ApplyBatch(TimePoint now, std::uint64_t version);
 
   void Execute(const DispatchEffects& effects);
+  void LogStart(const StartRun& command) const;
   void Execute(const StartRun& command);
   void Execute(const StopRun& command);
   void Execute(const PaceRun& command);
--- a/src/cluster/metrics_text.cc
+++ b/src/cluster/metrics_text.cc
@@ -76,6 +76,20 @@
              callers.write_latency);
 }
 
+void AddStartGuard(Families& out, const StartGuard& guard) {
+  prometheus::MetricFamily family = MakeFamily(
+      "starts_withheld_total", "orders to start that were not sent, by reason",
+      prometheus::MetricType::Counter);
+  family.metric.clear();
+  for (std::size_t i = 1; i < kStartFaults; ++i) {
+    const auto fault = static_cast<StartFault>(i);
+    prometheus::ClientMetric& metric = family.metric.emplace_back();
+    metric.label.push_back({"reason", std::string(Name(fault))});
+    metric.counter.value = static_cast<double>(guard.count(fault));
+  }
+  out.push_back(std::move(family));
+}
+
 void AddDispatcher(Families& out, const DispatchState& state) {
   std::uint64_t unresponsive = 0;
   for (const auto& [id, worker] : state.workers) {
@@ -112,6 +126,17 @@
              counts.asks_failed);
   AddCounter(out, "invariant_breaches_total", "states that must never be",
              counts.invariant_breaches);
+  AddCounter(out, "unconfirmed_runs_stopped_total",
+             "runs stopped with their job before their start was confirmed",
+             counts.unconfirmed_runs_stopped);
+  AddCounter(out, "adopted_runs_stopped_total",
+             "runs of an earlier dispatcher that were not needed",
+             counts.adopted_runs_stopped);
+  AddCounter(out, "orphans_stopped_total", "runs whose job stayed unknown",
+             counts.orphans_stopped);
+  AddCounter(out, "stop_retries_total", "orders to stop sent again",
+             counts.stop_retries);
+  AddStartGuard(out, state.start_guard);
   AddLatency(out, "first_start_seconds",
              "from the acceptance of a job to its first started task",
              state.first_start);
--- a/src/dispatch/dispatch_state.h
+++ b/src/dispatch/dispatch_state.h
@@ -12,6 +12,7 @@
 #include "dispatch/advice_request_manager.h"
 #include "dispatch/dispatch_options.h"
 #include "dispatch/run_table.h"
+#include "dispatch/start_guard.h"
 #include "dispatch/tracked_job.h"
 #include "dispatch/tracked_worker.h"
 
@@ -41,6 +42,12 @@
   std::uint64_t asks_failed = 0;
   std::uint64_t polls = 0;
   std::uint64_t invariant_breaches = 0;
+  // Runs that were stopped because their job had been cancelled or had ended
+  // before their start was confirmed.
+  std::uint64_t unconfirmed_runs_stopped = 0;
+  std::uint64_t adopted_runs_stopped = 0;  // of a predecessor, not needed
+  std::uint64_t orphans_stopped = 0;       // their job stayed unknown
+  std::uint64_t stop_retries = 0;
 };
 
 // The whole state of the dispatcher, shared by JobManager, RunManager,
@@ -71,6 +78,7 @@
   std::uint64_t capacity_version = 1;
   std::uint64_t last_poll = 0;
   DispatchCounters counts{};
+  StartGuard start_guard{};
   // Time from a job's acceptance to its first acknowledged start.
   LatencyHistogram first_start{};
 
--- a/src/dispatch/job_manager.cc
+++ b/src/dispatch/job_manager.cc
@@ -188,6 +188,7 @@
         for (const std::uint64_t id : task.runs) {
           Run* const run = state_.runs.Find(id);
           if (run == nullptr || run->stop_requested) continue;
+          if (!run->acknowledged) ++state_.counts.unconfirmed_runs_stopped;
           run->stop_requested = true;
           run->next_stop = TimePoint{};
           state_.runs.SetCommandPending(id, true);
--- a/src/dispatch/job_record.h
+++ b/src/dispatch/job_record.h
@@ -17,6 +17,8 @@
   Queue queue{};
   JobDescription spec{};
   std::chrono::milliseconds accepted_at{0};  // since 1970
+  // Version of the row that it was read from; 0 if not known. Not encoded.
+  std::uint64_t row_version = 0;
 };
 
 // Keys of the rows of a job: its record, its cancellation, its progress.
--- a/src/dispatch/run_manager.cc
+++ b/src/dispatch/run_manager.cc
@@ -59,8 +59,7 @@
 
 void RunManager::SendStart(TimePoint now, Run& run, DispatchEffects& out) {
   TrackedWorker* const worker = state_.FindWorker(run.worker);
-  const TrackedJob* const job = state_.FindJob(run.key.task.job);
-  if (worker == nullptr || job == nullptr) return;
+  if (worker == nullptr) return;
   run.next_send = now + state_.options.start_retry_delay;
   const std::chrono::milliseconds length = state_.GrantableLease(now);
   if (length.count() <= 0) return;
@@ -71,14 +70,55 @@
   if (run.send_count == 0) run.deadline = *lease;
   const std::size_t doublings = std::min(run.send_count, kMaxBackoffDoublings);
   run.next_send = now + state_.options.start_retry_delay * (1 << doublings);
+  ++run.send_count;
+  TrackedJob* const job = state_.FindJob(run.key.task.job);
+  StartRun command = MakeStartCommand(now, run, *worker, job);
+  const StartFault fault = state_.start_guard.Check(job, run, command);
+  if (fault != StartFault::kNone) {
+    Withhold(now, run, fault);
+    return;
+  }
   run.start_in_flight = true;
   ++run.unanswered_sends;
-  if (run.send_count++ > 0) ++state_.counts.start_retries;
+  if (run.send_count > 1) ++state_.counts.start_retries;
   state_.runs.SetCommandPending(run.id, true);
-  out.emplace_back(StartRun{run.id, run.worker, worker->registration().address,
-                            run.key, job->record.spec.payload, run.deadline,
-                            state_.fence, run.saved, run.ticket,
-                            run.send_count > 1});
+  out.emplace_back(std::move(command));
+}
+
+StartRun RunManager::MakeStartCommand(TimePoint now, const Run& run,
+                                      const TrackedWorker& worker,
+                                      const TrackedJob* job) const {
+  StartRun command;
+  command.run_id = run.id;
+  command.worker = run.worker;
+  command.address = worker.registration().address;
+  command.run = run.key;
+  command.deadline = run.deadline;
+  command.fence = state_.fence;
+  command.saved = run.saved;
+  command.ticket = run.ticket;
+  command.fresh_connection = run.send_count > 1;
+  if (job == nullptr) return command;
+  command.payload = job->record.spec.payload;
+  command.job_row_version = job->record.row_version;
+  command.job_age = std::chrono::duration_cast<std::chrono::milliseconds>(
+      now - job->accepted_at);
+  return command;
+}
+
+// The command is not sent. The run ends at once if no earlier attempt can have
+// reached the worker, and is stopped otherwise.
+void RunManager::Withhold(TimePoint now, Run& run, StartFault fault) {
+  state_.ReportInvariantBreach(
+      "start withheld reason=" + std::string(Name(fault)) +
+      " task=" + Describe(run.key) + " worker=" + run.worker.value() +
+      " fence=" + std::to_string(state_.fence) +
+      " attempt=" + std::to_string(run.send_count));
+  if (run.unanswered_sends > 0) {
+    RequestStop(run);
+    return;
+  }
+  End(now, run.id, RunEndReason::kLost, "");
 }
 
 void RunManager::Adopt(TimePoint now, TrackedWorker& worker,
@@ -122,6 +162,7 @@
     LogInfo(LogPart::kPlacer,
             "stopping an adopted run that is not needed task=" +
                 Describe(run.key) + " worker=" + run.worker.value());
+    ++state_.counts.adopted_runs_stopped;
     RequestStop(run);
   }
   if (task == nullptr) return;
@@ -135,7 +176,10 @@
 void RunManager::StopOrphans(TimePoint now) {
   for (const std::uint64_t id : state_.runs.orphans()) {
     Run& run = *state_.runs.Find(id);
-    if (now >= run.acknowledged_at + kOrphanTimeout) RequestStop(run);
+    if (run.stop_requested || now < run.acknowledged_at + kOrphanTimeout)
+      continue;
+    ++state_.counts.orphans_stopped;
+    RequestStop(run);
   }
 }
 
@@ -213,6 +257,7 @@
 void RunManager::SendStop(TimePoint now, Run& run, DispatchEffects& out) {
   TrackedWorker* const worker = state_.FindWorker(run.worker);
   if (worker == nullptr) return;
+  if (run.next_stop != TimePoint{}) ++state_.counts.stop_retries;
   run.stop_in_flight = true;
   run.next_stop = now + kStopRetryDelay;
   out.emplace_back(StopRun{run.id, run.worker, worker->registration().address,
--- a/src/dispatch/run_manager.h
+++ b/src/dispatch/run_manager.h
@@ -53,6 +53,10 @@
  private:
   void Attach(Run& run, TrackedJob& job);
   void SendStart(TimePoint now, Run& run, DispatchEffects& out);
+  StartRun MakeStartCommand(TimePoint now, const Run& run,
+                            const TrackedWorker& worker,
+                            const TrackedJob* job) const;
+  void Withhold(TimePoint now, Run& run, StartFault fault);
   void SendStop(TimePoint now, Run& run, DispatchEffects& out);
   void MarkAcknowledged(TimePoint now, Run& run);
   void OnRefusal(TimePoint now, Run& run, CommandOutcome outcome);
--- a/src/dispatch/worker_messages.h
+++ b/src/dispatch/worker_messages.h
@@ -56,6 +56,10 @@
   std::string saved{};            // checkpoint to resume from; may be empty
   std::string ticket{};           // from the advice service; may be empty
   bool fresh_connection = false;  // true if it must not reuse a connection
+  // For the log: the job row on which the start was decided, and the time since
+  // the job was accepted.
+  std::uint64_t job_row_version = 0;
+  std::chrono::milliseconds job_age{0};
 };
 
 // How a worker has handled a command or a poll.
