A gang that is done is not started again by a repeated command

What a worker saw: a start of a member of a gang whose end as done had been recorded.

Cause: the end of one member marks the whole gang as done. The members' runs are left to end by themselves, also those whose start had no response and is repeated; a worker that crashed or came back runs the task anew (TWICE, and work that nobody waits for).

Ruled out: tasks other than gangs (their runs are stopped when the task is done) and copies (likewise).

Change: the unconfirmed runs of a gang that is done are stopped, which also makes the worker refuse a late copy of the start.

--- a/src/dispatch/run_manager.cc
+++ b/src/dispatch/run_manager.cc
@@ -360,7 +360,11 @@
       step->tasks[i].progress.done = true;
       ++step->done_count;
     }
-    if (!spec.gang) StopTaskRuns(job, key, false);
+    if (spec.gang) {
+      StopUnconfirmedRuns(*step);
+    } else {
+      StopTaskRuns(job, key, false);
+    }
     if (job.IsActive()) jobs_.OnTaskDone(job, key.occurrence);
     return;
   }
@@ -377,6 +381,17 @@
   jobs_.RefreshReadySteps(job);
 }
 
+// The members of a gang that is done end by themselves, but a start that is
+// still being repeated would begin its task anew.
+void RunManager::StopUnconfirmedRuns(const TrackedStep& step) {
+  for (const TrackedTask& task : step.tasks) {
+    for (const std::uint64_t id : task.runs) {
+      Run* const run = state_.runs.Find(id);
+      if (run != nullptr && !run->acknowledged) RequestStop(*run);
+    }
+  }
+}
+
 void RunManager::StopTaskRuns(TrackedJob& job, const TaskKey& key,
                               bool whole_step) {
   TrackedStep& step = *job.FindStep(key.occurrence, key.step);
--- a/src/dispatch/run_manager.h
+++ b/src/dispatch/run_manager.h
@@ -62,6 +62,7 @@
   void OnRefusal(TimePoint now, Run& run, CommandOutcome outcome);
   void RecordEnd(TrackedJob& job, const TaskRunKey& run, RunEndReason reason,
                  const std::string& saved);
+  void StopUnconfirmedRuns(const TrackedStep& step);
   void StopTaskRuns(TrackedJob& job, const TaskKey& key, bool whole_step);
 
   DispatchState& state_;
--- a/tests/dispatch/cluster_model.cc
+++ b/tests/dispatch/cluster_model.cc
@@ -14,6 +14,9 @@
 constexpr milliseconds kStopDuration{500};
 constexpr milliseconds kMaxCancelDelay{4500};
 constexpr milliseconds kWallClockStart{1'000'000};
+// A run of a cancelled job is gone this long after the last start allowed.
+constexpr milliseconds kMaxOverstay{2500};
+constexpr seconds kCheckpointInterval{1};
 constexpr std::size_t kMaxAttempts = 3;
 
 }  // namespace
@@ -84,6 +87,18 @@
   return nullptr;
 }
 
+void ClusterModel::Notify(std::uint64_t term,
+                          std::function<void(Dispatcher&)> call) {
+  ActiveDispatcher* const active = FindDispatcher(term);
+  if (active == nullptr) return;
+  if (now_ >= active->stalled_until) {
+    call(*active->dispatcher);
+    return;
+  }
+  RunAfter(active->stalled_until - now_,
+           [this, term, call = std::move(call)] { Notify(term, call); });
+}
+
 void ClusterModel::Report(const std::string& rule, const std::string& what) {
   const auto at = std::chrono::duration_cast<milliseconds>(now_ - start_);
   violations_.push_back(rule + " at " + std::to_string(at.count()) +
@@ -104,7 +119,7 @@
     record.queue.advice =
         AdvicePolicy{milliseconds(20), milliseconds(1), milliseconds(2500)};
   }
-  record.spec.payload = name;
+  record.spec.payload = "payload of " + name;
   record.spec.steps = std::move(steps);
   record.accepted_at =
       kWallClockStart + std::chrono::duration_cast<milliseconds>(now_ - start_);
@@ -116,15 +131,28 @@
   for (ActiveDispatcher& active : dispatchers_) {
     // A host without the lease accepts no new jobs.
     if (active.lease_lost) continue;
-    active.dispatcher->AddJob(now_, record.accepted_at, record, std::nullopt,
-                              false);
+    Notify(active.term, [this, record](Dispatcher& dispatcher) {
+      dispatcher.AddJob(now_, record.accepted_at, record, std::nullopt, false);
+      if (cancelled_.contains(record.id)) dispatcher.CancelJob(record.id);
+    });
   }
 }
 
 void ClusterModel::Cancel(const JobId& job) {
   cancelled_.try_emplace(job, now_);
-  for (ActiveDispatcher& active : dispatchers_)
-    active.dispatcher->CancelJob(job);
+  const milliseconds longest = options_.faults.max_cancel_delay;
+  for (const ActiveDispatcher& active : dispatchers_) {
+    const std::uint64_t term = active.term;
+    const auto cancel = [this, term, job] {
+      Notify(term,
+             [job](Dispatcher& dispatcher) { dispatcher.CancelJob(job); });
+    };
+    if (longest.count() == 0) {
+      cancel();
+    } else {
+      RunAfter(RandomDuration(milliseconds(0), longest), cancel);
+    }
+  }
 }
 
 void ClusterModel::ReplaceDispatcher() {
@@ -167,6 +195,7 @@
   next_crash_ = now_ + options_.faults.crash_interval;
   next_replace_ = now_ + options_.faults.replace_interval;
   next_cancel_ = now_ + options_.faults.cancel_interval;
+  next_stall_ = now_ + options_.faults.stall_interval;
   while (now_ < start_ + options_.length) Step();
 }
 
@@ -213,6 +242,10 @@
     victim.registration.incarnation_start += seconds(1);
   }
   if (is_due(next_replace_, faults.replace_interval)) ReplaceDispatcher();
+  if (is_due(next_stall_, faults.stall_interval)) {
+    dispatchers_.back().stalled_until =
+        now_ + RandomDuration(faults.max_stall / 10, faults.max_stall);
+  }
   if (is_due(next_cancel_, faults.cancel_interval) && !jobs_.empty()) {
     auto job = jobs_.begin();
     std::advance(job, random_() % jobs_.size());
@@ -259,8 +292,9 @@
 
 void ClusterModel::End(ModelWorker& worker, const TaskRunKey& run,
                        RunEndReason how) {
-  worker.running.erase(run);
   EndedRunReport end;
+  end.saved = CheckpointOf(run, worker.running.at(run));
+  worker.running.erase(run);
   end.number = ++worker.last_end;
   end.run = run;
   end.how = how;
@@ -276,7 +310,8 @@
     const bool lease_expired =
         worker.deadline.count() > 0 && ClockOf(worker) > worker.deadline;
     std::vector<std::pair<TaskRunKey, RunEndReason>> ended;
-    for (const auto& [run, execution] : worker.running) {
+    for (auto& [run, execution] : worker.running) {
+      CheckOverstay(run, execution);
       if (now_ >= execution.ends) {
         ended.emplace_back(run, execution.how);
       } else if (lease_expired) {
@@ -298,14 +333,16 @@
 }
 
 void ClusterModel::RunDispatcher(ActiveDispatcher& active) {
+  if (now_ < active.stalled_until) return;
   const std::uint64_t term = active.term;
   Dispatcher& dispatcher = *active.dispatcher;
   DispatchEffects effects;
   const milliseconds wall =
       kWallClockStart + std::chrono::duration_cast<milliseconds>(now_ - start_);
   dispatcher.Decide(now_, wall, effects);
-  for (const DispatchEffect& effect : effects) {
-    std::visit([&](const auto& each) { CarryOut(term, each); }, effect);
+  SendEffects(term, effects);
+  if (dispatcher.state().counts.invariant_breaches > 0) {
+    Report("INVARIANT", "of the dispatcher of term " + std::to_string(term));
   }
   if (active.batch || active.lease_lost || !dispatcher.HasDirty()) return;
   active.batch = dispatcher.TakeBatch(50);
@@ -315,7 +352,7 @@
     const ProgressWriteBatch batch = std::move(*writer->batch);
     writer->batch.reset();
     if (writer->lease_lost) {
-      writer->dispatcher->OnNotSaved(batch);
+      Notify(term, [batch](Dispatcher& target) { target.OnNotSaved(batch); });
       return;
     }
     for (const auto& [id, progress] : batch.jobs) {
@@ -331,10 +368,26 @@
     for (const WorkerRegistration& each : batch.enrolled) {
       enrolled_workers_.insert(each.worker);
     }
-    writer->dispatcher->OnSaved(now_, batch);
+    Notify(term,
+           [this, batch](Dispatcher& target) { target.OnSaved(now_, batch); });
   });
 }
 
+void ClusterModel::SendEffects(std::uint64_t term,
+                               const DispatchEffects& effects) {
+  const milliseconds longest = options_.faults.max_command_delay;
+  for (const DispatchEffect& effect : effects) {
+    const auto send = [this, term, effect] {
+      std::visit([&](const auto& each) { CarryOut(term, each); }, effect);
+    };
+    if (longest.count() == 0 || !AreFaultsActive()) {
+      send();
+    } else {
+      RunAfter(RandomDuration(milliseconds(0), longest), send);
+    }
+  }
+}
+
 // During a split the newest dispatcher reaches about two thirds of the workers
 // and the one before it the others.
 bool ClusterModel::IsSplitFrom(std::uint64_t term,
@@ -386,19 +439,19 @@
 void ClusterModel::CarryOut(std::uint64_t term, const StartRun& command) {
   Deliver(term, command,
           [this, term, id = command.run_id](const CommandResponse& response) {
-            if (ActiveDispatcher* const active = FindDispatcher(term)) {
-              active->dispatcher->OnStartResponse(now_, id, response);
-            }
+            Notify(term, [this, id, response](Dispatcher& dispatcher) {
+              dispatcher.OnStartResponse(now_, id, response);
+            });
           });
 }
 
 void ClusterModel::CarryOut(std::uint64_t term, const StopRun& command) {
   Deliver(term, command,
           [this, term, command](const CommandResponse& response) {
-            if (ActiveDispatcher* const active = FindDispatcher(term)) {
-              active->dispatcher->OnStopAnswer(now_, command.run_id,
-                                               command.worker, response);
-            }
+            Notify(term, [this, command, response](Dispatcher& dispatcher) {
+              dispatcher.OnStopAnswer(now_, command.run_id, command.worker,
+                                      response);
+            });
           });
 }
 
@@ -414,10 +467,10 @@
                             : Duration(0);
   RunAfter(wait, [this, term, delayed] {
     Deliver(term, delayed, [this, term, delayed](const PollResponse& response) {
-      if (ActiveDispatcher* const active = FindDispatcher(term)) {
-        active->dispatcher->OnPollResponse(now_, delayed.worker,
-                                           delayed.poll_id, response);
-      }
+      Notify(term, [this, delayed, response](Dispatcher& dispatcher) {
+        dispatcher.OnPollResponse(now_, delayed.worker, delayed.poll_id,
+                                  response);
+      });
     });
   });
 }
@@ -432,9 +485,9 @@
     response.approved.push_back({id, "ticket"});
   }
   RunAfter(milliseconds(25), [this, term, id = request.request_id, response] {
-    if (ActiveDispatcher* const active = FindDispatcher(term)) {
-      active->dispatcher->OnAdviceResponse(now_, id, response);
-    }
+    Notify(term, [this, id, response](Dispatcher& dispatcher) {
+      dispatcher.OnAdviceResponse(now_, id, response);
+    });
   });
 }
 
@@ -442,6 +495,65 @@
   return persisted_done_.contains(task);
 }
 
+std::string ClusterModel::CheckpointName(const TaskKey& task) const {
+  const bool gang = jobs_.at(task.job).spec.steps.at(task.step).gang;
+  return "saved-" + task.job.value() + "." + std::to_string(task.step) + "." +
+         (gang ? "gang" : std::to_string(task.index)) + ":";
+}
+
+std::string ClusterModel::CheckpointOf(
+    const TaskRunKey& run, const ModelWorker::Execution& execution) const {
+  const auto count = (now_ - execution.started_at) / kCheckpointInterval;
+  if (!execution.checkpoints || count == 0) return execution.saved;
+  return CheckpointName(run.task) + std::to_string(run.number) + "-" +
+         std::to_string(count);
+}
+
+// What a start carries must be its job's payload and a checkpoint of its task,
+// the same for all members of a gang.
+void ClusterModel::CheckUnasked(const StartRun& command,
+                                const std::string& name) {
+  const TaskKey& task = command.run.task;
+  const JobRecord& job = jobs_.at(task.job);
+  if (command.payload != job.spec.payload) {
+    Report("UNASKED", name + " with payload " + command.payload);
+  }
+  const bool own_checkpoint =
+      command.saved.empty() || command.saved.starts_with(CheckpointName(task));
+  if (!own_checkpoint) {
+    Report("UNASKED", name + " with checkpoint " + command.saved);
+  }
+  if (job.spec.steps.at(task.step).gang) {
+    const StepKey step{task.job, task.occurrence, task.step};
+    const auto first = gang_checkpoints_.try_emplace({step, command.run.number},
+                                                     command.saved);
+    if (first.first->second != command.saved) {
+      Report("UNASKED", name + " with another checkpoint than its gang");
+    }
+  }
+  const auto cancelled = cancelled_.find(task.job);
+  if (cancelled != cancelled_.end() &&
+      now_ > cancelled->second + kMaxCancelDelay) {
+    Report("UNASKED", name + " starts after its cancel");
+  }
+}
+
+// Only in schedules in which no other fault excuses a run that goes on.
+void ClusterModel::CheckOverstay(const TaskRunKey& run,
+                                 ModelWorker::Execution& execution) {
+  const ModelFaults& faults = options_.faults;
+  const bool excused =
+      faults.lost_response_rate > 0 || faults.late_command_rate > 0 ||
+      faults.disconnect_interval.count() > 0 ||
+      faults.crash_interval.count() > 0 || faults.split_workers;
+  if (excused || execution.overstayed) return;
+  const auto cancelled = cancelled_.find(run.task.job);
+  if (cancelled == cancelled_.end()) return;
+  if (now_ <= cancelled->second + kMaxCancelDelay + kMaxOverstay) return;
+  execution.overstayed = true;
+  Report("UNASKED", run.task.job.value() + " runs on after its cancel");
+}
+
 void ClusterModel::CheckStart(const ModelWorker& worker,
                               const StartRun& command) {
   const TaskKey& task = command.run.task;
@@ -490,11 +602,7 @@
       failed->second >= kMaxAttempts) {
     Report("BUDGET", name);
   }
-  const auto cancelled = cancelled_.find(task.job);
-  if (cancelled != cancelled_.end() &&
-      now_ > cancelled->second + kMaxCancelDelay) {
-    Report("UNASKED", name);
-  }
+  CheckUnasked(command, name);
 }
 
 CommandResponse ClusterModel::Execute(const StartRun& command) {
@@ -521,6 +629,10 @@
     response.outcome = CommandOutcome::kDeadlineExceeded;
     return response;
   }
+  if (!jobs_.contains(command.run.task.job)) {
+    Report("UNASKED", command.run.task.job.value() + " was never submitted");
+    return response;
+  }
   CheckStart(worker, command);
   ++started_;
   const StepSpec& step =
@@ -528,6 +640,9 @@
   ModelWorker::Execution execution;
   execution.size = step.size;
   execution.long_running = step.long_running;
+  execution.checkpoints = step.checkpoints;
+  execution.started_at = now_;
+  execution.saved = command.saved;
   const bool fails =
       AreFaultsActive() && RandomFraction() < options_.faults.run_failure_rate;
   execution.how = fails ? RunEndReason::kFailed : RunEndReason::kDone;
@@ -580,7 +695,8 @@
   response.outcome = CommandOutcome::kDone;
   response.ended = worker.ended;
   for (const auto& [run, execution] : worker.running) {
-    response.running.push_back(ActiveRunReport{run, "", 50, 0});
+    response.running.push_back(
+        ActiveRunReport{run, CheckpointOf(run, execution), 50, 0});
   }
   return response;
 }
--- a/tests/dispatch/cluster_model.h
+++ b/tests/dispatch/cluster_model.h
@@ -30,6 +30,12 @@
   bool split_workers = false;
   double run_failure_rate = 0;  // runs that fail
   seconds cancel_interval{0};
+  milliseconds max_cancel_delay{0};  // until a cancel reaches a dispatcher
+  // A dispatcher's loop stands still for up to max_stall: what arrives for it
+  // waits, and it sends nothing.
+  seconds stall_interval{0};
+  milliseconds max_stall{0};
+  milliseconds max_command_delay{0};  // from its decision to its sending
 };
 
 struct ModelOptions {
@@ -52,6 +58,10 @@
     TimePoint ends{};
     RunEndReason how = RunEndReason::kDone;
     bool long_running = false;
+    bool checkpoints = false;
+    TimePoint started_at{};
+    std::string saved{};      // checkpoint that it resumed from
+    bool overstayed = false;  // reported as running on after its job's cancel
   };
   WorkerRegistration registration{};
   std::uint64_t fence = 0;
@@ -104,6 +114,7 @@
     TimePoint retired_at = TimePoint::max();
     std::optional<ProgressWriteBatch> batch{};
     bool lease_lost = false;  // true once its writes are rejected
+    TimePoint stalled_until{};
   };
   struct Event {
     TimePoint at;
@@ -119,6 +130,10 @@
   void End(ModelWorker& worker, const TaskRunKey& run, RunEndReason how);
   void RunAfter(Duration delay, std::function<void()> run);
   ActiveDispatcher* FindDispatcher(std::uint64_t term);
+  // Calls the dispatcher of a term, if it is still active, once its loop does
+  // not stand still.
+  void Notify(std::uint64_t term, std::function<void(Dispatcher&)> call);
+  void SendEffects(std::uint64_t term, const DispatchEffects& effects);
 
   void CarryOut(std::uint64_t term, const StartRun& command);
   void CarryOut(std::uint64_t term, const StopRun& command);
@@ -136,6 +151,11 @@
   bool IsReachable(const ModelWorker& worker) const;
   ModelWorker* Find(const WorkerId& id);
   void CheckStart(const ModelWorker& worker, const StartRun& command);
+  void CheckUnasked(const StartRun& command, const std::string& name);
+  void CheckOverstay(const TaskRunKey& run, ModelWorker::Execution& execution);
+  std::string CheckpointName(const TaskKey& task) const;
+  std::string CheckpointOf(const TaskRunKey& run,
+                           const ModelWorker::Execution& execution) const;
   bool IsDonePersisted(const TaskKey& task) const;
   void Report(const std::string& rule, const std::string& what);
   double RandomFraction();
@@ -157,6 +177,8 @@
   std::map<TaskKey, std::size_t> done_;  // successful ends, on any worker
   std::set<TaskKey> persisted_done_;     // of those, persisted
   std::map<TaskKey, std::size_t> persisted_failures_;
+  // Checkpoints with which the members of a gang's run were started.
+  std::map<std::pair<StepKey, std::uint64_t>, std::string> gang_checkpoints_;
   std::vector<std::string> violations_;
   std::size_t started_ = 0;
   std::size_t added_ = 0;
@@ -165,6 +187,7 @@
   TimePoint next_crash_{};
   TimePoint next_replace_{};
   TimePoint next_cancel_{};
+  TimePoint next_stall_{};
 };
 
 }  // namespace chivewing
