Renew the dispatcher's lease on a thread and connection of its own

Callers saw too little served with 350 workers: the lease passed from host to host while its holder was alive and only late. Cause: renewals waited for the event loop that also decides, for the HTTP client's thread that also carries polls, and for progress batches, which rewrote the same row. Ruled out: the store; it answered other hosts in 14 to 18 ms meanwhile.

LeaseKeeper keeps the lease on its own thread with its own client. The lease row now changes only when the lease is taken or released; renewals rewrite a second row of the same part, and a successor's transaction is conditional on both. Batches are conditional on the lease row and on a row of their own, which makes a late copy of a batch fail; they no longer wait for renewals. A host of an earlier version does not see the renewals; the lease row tells it a length of one minute.

ClusterHostTest.TheLeaseStaysWithAHostWhoseLoopIsLate failed before: the other host dispatched within the two seconds ("chivewing_dispatching 0" not found, stopped dispatching fence=2 and 3). The schedules of LeaseManager run in both ways, with the same faults injected.

--- a/src/cluster/cluster_host.cc
+++ b/src/cluster/cluster_host.cc
@@ -58,6 +58,9 @@
       dispatcher_runner_(
           BootClock::now(), settings_, incarnation_, platform, table_watcher_,
           {[this](LoopWork work, auto run) { Post(work, std::move(run)); },
+           [this](LoopWork work) {
+             event_loop_.TryPost({work, [](TimePoint) {}});
+           },
            [] { return WallClockNow(); },
            [this](TimePoint now, const std::vector<TableRow>& rows) {
              for (const TableRow& row : rows) table_watcher_.Apply(now, row);
@@ -70,7 +73,10 @@
            }}),
       event_loop_(kRingCapacity) {}
 
-ClusterHost::~ClusterHost() { event_loop_.Stop(); }
+ClusterHost::~ClusterHost() {
+  dispatcher_runner_.StopLease();
+  event_loop_.Stop();
+}
 
 void ClusterHost::Post(LoopWork work, std::function<void(TimePoint)> run) {
   event_loop_.Post({work, std::move(run)});
@@ -87,6 +93,7 @@
                     [this](TimePoint now, std::vector<Event>& events) {
                       return HandleEvents(now, events);
                     });
+  dispatcher_runner_.StartLease([] { return BootClock::now(); });
   return Ok();
 }
 
@@ -433,6 +440,7 @@
   caller_server_->Stop();
   ready_server_->Stop();
   if (metrics_server_) metrics_server_->Stop();
+  dispatcher_runner_.StopLease();
   event_loop_.Stop();
   mesh_.reset();
 }
--- a/src/cluster/dispatcher_runner.cc
+++ b/src/cluster/dispatcher_runner.cc
@@ -15,6 +15,9 @@
 
 // One dispatcher serves all zones.
 const char* const kDispatcherZone = "all";
+// Rewritten by each progress batch, so that a copy of a batch that arrives late
+// takes no effect.
+const char* const kBatchRowKey = "placer-batch/all";
 // Progress rows of one transaction. The platform accepts 100 entries, the
 // lease's row among them.
 constexpr std::size_t kMaxRowsPerTransaction = 60;
@@ -39,6 +42,7 @@
   // After an outage the holder retries often enough to renew before another
   // host may take over.
   out.max_retry_delay = milliseconds(150);
+  out.separate_renewals = true;
   return out;
 }
 
@@ -54,7 +58,12 @@
       platform_(platform),
       table_watcher_(table_watcher),
       callbacks_(std::move(callbacks)),
-      lease_(now, MakeLeaseSettings(settings, incarnation)),
+      lease_(now, MakeLeaseSettings(settings, incarnation),
+             platform.commit_lease,
+             [this] {
+               // Wakes the owner's thread; a full ring is not idle anyway.
+               callbacks_.wake(LoopWork::kLease);
+             }),
       write_prefix_("batch-" + settings.host.value() + "-" +
                     std::to_string(incarnation) + "-") {}
 
@@ -64,10 +73,10 @@
 }
 
 void DispatcherRunner::OnRow(TimePoint now, const TableRow& row) {
-  if (row.key == LeaseManager::RowKey(ZoneId(kDispatcherZone))) {
-    std::vector<LeaseEffect> effects;
-    lease_.OnRow(now, row, effects);
-    ApplyLeaseEffects(now, effects);
+  const ZoneId zone(kDispatcherZone);
+  if (row.key == LeaseManager::RenewalRowKey(zone)) lease_.OnRow(row);
+  if (row.key == LeaseManager::RowKey(zone)) {
+    lease_.OnRow(row);
     const std::optional<LeaseRow> lease =
         row.value ? DecodeLeaseRow(*row.value) : std::nullopt;
     const bool superseded = lease && dispatcher_ &&
@@ -108,51 +117,30 @@
 }
 
 void DispatcherRunner::TickLease(TimePoint now) {
-  if (!table_watcher_.ready()) return;
-  lease_.set_table_available_since(table_watcher_.TableAvailableSince(now));
-  std::vector<LeaseEffect> effects;
-  lease_.Tick(now, effects);
-  ApplyLeaseEffects(now, effects);
-}
-
-void DispatcherRunner::ApplyLeaseEffects(TimePoint now,
-                                         std::vector<LeaseEffect>& effects) {
-  for (const LeaseEffect& effect : effects) {
-    if (const auto* commit = std::get_if<CommitLease>(&effect)) {
-      CommitLeaseTransaction(commit->transaction);
-    } else if (const auto* acquired = std::get_if<LeaseAcquired>(&effect)) {
-      const bool uninterrupted =
-          dispatcher_ && acquired->epoch == dispatcher_->fence() + 1;
-      if (uninterrupted) {
-        dispatcher_->set_fence(acquired->epoch);
-        AddDeferredJobs(now);
-      } else {
-        BeginTakeOver(now, acquired->epoch);
-      }
-    }
-    // An expired lease does not stop the dispatcher by itself: once another
-    // host has taken over, the workers reject this host's fence.
+  for (const TableRow& row : lease_.TakeRows()) table_watcher_.Apply(now, row);
+  const std::optional<TimePoint> since =
+      table_watcher_.ready() ? table_watcher_.TableAvailableSince(now)
+                             : std::nullopt;
+  if (since != reported_available_since_) {
+    lease_.set_table_available_since(since);
+    reported_available_since_ = since;
   }
+  const LeaseKeeper::State lease = lease_.state();
+  if (!lease.held || lease.epoch == acquired_epoch_) return;
+  acquired_epoch_ = lease.epoch;
+  OnLeaseAcquired(now, lease.epoch);
 }
 
-void DispatcherRunner::CommitLeaseTransaction(
-    const TableTransaction& transaction) {
-  platform_.table.commit(
-      transaction, [this, transaction](const CommitResponse& response) {
-        callbacks_.post(LoopWork::kLease,
-                        [this, transaction, response](TimePoint now) {
-                          OnLeaseCommitResponse(now, transaction, response);
-                        });
-      });
-}
-
-void DispatcherRunner::OnLeaseCommitResponse(
-    TimePoint now, const TableTransaction& transaction,
-    const CommitResponse& response) {
-  std::vector<LeaseEffect> effects;
-  lease_.OnCommit(now, transaction.write_id, response, effects);
-  ApplyLeaseEffects(now, effects);
-  for (const TableRow& row : response.rows) table_watcher_.Apply(now, row);
+// An expired lease does not stop the dispatcher by itself: once another host
+// has taken over, the workers reject this host's fence.
+void DispatcherRunner::OnLeaseAcquired(TimePoint now, std::uint64_t epoch) {
+  const bool uninterrupted = dispatcher_ && epoch == dispatcher_->fence() + 1;
+  if (!uninterrupted) {
+    BeginTakeOver(now, epoch);
+    return;
+  }
+  dispatcher_->set_fence(epoch);
+  AddDeferredJobs(now);
 }
 
 void DispatcherRunner::BeginTakeOver(TimePoint now, std::uint64_t epoch) {
@@ -302,7 +290,10 @@
     return;
   }
   if (!dispatcher_ || !dispatcher_->HasDirty()) return;
-  if (!lease_.CanBeginFencedTransaction(now)) return;
+  const LeaseKeeper::State lease = lease_.state();
+  const bool is_current = lease.held && now < lease.valid_until &&
+                          lease.epoch == dispatcher_->fence();
+  if (!is_current) return;
   ProgressWriteBatch batch = dispatcher_->TakeBatch(kMaxRowsPerTransaction);
   if (batch.empty()) {
     dispatcher_->OnSaved(now, batch);
@@ -310,13 +301,11 @@
   }
   TableTransaction transaction;
   transaction.write_id = write_prefix_ + std::to_string(next_write_number_++);
-  const auto guard = lease_.BeginFencedTransaction(now, transaction.write_id);
-  if (!guard) {
-    dispatcher_->OnNotSaved(batch);
-    return;
-  }
-  transaction.conditions.push_back(guard->condition);
-  transaction.writes.push_back(guard->write);
+  transaction.conditions = {
+      lease.fence,
+      {kBatchRowKey, table_watcher_.cache().version(kBatchRowKey)}};
+  transaction.writes.push_back(
+      {kBatchRowKey, std::to_string(dispatcher_->fence())});
   for (const auto& [id, progress] : batch.jobs) {
     transaction.writes.push_back(
         {ProgressRowKey(id), EncodeJobProgress(progress)});
@@ -357,7 +346,7 @@
   batch_.reset();
   // A batch of an earlier dispatcher says nothing about this one's progress.
   const bool is_own = dispatcher_ && batch_generation_ == generation_;
-  OnLeaseCommitResponse(now, transaction, response);
+  for (const TableRow& row : response.rows) table_watcher_.Apply(now, row);
   if (version == 0) {
     if (is_own && dispatcher_) dispatcher_->OnNotSaved(batch);
     return;
@@ -376,9 +365,7 @@
     DropDispatcher(now, "a worker has seen a higher fence");
     // If this host still holds the lease, it acquires it again with a higher
     // fence.
-    std::vector<LeaseEffect> effects;
-    lease_.Relinquish(effects);
-    ApplyLeaseEffects(now, effects);
+    lease_.Relinquish();
   }
   if (dispatcher_ && !deferred_job_rows_.empty() && lease_.IsHeld(now)) {
     AddDeferredJobs(now);
@@ -387,11 +374,11 @@
       now >= next_workers_read_) {
     ReadWorkers(now);
   }
-  // The lease must be checked several times a second.
+  // The table's availability must be checked several times a second.
   TimePoint next = now + milliseconds(100);
   if (dispatcher_) {
     DispatchEffects effects;
-    dispatcher_->set_sole_until(lease_.valid_until());
+    dispatcher_->set_sole_until(lease_.state().valid_until);
     next = std::min(next,
                     dispatcher_->Decide(now, callbacks_.wall_clock(), effects));
     Execute(effects);
@@ -405,8 +392,8 @@
 std::string DispatcherRunner::LoadSummary(TimePoint now) const {
   if (!dispatcher_) return "";
   const DispatchState& state = dispatcher_->state();
-  const auto lease_left =
-      std::chrono::duration_cast<milliseconds>(lease_.valid_until() - now);
+  const auto lease_left = std::chrono::duration_cast<milliseconds>(
+      lease_.state().valid_until - now);
   return "fence=" + std::to_string(state.fence) +
          " lease_left_ms=" + std::to_string(lease_left.count()) +
          " jobs=" + std::to_string(state.jobs.size()) +
@@ -425,9 +412,7 @@
 void DispatcherRunner::Stop(TimePoint now) {
   DropDispatcher(now, "graceful stop");
   take_over_.reset();
-  std::vector<LeaseEffect> effects;
-  lease_.Stop(now, effects);
-  ApplyLeaseEffects(now, effects);
+  lease_.Release();
 }
 
 void DispatcherRunner::OnAdvice(TimePoint now, std::uint64_t request_id,
--- a/src/cluster/dispatcher_runner.h
+++ b/src/cluster/dispatcher_runner.h
@@ -11,11 +11,11 @@
 
 #include "base/time.h"
 #include "cluster/cluster_settings.h"
+#include "cluster/lease_keeper.h"
 #include "cluster/loop_monitor.h"
 #include "cluster/platform_interface.h"
 #include "cluster/table_watcher.h"
 #include "dispatch/dispatcher.h"
-#include "lease/lease_manager.h"
 
 namespace chivewing {
 
@@ -27,6 +27,8 @@
   using Post = std::function<void(LoopWork, std::function<void(TimePoint)>)>;
   struct Callbacks {
     Post post{};
+    // Makes the owner call Tick soon. Must not block.
+    std::function<void(LoopWork)> wake{};
     std::function<std::chrono::milliseconds()> wall_clock{};
     // Called with the rows of each committed progress batch.
     std::function<void(TimePoint, const std::vector<TableRow>&)>
@@ -47,10 +49,15 @@
   void set_advice_hosts(std::set<HostId> advice_hosts);
   void set_rank(std::size_t rank) { lease_.set_rank(rank); }
 
+  // The thread that keeps the lease. It posts to the owner's thread and must be
+  // stopped before it.
+  void StartLease(TimeSource clock) { lease_.Start(std::move(clock)); }
+  void StopLease() { lease_.Stop(); }
+
   TimePoint Tick(TimePoint now);
   // Graceful stop: stops dispatching and releases the lease.
   void Stop(TimePoint now);
-  bool IsStopped() const { return lease_.IsStopped(); }
+  bool IsStopped() const { return lease_.state().stopped; }
   bool dispatching() const { return dispatcher_ != nullptr; }
   const Dispatcher* dispatcher() const { return dispatcher_.get(); }
   // The dispatcher's queues and the rest of its lease, for the log.
@@ -67,10 +74,7 @@
   };
 
   void TickLease(TimePoint now);
-  void ApplyLeaseEffects(TimePoint now, std::vector<LeaseEffect>& effects);
-  void CommitLeaseTransaction(const TableTransaction& transaction);
-  void OnLeaseCommitResponse(TimePoint now, const TableTransaction& transaction,
-                             const CommitResponse& response);
+  void OnLeaseAcquired(TimePoint now, std::uint64_t epoch);
   void BeginTakeOver(TimePoint now, std::uint64_t epoch);
   void ReadWorkers(TimePoint now);
   void ContinueTakeOver(TimePoint now);
@@ -100,7 +104,10 @@
   const PlatformInterface& platform_;
   TableWatcher& table_watcher_;
   Callbacks callbacks_;
-  LeaseManager lease_;
+  LeaseKeeper lease_;
+  std::uint64_t acquired_epoch_ =
+      0;  // of the lease that was last taken note of
+  std::optional<TimePoint> reported_available_since_;
   std::optional<TakeOver> take_over_;
   std::unique_ptr<Dispatcher> dispatcher_;
   // Rises with each dispatcher; responses to an earlier one are dropped.
--- a/src/cluster/platform_interface.h
+++ b/src/cluster/platform_interface.h
@@ -69,6 +69,11 @@
 
 struct PlatformInterface {
   TableInterface table{};
+  // As table.commit, over a connection and a thread that no other call uses, so
+  // that the renewal of a lease never queues behind them.
+  std::function<void(const TableTransaction&,
+                     std::function<void(CommitResponse)> done)>
+      commit_lease{};
 
   // With `after` 0 reads the current state; otherwise waits up to `wait` for
   // changes since revision `after`.
--- a/src/lease/lease_manager.cc
+++ b/src/lease/lease_manager.cc
@@ -11,6 +11,9 @@
 // A lease is extended by this many commit durations: one for the renewal, one
 // for a commit in flight before it, and two as reserve.
 constexpr int kCommitDurationsPerLease = 4;
+// Length in a lease row whose renewals are separate. It counts for hosts of
+// earlier versions only, which do not see the renewals.
+constexpr Duration kLeaseOfUnrenewedRow = std::chrono::minutes(1);
 
 }  // namespace
 
@@ -22,8 +25,30 @@
   return "placer/" + zone.value();
 }
 
+std::string LeaseManager::RenewalRowKey(const ZoneId& zone) {
+  return "placer-renewal/" + zone.value();
+}
+
 void LeaseManager::OnRow(TimePoint now, const TableRow& row, Effects& out) {
-  if (row.key == RowKey(settings_.zone)) ApplyRow(now, row, out);
+  if (row.key == RowKey(settings_.zone)) {
+    ApplyRow(now, row, out);
+  } else if (settings_.separate_renewals &&
+             row.key == RenewalRowKey(settings_.zone)) {
+    ApplyRenewalRow(now, row);
+  }
+}
+
+void LeaseManager::ApplyRenewalRow(TimePoint now, const TableRow& row) {
+  if (row.version <= renewal_version_) return;
+  const std::optional<LeaseRow> parsed =
+      row.value ? DecodeLeaseRow(*row.value) : LeaseRow{};
+  if (!parsed)
+    LogError(
+        LogPart::kLease,
+        "the renewal row cannot be decoded; the lease row's length counts");
+  renewal_ = parsed.value_or(LeaseRow{});
+  renewal_version_ = row.version;
+  row_seen_at_ = now;
 }
 
 void LeaseManager::ApplyRow(TimePoint now, const TableRow& row, Effects& out) {
@@ -63,28 +88,31 @@
   out.emplace_back(LeaseLost{epoch_});
 }
 
-bool LeaseManager::IsAcquireDue(TimePoint now) const {
+// A renewal of an earlier epoch says nothing about the present holder, which
+// may be of a version that renews the lease row itself.
+Duration LeaseManager::WrittenLease() const {
+  const bool renewed =
+      settings_.separate_renewals && renewal_.epoch >= row_.epoch;
+  return std::max(renewed ? renewal_.lease : row_.lease, settings_.lease);
+}
+
+TimePoint LeaseManager::AcquireDueAt() const {
   // A row of this host that is not held has expired or belongs to an earlier
   // process of this host. That process is gone, because this one has bound its
   // address, so there is no need to wait.
-  if (row_.host == settings_.host) return true;
-  if (!table_available_since_) return false;
+  if (row_.host == settings_.host) return row_seen_at_;
+  if (!table_available_since_) return TimePoint::max();
   const Duration delay =
       settings_.acquire_stagger * static_cast<std::int64_t>(rank_);
-  if (row_.host.empty()) return now >= row_seen_at_ + delay;
-  const Duration lease = std::max(row_.lease, settings_.lease);
+  if (row_.host.empty()) return row_seen_at_ + delay;
   const TimePoint from = std::max(row_seen_at_, *table_available_since_);
-  return now >= from + lease + settings_.clock_drift_margin + delay;
+  return from + WrittenLease() + settings_.clock_drift_margin + delay;
 }
 
 void LeaseManager::Tick(TimePoint now, Effects& out) {
   CheckExpiry(now, out);
   if (in_flight_) {
-    if (in_flight_->kind != CommitKind::kFencedTransaction &&
-        in_flight_->IsRetryDue(now)) {
-      in_flight_->awaiting_retry = false;
-      out.emplace_back(CommitLease{in_flight_->transaction});
-    }
+    SendAgainOrAbandon(now, out);
     return;
   }
   if (held_ && stopping_) {
@@ -101,6 +129,32 @@
   }
 }
 
+void LeaseManager::SendAgainOrAbandon(TimePoint now, Effects& out) {
+  if (in_flight_->kind == CommitKind::kFencedTransaction ||
+      !in_flight_->IsRetryDue(now)) {
+    return;
+  }
+  // An acquisition sent before an outage of the table must not replace the
+  // holder at its end. If it has taken effect, the row shows it.
+  if (in_flight_->kind == CommitKind::kAcquire && !IsAcquireDue(now)) {
+    LogInfo(LogPart::kLease, "acquisition abandoned, the table was away");
+    in_flight_.reset();
+    return;
+  }
+  in_flight_->awaiting_retry = false;
+  out.emplace_back(CommitLease{in_flight_->transaction});
+}
+
+TimePoint LeaseManager::NextTick(TimePoint now) const {
+  if (in_flight_) {
+    const TimePoint retry =
+        in_flight_->awaiting_retry ? in_flight_->retry_at : TimePoint::max();
+    return held_ ? std::min(retry, valid_until_) : retry;
+  }
+  if (held_) return renewed_at_ + settings_.renew_interval;
+  return stopping_ ? TimePoint::max() : std::max(now, AcquireDueAt());
+}
+
 Duration LeaseManager::CurrentLeaseDuration() const {
   const Duration longest =
       std::max(settings_.max_lease_duration, settings_.lease);
@@ -127,12 +181,29 @@
   commit.kind = kind;
   commit.written_row = row;
   commit.first_sent_at = now;
-  commit.transaction = {
-      NewWriteId(), {{key, row_version_}}, {{key, EncodeLeaseRow(row)}}};
+  TableTransaction& transaction = commit.transaction;
+  transaction.write_id = NewWriteId();
+  transaction.conditions.push_back({key, row_version_});
+  if (settings_.separate_renewals) {
+    const std::string renewal = RenewalRowKey(settings_.zone);
+    transaction.conditions.push_back({renewal, renewal_version_});
+    transaction.writes.push_back({renewal, EncodeLeaseRow(row)});
+  }
+  if (kind != CommitKind::kRenew || !settings_.separate_renewals) {
+    LeaseRow lease_row = row;
+    if (settings_.separate_renewals) lease_row.lease = kLeaseOfUnrenewedRow;
+    transaction.writes.push_back({key, EncodeLeaseRow(lease_row)});
+  }
   out.emplace_back(CommitLease{commit.transaction});
   in_flight_ = std::move(commit);
 }
 
+std::optional<TableCondition> LeaseManager::FenceCondition(
+    TimePoint now) const {
+  if (!IsHeld(now)) return std::nullopt;
+  return TableCondition{RowKey(settings_.zone), row_version_};
+}
+
 std::optional<LeaseTransactionPart> LeaseManager::BeginFencedTransaction(
     TimePoint now, const std::string& write_id) {
   if (!IsHeld(now) || in_flight_) return std::nullopt;
@@ -178,8 +249,14 @@
 void LeaseManager::OnCommitted(TimePoint now, const InFlightCommit& commit,
                                std::uint64_t version, Effects& out) {
   if (version < row_version_) return;  // a newer row has already been applied
-  row_version_ = version;
-  row_ = commit.written_row;
+  if (settings_.separate_renewals) {
+    renewal_version_ = std::max(renewal_version_, version);
+    renewal_ = commit.written_row;
+  }
+  if (commit.kind != CommitKind::kRenew || !settings_.separate_renewals) {
+    row_version_ = version;
+    row_ = commit.written_row;
+  }
   row_seen_at_ = now;
   if (commit.kind == CommitKind::kRelease) {
     held_ = false;
--- a/src/lease/lease_manager.h
+++ b/src/lease/lease_manager.h
@@ -49,6 +49,11 @@
   Duration acquire_stagger = std::chrono::milliseconds(100);
   Duration initial_retry_delay = std::chrono::milliseconds(50);
   Duration max_retry_delay = std::chrono::seconds(1);
+  // Renewals rewrite a row of their own, so that the lease row changes only
+  // when the lease is acquired or released. The holder's transactions are then
+  // conditional on the lease row alone (FenceCondition) and neither wait for
+  // renewals nor delay them.
+  bool separate_renewals = false;
 };
 
 // Faults that tests inject to show that each safety mechanism is needed. All
@@ -116,6 +121,13 @@
   std::optional<LeaseTransactionPart> BeginFencedTransaction(
       TimePoint now, const std::string& write_id);
 
+  // With separate renewals: the condition that makes a transaction take effect
+  // only while this host's lease has not passed to another epoch. Empty when
+  // the lease is not held.
+  std::optional<TableCondition> FenceCondition(TimePoint now) const;
+  // Latest time of the next Tick, except for what an event changes.
+  TimePoint NextTick(TimePoint now) const;
+
   // Gives up the lease without a write. A later Tick may acquire it again with
   // a higher epoch.
   void Relinquish(Effects& out);
@@ -125,6 +137,8 @@
   bool IsStopped() const;
 
   static std::string RowKey(const ZoneId& zone);
+  // Row that renewals rewrite if they are separate.
+  static std::string RenewalRowKey(const ZoneId& zone);
 
  private:
   enum class CommitKind { kAcquire, kRenew, kRelease, kFencedTransaction };
@@ -135,7 +149,13 @@
   };
 
   bool IsHeldByThisProcess() const;
-  bool IsAcquireDue(TimePoint now) const;
+  bool IsAcquireDue(TimePoint now) const { return now >= AcquireDueAt(); }
+  // Time from which this host may acquire the lease; TimePoint::max() while the
+  // table does not respond.
+  TimePoint AcquireDueAt() const;
+  // Length of the lease that the present holder has last written.
+  Duration WrittenLease() const;
+  void SendAgainOrAbandon(TimePoint now, Effects& out);
   void CheckExpiry(TimePoint now, Effects& out);
   void MarkLost(Effects& out);
   Duration CurrentLeaseDuration() const;
@@ -144,6 +164,7 @@
                    Effects& out);
   std::string NewWriteId();
   void ApplyRow(TimePoint now, const TableRow& row, Effects& out);
+  void ApplyRenewalRow(TimePoint now, const TableRow& row);
   void OnCommitted(TimePoint now, const InFlightCommit& commit,
                    std::uint64_t version, Effects& out);
 
@@ -151,7 +172,9 @@
   LeaseFaultInjection faults_;
   LeaseRow row_;  // newest known; host is empty when absent or released
   std::uint64_t row_version_ = 0;
-  TimePoint row_seen_at_;  // when this version was first seen
+  TimePoint row_seen_at_;  // when the row or its renewal was last seen changed
+  LeaseRow renewal_;       // newest known renewal, if renewals are separate
+  std::uint64_t renewal_version_ = 0;
   bool held_ = false;
   bool stopping_ = false;
   std::uint64_t epoch_ = 0;
--- a/tests/cluster/cluster_host_test.cc
+++ b/tests/cluster/cluster_host_test.cc
@@ -32,9 +32,12 @@
 
 // An entry host with its own platform clients.
 struct Host {
-  Host(const std::string& name, const StoreStandin& store,
-       const std::vector<std::uint16_t>& ports)
-      : platform(store.address(), "") {
+  Host(
+      const std::string& name, const StoreStandin& store,
+      const std::vector<std::uint16_t>& ports,
+      const std::function<void(PlatformInterface&)>& change = [](auto&) {})
+      : platform(store.address(), ""), calls(platform.interface()) {
+    change(calls);
     ClusterSettings settings;
     settings.host = HostId(name);
     settings.zone = ZoneId("z1");
@@ -48,7 +51,7 @@
     metrics_url = "http://" + settings.metrics_address + "/metrics";
     caller_url = "http://" + settings.caller_address;
     ready_url = "http://" + settings.ready_address + "/ready";
-    host = std::make_unique<ClusterHost>(settings, platform.interface());
+    host = std::make_unique<ClusterHost>(settings, calls);
     started = static_cast<bool>(host->Start());
   }
   ~Host() { Stop(); }
@@ -70,6 +73,7 @@
   }
 
   wire::PlatformClient platform;
+  PlatformInterface calls;
   std::unique_ptr<ClusterHost> host;
   std::string caller_url;
   std::string ready_url;
@@ -140,6 +144,30 @@
   EXPECT_EQ(worker_.max_concurrent_runs(), 1U);
 }
 
+TEST_F(ClusterHostTest, TheLeaseStaysWithAHostWhoseLoopIsLate) {
+  const auto slow = [](PlatformInterface& calls) {
+    calls.decode_job = [decode = calls.decode_job](const std::string& body) {
+      std::this_thread::sleep_for(seconds(2));
+      return decode(body);
+    };
+  };
+  Host first("h1", store_, {ports_[0], ports_[1], ports_[2], ports_[6]}, slow);
+  ASSERT_TRUE(WaitFor([&] {
+    return Get(first.metrics_url).body.find("chivewing_dispatching 1") !=
+           std::string::npos;
+  }));
+  Host second("h2", store_, {ports_[3], ports_[4], ports_[5], ports_[7]});
+  ASSERT_TRUE(WaitFor([&] { return Get(second.ready_url).status == 200; }));
+  std::thread caller([&] { first.Call("POST", "dddddddddddddddd", kJob); });
+  EXPECT_TRUE(WaitFor([&] {
+    const std::string metrics = Get(second.metrics_url).body;
+    EXPECT_NE(metrics.find("chivewing_dispatching 0"), std::string::npos);
+    return second.StateOf("dddddddddddddddd") == R"({"state":"completed"})";
+  }));
+  caller.join();
+  EXPECT_EQ(worker_.starts(), 5U);
+}
+
 TEST_F(ClusterHostTest, RefusesWhileTheStoreRefuses) {
   Host host("h1", store_, {ports_[0], ports_[1], ports_[2], ports_[6]});
   ASSERT_TRUE(WaitFor([&] { return Get(host.ready_url).status == 200; }));
--- a/tests/lease/lease_manager_test.cc
+++ b/tests/lease/lease_manager_test.cc
@@ -20,6 +20,7 @@
 struct LeaseCase {
   const char* name;
   LeaseFaultInjection faults;
+  bool separate_renewals = false;
 };
 
 // Simulates entry hosts that contend for the placer lease over an unreliable
@@ -64,6 +65,7 @@
     settings.host = HostId("h" + std::to_string(host));
     settings.zone = kZone;
     settings.incarnation = processes_.size() + 1;
+    settings.separate_renewals = options_.separate_renewals;
     Process process;
     process.host = host;
     process.manager = std::make_unique<LeaseManager>(Clock(process), settings,
@@ -105,14 +107,21 @@
     Process& process = processes_[index];
     if (process.batch) return;
     const std::string id = "batch-" + std::to_string(next_batch_++);
+    const TableRow task = table_.Row("task");
+    const TableWrite write{task.key, std::to_string(process.manager->epoch())};
+    if (options_.separate_renewals) {
+      const auto fence = process.manager->FenceCondition(Clock(process));
+      if (!fence) return;
+      process.batch =
+          TableTransaction{id, {*fence, {task.key, task.version}}, {write}};
+      channel_.Send(index, *process.batch);
+      return;
+    }
     const auto part =
         process.manager->BeginFencedTransaction(Clock(process), id);
     if (!part) return;
-    const TableRow task = table_.Row("task");
     process.batch = TableTransaction{
-        id,
-        {part->condition, {task.key, task.version}},
-        {part->write, {task.key, std::to_string(process.manager->epoch())}}};
+        id, {part->condition, {task.key, task.version}}, {part->write, write}};
     channel_.Send(index, *process.batch);
   }
   void OnResponse(std::size_t index, const std::string& write_id,
@@ -156,6 +165,8 @@
   void CheckTable() {
     const TableRow lease = table_.Row(LeaseManager::RowKey(kZone));
     if (lease.version > 0) row_history_.push_back(lease);
+    const TableRow renewal = table_.Row(LeaseManager::RenewalRowKey(kZone));
+    if (renewal.version > 0) row_history_.push_back(renewal);
     const TableRow task = table_.Row("task");
     const std::uint64_t epoch = task.value ? std::stoull(*task.value) : 0;
     if (epoch < task_epoch_) Fail("a placer with an old epoch has committed");
@@ -221,8 +232,14 @@
   RC_ASSERT(LeaseSimulation({"", {}}).Run(schedule) == "");
 }
 
+RC_GTEST_PROP(LeaseManager, OneHostHoldsItWithSeparateRenewals, ()) {
+  const auto schedule = *rc::gen::resize(400, rc::gen::arbitrary<Schedule>());
+  RC_ASSERT(LeaseSimulation({"", {}, true}).Run(schedule) == "");
+}
+
 TEST(LeaseManagerSchedules, HoldWithAllMechanisms) {
   EXPECT_EQ(CountViolations<LeaseSimulation>(LeaseCase{"", {}}, 300), 0);
+  EXPECT_EQ(CountViolations<LeaseSimulation>(LeaseCase{"", {}, true}, 300), 0);
 }
 
 class LeaseFaultTest : public testing::TestWithParam<LeaseCase> {};
@@ -231,12 +248,16 @@
   EXPECT_GT(CountViolations<LeaseSimulation>(GetParam(), 300), 0);
 }
 
-INSTANTIATE_TEST_SUITE_P(Mechanisms, LeaseFaultTest,
-                         testing::Values(LeaseCase{"count_from_answer", {true}},
-                                         LeaseCase{"keep_epoch", {false, true}},
-                                         LeaseCase{"ignore_time",
-                                                   {false, false, true}}),
-                         [](const auto& each) { return each.param.name; });
+INSTANTIATE_TEST_SUITE_P(
+    Mechanisms, LeaseFaultTest,
+    testing::Values(LeaseCase{"count_from_answer", {true}},
+                    LeaseCase{"keep_epoch", {false, true}},
+                    LeaseCase{"ignore_time", {false, false, true}},
+                    LeaseCase{"separate_from_answer", {true}, true},
+                    LeaseCase{"separate_epoch", {false, true}, true},
+                    LeaseCase{
+                        "separate_ignore_time", {false, false, true}, true}),
+    [](const auto& each) { return each.param.name; });
 
 // A holder with a slow clock never renews, and a host with a fast clock waits
 // for the lease to expire. Returns whether both held the lease at the same
@@ -304,6 +325,85 @@
   EXPECT_EQ(out.size(), 1U);
 }
 
+LeaseSettings SeparateSettings(const char* host) {
+  LeaseSettings settings;
+  settings.host = HostId(host);
+  settings.zone = kZone;
+  settings.incarnation = 1;
+  settings.separate_renewals = true;
+  return settings;
+}
+
+// Its answer is lost with the table; the holder must have time to renew first.
+TEST(LeaseManagerOutage, AnAcquisitionFromBeforeItDoesNotReplaceTheHolder) {
+  const LeaseSettings settings = SeparateSettings("h1");
+  LeaseManager waiting(kStart, settings);
+  LeaseManager::Effects out;
+  const LeaseRow row{HostId("h0"), 1, 1, settings.lease, 1};
+  waiting.OnRow(
+      kStart, {LeaseManager::RowKey(kZone), EncodeLeaseRow(row), 1, "w"}, out);
+  const TimePoint lapsed = kStart + settings.lease + seconds(1);
+  waiting.Tick(lapsed, out);
+  ASSERT_EQ(out.size(), 1U);
+  const std::string id = std::get<CommitLease>(out.back()).transaction.write_id;
+  out.clear();
+  waiting.OnCommit(lapsed, id, CommitResponse{}, out);
+  waiting.set_table_available_since(std::nullopt);
+  waiting.Tick(lapsed + seconds(2), out);
+  const TimePoint back = lapsed + seconds(4);
+  waiting.set_table_available_since(back);
+  waiting.Tick(back + milliseconds(10), out);
+  EXPECT_TRUE(out.empty()) << "sent on through the outage";
+}
+
+TEST(LeaseManagerSeparate, RenewalDoesNotWaitForATransactionOfTheHolder) {
+  InMemoryTable table;
+  const LeaseSettings settings = SeparateSettings("h1");
+  LeaseManager manager(kStart, settings);
+  LeaseManager::Effects out;
+  const auto commit = [&](TimePoint now) {
+    const TableTransaction sent = std::get<CommitLease>(out.back()).transaction;
+    out.clear();
+    manager.OnCommit(now, sent.write_id, table.Commit(sent), out);
+  };
+  manager.Tick(kStart, out);
+  commit(kStart);
+  const auto fence = manager.FenceCondition(kStart);
+  ASSERT_TRUE(fence);
+  const TimePoint due = kStart + settings.renew_interval;
+  EXPECT_EQ(manager.NextTick(kStart), due);
+  out.clear();
+  manager.Tick(due, out);
+  ASSERT_EQ(out.size(), 1U);
+  commit(due);
+  EXPECT_GE(manager.valid_until(),
+            due + settings.lease - settings.clock_drift_margin);
+  const TableTransaction batch{"b", {*fence}, {{"task", "x"}}};
+  EXPECT_EQ(table.Commit(batch).status, CommitStatus::kCommitted);
+}
+
+TEST(LeaseManagerSeparate, ATransactionOfALostLeaseTakesNoEffect) {
+  InMemoryTable table;
+  LeaseManager first(kStart, SeparateSettings("h1"));
+  LeaseManager second(kStart, SeparateSettings("h2"));
+  LeaseManager::Effects out;
+  first.Tick(kStart, out);
+  const TableTransaction taken = std::get<CommitLease>(out.back()).transaction;
+  first.OnCommit(kStart, taken.write_id, table.Commit(taken), out);
+  const auto fence = first.FenceCondition(kStart);
+  ASSERT_TRUE(fence);
+  for (const char* key : {"placer/z", "placer-renewal/z"}) {
+    second.OnRow(kStart, table.Row(key), out);
+  }
+  out.clear();
+  const TimePoint later = kStart + seconds(10);
+  second.Tick(later, out);
+  ASSERT_EQ(out.size(), 1U);
+  table.Commit(std::get<CommitLease>(out.back()).transaction);
+  const TableTransaction batch{"b", {*fence}, {{"task", "x"}}};
+  EXPECT_EQ(table.Commit(batch).status, CommitStatus::kConflict);
+}
+
 // Commits take longer than the usual lease, which would then expire before the
 // response to its acquisition arrives.
 TEST(LeaseManagerOutage, LeaseIsAcquiredWithASlowTable) {
