--- a/src/cluster/cluster_host.cc
+++ b/src/cluster/cluster_host.cc
@@ -58,6 +58,9 @@
       dispatcher_runner_(
           BootClock::now(), settings_, incarnation_, platform, table_watcher_,
           {[this](LoopWork work, auto run) { Post(work, std::move(run)); },
+           [this](LoopWork work) {
+             event_loop_.TryPost({work, [](TimePoint) {}});
+           },
            [] { return WallClockNow(); },
            [this](TimePoint now, const std::vector<TableRow>& rows) {
              for (const TableRow& row : rows) table_watcher_.Apply(now, row);
@@ -70,7 +73,10 @@
            }}),
       event_loop_(kRingCapacity) {}
 
-ClusterHost::~ClusterHost() { event_loop_.Stop(); }
+ClusterHost::~ClusterHost() {
+  dispatcher_runner_.StopLease();
+  event_loop_.Stop();
+}
 
 void ClusterHost::Post(LoopWork work, std::function<void(TimePoint)> run) {
   event_loop_.Post({work, std::move(run)});
@@ -87,6 +93,7 @@
                     [this](TimePoint now, std::vector<Event>& events) {
                       return HandleEvents(now, events);
                     });
+  dispatcher_runner_.StartLease([] { return BootClock::now(); });
   return Ok();
 }
 
@@ -183,8 +190,10 @@
   next = std::min(next, table_watcher_.Tick(now));
   next = std::min(next, caller_requests_.Tick(now));
   measured = AccountSince(measured, LoopWork::kTableTimer);
+  const TimePoint deciding_from = measured;
   next = std::min(next, dispatcher_runner_.Tick(now));
   measured = AccountSince(measured, LoopWork::kDeciding);
+  dispatcher_runner_.OnTickMeasured(measured, measured - deciding_from);
   loop_monitor_.AddIteration(measured - now, events.size(),
                              event_loop_.waiting());
   if (!state_watch_in_flight_) next = std::min(next, next_state_watch_);
@@ -433,6 +442,7 @@
   caller_server_->Stop();
   ready_server_->Stop();
   if (metrics_server_) metrics_server_->Stop();
+  dispatcher_runner_.StopLease();
   event_loop_.Stop();
   mesh_.reset();
 }
