--- a/src/cluster/host_row.cc
+++ b/src/cluster/host_row.cc
@@ -15,7 +15,8 @@
   const nlohmann::json out = {{"zone", row.zone.value()},
                               {"address", row.address},
                               {"incarnation", row.incarnation},
-                              {"processor_milli", row.processor_milli}};
+                              {"processor_milli", row.processor_milli},
+                              {"takes_worker_calls", row.takes_worker_calls}};
   return out.dump();
 }
 
@@ -30,6 +31,7 @@
   out.incarnation = static_cast<std::uint64_t>(reader.Integer("incarnation"));
   // Absent from rows that earlier versions have written.
   out.processor_milli = reader.Integer("processor_milli", 0);
+  out.takes_worker_calls = reader.Flag("takes_worker_calls", false);
   if (!reader.good()) return Error{ResultCode::kBadRequest, reader.problem()};
   return out;
 }
--- a/src/cluster/host_row.h
+++ b/src/cluster/host_row.h
@@ -19,6 +19,8 @@
   std::uint64_t incarnation = 0;  // of the process that wrote the row
   // Thousandths of a core that the host may use; 0 if it is not known.
   std::int64_t processor_milli = 0;
+  // True if the host takes WorkerCalls; older builds do not know them.
+  bool takes_worker_calls = false;
 };
 
 std::string HostRowKey(const HostId& host);
