Peers get the changed state of a job instead of every progress row

Cause: a committed batch was broadcast as RowsPush. A peer needs one word of it soon, the state shown to callers, and that changes twice for most jobs.

Change: JobStatesPush, last in the message variant, carries job and new state, once a turn of the loop and only where the state has changed, whether the commit's answer or the feed brought the row first. It goes only to processes whose host row of the same incarnation says that they take it; an older build would close the connection on it, and reads the rows from the table as all hosts do. States only move forward at the receiver, so a row read later does not take a state back.

Ruled out: a shortened row in the present message, since an older build would keep it as the row and a take-over from it would lose ended tasks.

Evidence: PeersGetChangedStatesInsteadOfProgressRows fails with the broadcast (3 progress rows sent to each peer for one job of 5 tasks, 0 expected) and passes without it. Conclusion: what leaves the dispatching host for callers no longer grows with tasks, only with jobs.

--- a/src/cluster/cluster_host.cc
+++ b/src/cluster/cluster_host.cc
@@ -60,9 +60,6 @@
            [] { return WallClockNow(); },
            [this](TimePoint now, const std::vector<TableRow>& rows) {
              for (const TableRow& row : rows) table_watcher_.Apply(now, row);
-             RowsPush push;
-             push.rows = rows;
-             mesh_->Broadcast(PeerMessage(push));
            },
            [this](const AdviceRequest& request) {
              SendAdviceRequest(request);
@@ -182,6 +179,7 @@
   next = std::min(next, table_watcher_.Tick(now));
   next = std::min(next, caller_requests_.Tick(now));
   measured = AccountSince(measured, LoopWork::kTableTimer);
+  PushStateChanges();
   next = std::min(next, dispatcher_runner_.Tick(now));
   measured = AccountSince(measured, LoopWork::kDeciding);
   loop_monitor_.AddIteration(measured - now, events.size(),
@@ -203,7 +201,11 @@
 }
 
 void ClusterHost::OnRow(TimePoint now, const TableRow& row) {
-  job_status_.OnRow(row);
+  const std::optional<JobPhase> new_state = job_status_.OnRow(row);
+  if (new_state && dispatcher_runner_.dispatching()) {
+    state_changes_.changes.push_back(
+        {JobOfRowKey(row.key, kProgressRows), *new_state});
+  }
   if (row.key.starts_with(kHostRowPrefix)) OnHostRow(row);
   if (row.key.starts_with("placer/") && row.value) {
     if (const auto lease = DecodeLeaseRow(*row.value)) {
@@ -218,6 +220,20 @@
   dispatcher_runner_.OnRow(now, row);
 }
 
+// Callers may ask any host for a state. The other hosts read the rows later,
+// and the rows are much larger than what callers ask for.
+void ClusterHost::PushStateChanges() {
+  if (state_changes_.changes.empty()) return;
+  const JobStatesPush push = std::exchange(state_changes_, {});
+  for (const auto& [host, incarnation] : peer_incarnations_) {
+    const auto row = other_hosts_.find(host);
+    const bool takes_states = row != other_hosts_.end() &&
+                              row->second.takes_job_states &&
+                              row->second.incarnation == incarnation;
+    if (takes_states) mesh_->Send(host, PeerMessage(push));
+  }
+}
+
 // Pushes a row that was committed or read for a caller to the dispatching host,
 // so that it need not wait for its next poll.
 void ClusterHost::OnCallerRow(TimePoint now, const TableRow& row) {
@@ -275,8 +291,9 @@
   write.write_id =
       "host-" + settings_.host.value() + "-" + std::to_string(incarnation_);
   write.conditions = {{key, table_watcher_.cache().version(key)}};
-  write.writes = {{key, EncodeHostRow({settings_.host, settings_.zone,
-                                       settings_.peer_address, incarnation_})}};
+  write.writes = {
+      {key, EncodeHostRow({settings_.host, settings_.zone,
+                           settings_.peer_address, incarnation_, true})}};
   platform_.table.commit(write, [this, write](const CommitResponse& response) {
     Post(LoopWork::kTable, [this, write, response](TimePoint then) {
       host_row_in_flight_ = false;
@@ -326,6 +343,7 @@
     } else if (!wanted && mesh_peers_.erase(host) > 0) {
       mesh_->RemovePeer(host);
       connected_peers_.erase(host);
+      peer_incarnations_.erase(host);
     }
   }
   dispatcher_runner_.set_rank(rank);
@@ -341,10 +359,12 @@
 void ClusterHost::OnPeerEvent(TimePoint now, const PeerEvent& event) {
   if (const auto* up = std::get_if<PeerUp>(&event)) {
     connected_peers_.insert(up->host);
+    peer_incarnations_[up->host] = up->incarnation;
     LogInfo(LogPart::kPeer, "peer connected host=" + up->host.value());
     UpdateAdviceHosts();
   } else if (const auto* down = std::get_if<PeerDown>(&event)) {
     connected_peers_.erase(down->host);
+    peer_incarnations_.erase(down->host);
     UpdateAdviceHosts();
     LogWarning(LogPart::kPeer, "peer disconnected host=" + down->host.value());
   } else if (const auto* received = std::get_if<PeerMessageReceived>(&event)) {
@@ -356,6 +376,11 @@
                                 const PeerMessageReceived& received) {
   if (const auto* push = std::get_if<RowsPush>(&received.message)) {
     for (const TableRow& row : push->rows) table_watcher_.Apply(now, row);
+  } else if (const auto* states =
+                 std::get_if<JobStatesPush>(&received.message)) {
+    for (const JobStateChange& change : states->changes) {
+      job_status_.OnCommittedState(change.job, change.state);
+    }
   } else if (const auto* request =
                  std::get_if<PeerAdviceRequest>(&received.message)) {
     OnPeerAdviceRequest(received.from, *request);
--- a/src/cluster/cluster_host.h
+++ b/src/cluster/cluster_host.h
@@ -56,6 +56,7 @@
   Status StartMetrics();
   std::string MetricsText(TimePoint now) const;
   void OnRow(TimePoint now, const TableRow& row);
+  void PushStateChanges();
   void OnCallerRow(TimePoint now, const TableRow& row);
   void WatchDesiredState(TimePoint now);
   void OnDesiredState(TimePoint now, const DesiredStateUpdate& update);
@@ -79,6 +80,8 @@
   DispatcherRunner dispatcher_runner_;
   std::map<HostId, HostRow> other_hosts_;  // without this host
   std::set<HostId> connected_peers_;
+  std::map<HostId, std::uint64_t> peer_incarnations_;  // of connected peers
+  JobStatesPush state_changes_;  // not yet sent to the other hosts
   std::set<HostId> mesh_peers_;
   HostId dispatching_host_;
 
--- a/src/cluster/host_row.h
+++ b/src/cluster/host_row.h
@@ -17,6 +17,8 @@
   ZoneId zone{};
   std::string address{};          // "ip:port" for peer connections
   std::uint64_t incarnation = 0;  // of the process that wrote the row
+  // True if the host takes JobStatesPush; older builds do not know it.
+  bool takes_job_states = false;
 };
 
 std::string HostRowKey(const HostId& host);
--- a/src/cluster/job_status_index.cc
+++ b/src/cluster/job_status_index.cc
@@ -7,19 +7,19 @@
 
 namespace chivewing {
 
-void JobStatusIndex::OnRow(const TableRow& row) {
+std::optional<JobPhase> JobStatusIndex::OnRow(const TableRow& row) {
   const std::string_view key = row.key;
   if (key.starts_with(kJobRows)) {
     const JobId job = JobOfRowKey(key, kJobRows);
     if (!row.value) {
       entries_.erase(job);
-      return;
+      return std::nullopt;
     }
     const Result<JobRecord> record = DecodeJobRecord(job, *row.value);
     if (!record) {
       LogError(LogPart::kPlacer, "row cannot be decoded; ignoring it key=" +
                                      row.key + " why=" + record.error().detail);
-      return;
+      return std::nullopt;
     }
     Entry& entry = entries_[job];
     entry.accepted = true;
@@ -32,10 +32,19 @@
       LogError(LogPart::kPlacer,
                "row cannot be decoded; ignoring it key=" + row.key +
                    " why=" + progress.error().detail);
-      return;
+      return std::nullopt;
     }
-    entries_[JobOfRowKey(key, kProgressRows)].phase = progress.value().state;
+    const JobPhase state = progress.value().state;
+    if (OnCommittedState(JobOfRowKey(key, kProgressRows), state)) return state;
   }
+  return std::nullopt;
+}
+
+bool JobStatusIndex::OnCommittedState(const JobId& job, JobPhase state) {
+  JobPhase& phase = entries_[job].phase;
+  if (IsFinal(phase) || state <= phase) return false;
+  phase = state;
+  return true;
 }
 
 std::optional<JobPhase> JobStatusIndex::PhaseOf(const JobId& job) const {
--- a/src/cluster/job_status_index.h
+++ b/src/cluster/job_status_index.h
@@ -15,8 +15,13 @@
 // responses to callers at any host. No I/O.
 class JobStatusIndex {
  public:
-  // Applies a job, cancel or progress row; ignores other rows.
-  void OnRow(const TableRow& row);
+  // Applies a job, cancel or progress row; ignores other rows. Returns the
+  // job's new state if the row is a progress row that changes it.
+  std::optional<JobPhase> OnRow(const TableRow& row);
+  // Applies a state that has been committed, ahead of its row. States only
+  // move forward, so the rows before it have no effect. Returns whether the
+  // state has changed.
+  bool OnCommittedState(const JobId& job, JobPhase state);
 
   // The state of a job, or none if its job row is not known.
   std::optional<JobPhase> PhaseOf(const JobId& job) const;
--- a/src/peer/message_codec.cc
+++ b/src/peer/message_codec.cc
@@ -84,6 +84,15 @@
   visit(m.query_id, m.answered, m.approved, m.valid_for);
 }
 
+template <typename Visitor>
+void Fields(Visitor& visit, JobStateChange& m) {
+  visit(m.job, m.state);
+}
+template <typename Visitor>
+void Fields(Visitor& visit, JobStatesPush& m) {
+  visit(m.changes);
+}
+
 // Counts the fields of a structure: the size of its msgpack array.
 struct FieldCounter {
   std::uint32_t count = 0;
@@ -105,6 +114,7 @@
   void Put(std::string& value) { packer_.pack(value); }
   void Put(ResultCode value) { packer_.pack(static_cast<int>(value)); }
   void Put(ClaimState value) { packer_.pack(static_cast<int>(value)); }
+  void Put(JobPhase value) { packer_.pack(static_cast<int>(value)); }
   void Put(std::chrono::milliseconds value) { packer_.pack(value.count()); }
   template <typename Tag>
   void Put(Id<Tag>& value) {
@@ -177,6 +187,13 @@
     to = static_cast<ClaimState>(number);
     return true;
   }
+  static bool Take(const msgpack::object& from, JobPhase& to) {
+    std::uint64_t number = 0;
+    if (!Take(from, number)) return false;
+    if (number > static_cast<std::uint64_t>(JobPhase::kCancelled)) return false;
+    to = static_cast<JobPhase>(number);
+    return true;
+  }
   static bool Take(const msgpack::object& from, std::chrono::milliseconds& to) {
     constexpr std::uint64_t longest = 1ULL << 40;  // 34 years
     std::uint64_t count = 0;
--- a/src/peer/messages.h
+++ b/src/peer/messages.h
@@ -8,6 +8,7 @@
 
 #include "base/id.h"
 #include "base/result_code.h"
+#include "dispatch/job_progress.h"
 #include "store/table.h"
 
 // Messages between entry hosts. docs/PROTOCOLS.md lists their fields in
@@ -130,10 +131,21 @@
   std::chrono::milliseconds valid_for{0};
 };
 
+struct JobStateChange {
+  JobId job;
+  JobPhase state = JobPhase::kQueued;
+};
+
+// Jobs whose committed state has changed, from the dispatching host to hosts
+// whose row says that they take it. The receiver still reads the rows.
+struct JobStatesPush {
+  std::vector<JobStateChange> changes;
+};
+
 using PeerMessage =
     std::variant<Hello, Heartbeat, HeartbeatEcho, ForwardRequest,
                  ForwardResponse, PeerLoadReport, RowsPush, RowsRequest,
                  ClaimQuery, ClaimQueryResponse, Leaving, PeerAdviceRequest,
-                 PeerAdviceResponse>;
+                 PeerAdviceResponse, JobStatesPush>;
 
 }  // namespace chivewing
--- a/tests/cluster/caller_request_handler_test.cc
+++ b/tests/cluster/caller_request_handler_test.cc
@@ -234,6 +234,31 @@
   EXPECT_FALSE(index.PhaseOf(JobId("d")));
 }
 
+TEST(JobStatusIndexTest, OlderRowDoesNotTakeBackACommittedState) {
+  JobStatusIndex index;
+  const JobId job("a");
+  JobProgress progress;
+  EXPECT_TRUE(index.OnCommittedState(job, JobPhase::kCompleted));
+  EXPECT_FALSE(index.PhaseOf(job));  // its job row is not known yet
+  progress.state = JobPhase::kRunning;
+  EXPECT_FALSE(
+      index.OnRow({ProgressRowKey(job), EncodeJobProgress(progress), 2, ""}));
+  JobRecord record;
+  record.spec.steps.resize(1);
+  index.OnRow({JobRecordKey(job), EncodeJobRecord(record), 1, ""});
+  EXPECT_EQ(index.PhaseOf(job), JobPhase::kCompleted);
+}
+
+TEST(JobStatusIndexTest, ReportsAChangedStateOnce) {
+  JobStatusIndex index;
+  JobProgress progress;
+  progress.state = JobPhase::kRunning;
+  TableRow row{ProgressRowKey(JobId("a")), EncodeJobProgress(progress), 2, ""};
+  EXPECT_EQ(index.OnRow(row), JobPhase::kRunning);
+  EXPECT_FALSE(index.OnRow(row));
+  EXPECT_FALSE(index.OnCommittedState(JobId("a"), JobPhase::kRunning));
+}
+
 TEST(DesiredStateCacheTest, IgnoresOlderVersions) {
   DesiredStateCache table;
   DesiredState state;
--- a/tests/cluster/cluster_host_test.cc
+++ b/tests/cluster/cluster_host_test.cc
@@ -6,9 +6,13 @@
 #include <gtest/gtest.h>
 
 #include <memory>
+#include <mutex>
 #include <thread>
 
+#include "cluster/host_row.h"
+#include "peer/peer_mesh.h"
 #include "platform/platform_client.h"
+#include "platform/store_codec.h"
 #include "standins/blocking_http.h"
 #include "standins/free_ports.h"
 #include "standins/store_standin.h"
@@ -140,6 +144,83 @@
   EXPECT_EQ(worker_.max_concurrent_runs(), 1U);
 }
 
+// A peer of the host under test that records what it is sent.
+class RecordingPeer {
+ public:
+  RecordingPeer(const std::string& name, bool takes_job_states,
+                StoreStandin& store) {
+    PeerMeshSettings settings;
+    settings.host = HostId(name);
+    settings.zone = ZoneId("z1");
+    settings.incarnation = 1;
+    settings.key = "chivewing-cluster";
+    settings.listen_address = "127.0.0.1:0";
+    mesh_ = std::move(PeerMesh::Start(settings, [this](const PeerEvent& event) {
+                        Record(event);
+                      }).value());
+    const HostRow row{settings.host, settings.zone,
+                      "127.0.0.1:" + std::to_string(mesh_->port()), 1,
+                      takes_job_states};
+    const std::string key = HostRowKey(settings.host);
+    store.Put(std::string(wire::kTableName), wire::PartitionOf(key), key,
+              "write\n" + EncodeHostRow(row));
+  }
+
+  // States in the order of their messages.
+  std::vector<JobPhase> states() const {
+    const std::scoped_lock lock(mutex_);
+    return states_;
+  }
+  std::size_t progress_rows() const {
+    const std::scoped_lock lock(mutex_);
+    return progress_rows_;
+  }
+
+ private:
+  void Record(const PeerEvent& event) {
+    const std::scoped_lock lock(mutex_);
+    const auto* received = std::get_if<PeerMessageReceived>(&event);
+    if (received == nullptr) return;
+    if (const auto* push = std::get_if<JobStatesPush>(&received->message)) {
+      for (const auto& change : push->changes) states_.push_back(change.state);
+    }
+    if (const auto* push = std::get_if<RowsPush>(&received->message)) {
+      for (const TableRow& row : push->rows) {
+        if (row.key.starts_with(kProgressRows)) ++progress_rows_;
+      }
+    }
+  }
+
+  mutable std::mutex mutex_;
+  std::vector<JobPhase> states_;
+  std::size_t progress_rows_ = 0;
+  std::unique_ptr<PeerMesh> mesh_;  // last: it calls Record until destroyed
+};
+
+TEST_F(ClusterHostTest, PeersGetChangedStatesInsteadOfProgressRows) {
+  const RecordingPeer current("p1", true, store_);
+  const RecordingPeer older_build("p2", false, store_);
+  Host host("h1", store_, {ports_[0], ports_[1], ports_[2], ports_[6]});
+  ASSERT_TRUE(WaitFor([&] {
+    return Get(host.metrics_url).body.find("chivewing_dispatching 1\n") !=
+           std::string::npos;
+  }));
+  ASSERT_TRUE(WaitFor([&] {
+    return Get(host.metrics_url).body.find("chivewing_peers_up 2\n") !=
+           std::string::npos;
+  })) << Get(host.metrics_url).body;
+  EXPECT_EQ(host.Call("POST", "dddddddddddddddd", kJob), 200);
+  EXPECT_TRUE(WaitFor([&] {
+    const std::vector<JobPhase> states = current.states();
+    return !states.empty() && states.back() == JobPhase::kCompleted;
+  }));
+  EXPECT_EQ(current.states(),
+            (std::vector<JobPhase>{JobPhase::kRunning, JobPhase::kCompleted}));
+  EXPECT_EQ(current.progress_rows(), 0U);
+  EXPECT_EQ(older_build.progress_rows(), 0U);
+  EXPECT_TRUE(older_build.states().empty());
+}
+
 TEST_F(ClusterHostTest, RefusesWhileTheStoreRefuses) {
   Host host("h1", store_, {ports_[0], ports_[1], ports_[2], ports_[6]});
   ASSERT_TRUE(WaitFor([&] { return Get(host.ready_url).status == 200; }));
--- a/tests/peer/codec_test.cc
+++ b/tests/peer/codec_test.cc
@@ -71,9 +71,12 @@
                                AnyNumber(),
                                {WorkerId(AnyText()), WorkerId(AnyText())},
                                AnyTime()};
-    default:
+    case 12:
       return PeerAdviceResponse{
           AnyNumber(), true, {{WorkerId(AnyText()), AnyText()}}, AnyTime()};
+    default:
+      return JobStatesPush{{{JobId(AnyText()), JobPhase::kCancelled},
+                            {JobId(AnyText()), JobPhase::kQueued}}};
   }
 }
 
