--- a/src/cluster/cluster_host.cc
+++ b/src/cluster/cluster_host.cc
@@ -82,9 +82,6 @@
            [] { return WallClockNow(); },
            [this](TimePoint now, const std::vector<TableRow>& rows) {
              for (const TableRow& row : rows) table_watcher_.Apply(now, row);
-             RowsPush push;
-             push.rows = rows;
-             mesh_->Broadcast(PeerMessage(push));
            },
            [this](const AdviceRequest& request) {
              SendAdviceRequest(request);
@@ -209,6 +206,7 @@
   next = std::min(next, table_watcher_.Tick(now));
   next = std::min(next, caller_requests_.Tick(now));
   measured = AccountSince(measured, LoopWork::kTableTimer);
+  PushStateChanges();
   const TimePoint deciding_from = measured;
   next = std::min(next, dispatcher_runner_.Tick(now));
   next = std::min(next, worker_calls_.Flush(now));
@@ -235,7 +233,11 @@
 }
 
 void ClusterHost::OnRow(TimePoint now, const TableRow& row) {
-  job_status_.OnRow(row);
+  const std::optional<JobPhase> new_state = job_status_.OnRow(row);
+  if (new_state && dispatcher_runner_.dispatching()) {
+    state_changes_.changes.push_back(
+        {JobOfRowKey(row.key, kProgressRows), *new_state});
+  }
   if (row.key.starts_with(kHostRowPrefix)) OnHostRow(row);
   if (row.key.starts_with("placer/") && row.value) {
     if (const auto lease = DecodeLeaseRow(*row.value)) {
@@ -250,6 +252,20 @@
   dispatcher_runner_.OnRow(now, row);
 }
 
+// Callers may ask any host for a state. The other hosts read the rows later,
+// and the rows are much larger than what callers ask for.
+void ClusterHost::PushStateChanges() {
+  if (state_changes_.changes.empty()) return;
+  const JobStatesPush push = std::exchange(state_changes_, {});
+  for (const auto& [host, incarnation] : peer_incarnations_) {
+    const auto row = other_hosts_.find(host);
+    const bool takes_states = row != other_hosts_.end() &&
+                              row->second.takes_job_states &&
+                              row->second.incarnation == incarnation;
+    if (takes_states) mesh_->Send(host, PeerMessage(push));
+  }
+}
+
 // Pushes a row that was committed or read for a caller to the dispatching host,
 // so that it need not wait for its next poll.
 void ClusterHost::OnCallerRow(TimePoint now, const TableRow& row) {
@@ -297,7 +313,8 @@
 
 HostRow ClusterHost::OwnHostRow() const {
   return {settings_.host, settings_.zone, settings_.peer_address, incarnation_,
-          ProcessorMilli(settings_), /*takes_worker_calls=*/true};
+          ProcessorMilli(settings_), /*takes_worker_calls=*/true,
+          /*takes_job_states=*/true};
 }
 
 // Writes this host's row, in which the other hosts find its address.
@@ -436,6 +453,11 @@
                                 const PeerMessageReceived& received) {
   if (const auto* push = std::get_if<RowsPush>(&received.message)) {
     for (const TableRow& row : push->rows) table_watcher_.Apply(now, row);
+  } else if (const auto* states =
+                 std::get_if<JobStatesPush>(&received.message)) {
+    for (const JobStateChange& change : states->changes) {
+      job_status_.OnCommittedState(change.job, change.state);
+    }
   } else if (const auto* request =
                  std::get_if<PeerAdviceRequest>(&received.message)) {
     OnPeerAdviceRequest(received.from, *request);
--- a/src/cluster/cluster_host.h
+++ b/src/cluster/cluster_host.h
@@ -58,6 +58,7 @@
   Status StartMetrics();
   std::string MetricsText(TimePoint now) const;
   void OnRow(TimePoint now, const TableRow& row);
+  void PushStateChanges();
   void OnCallerRow(TimePoint now, const TableRow& row);
   void WatchDesiredState(TimePoint now);
   void OnDesiredState(TimePoint now, const DesiredStateUpdate& update);
@@ -95,6 +96,7 @@
   // Incarnations of the hosts that have offered to make calls to workers.
   std::map<HostId, std::uint64_t> offered_gateways_;
   TimePoint next_gateway_offer_{};
+  JobStatesPush state_changes_;  // not yet sent to the other hosts
   std::set<HostId> mesh_peers_;
   HostId dispatching_host_;
 
--- a/src/cluster/host_row.cc
+++ b/src/cluster/host_row.cc
@@ -16,7 +16,8 @@
                               {"address", row.address},
                               {"incarnation", row.incarnation},
                               {"processor_milli", row.processor_milli},
-                              {"takes_worker_calls", row.takes_worker_calls}};
+                              {"takes_worker_calls", row.takes_worker_calls},
+                              {"takes_job_states", row.takes_job_states}};
   return out.dump();
 }
 
@@ -32,6 +33,7 @@
   // Absent from rows that earlier versions have written.
   out.processor_milli = reader.Integer("processor_milli", 0);
   out.takes_worker_calls = reader.Flag("takes_worker_calls", false);
+  out.takes_job_states = reader.Flag("takes_job_states", false);
   if (!reader.good()) return Error{ResultCode::kBadRequest, reader.problem()};
   return out;
 }
--- a/src/peer/message_codec.cc
+++ b/src/peer/message_codec.cc
@@ -142,6 +142,14 @@
 void Fields(Visitor& visit, WorkerCallResponses& m) {
   visit(m.commands, m.polls);
 }
+template <typename Visitor>
+void Fields(Visitor& visit, JobStateChange& m) {
+  visit(m.job, m.state);
+}
+template <typename Visitor>
+void Fields(Visitor& visit, JobStatesPush& m) {
+  visit(m.changes);
+}
 
 // Counts the fields of a structure: the size of its msgpack array.
 struct FieldCounter {
@@ -168,6 +176,7 @@
   void Put(RunEndReason value) { packer_.pack(static_cast<int>(value)); }
   void Put(int value) { packer_.pack(value); }
   void Put(double value) { packer_.pack(value); }
+  void Put(JobPhase value) { packer_.pack(static_cast<int>(value)); }
   void Put(std::chrono::milliseconds value) { packer_.pack(value.count()); }
   void Put(std::optional<std::chrono::milliseconds> value) {
     if (value) {
@@ -281,6 +290,13 @@
     }
     return Take(from, to.emplace());
   }
+  static bool Take(const msgpack::object& from, JobPhase& to) {
+    std::uint64_t number = 0;
+    if (!Take(from, number)) return false;
+    if (number > static_cast<std::uint64_t>(JobPhase::kCancelled)) return false;
+    to = static_cast<JobPhase>(number);
+    return true;
+  }
   static bool Take(const msgpack::object& from, std::chrono::milliseconds& to) {
     constexpr std::uint64_t longest = 1ULL << 40;  // 34 years
     std::uint64_t count = 0;
--- a/src/peer/messages.h
+++ b/src/peer/messages.h
@@ -9,6 +9,7 @@
 #include "base/id.h"
 #include "base/result_code.h"
 #include "dispatch/worker_messages.h"
+#include "dispatch/job_progress.h"
 #include "store/table.h"
 
 // Messages between entry hosts. docs/PROTOCOLS.md lists their fields in
@@ -183,10 +184,22 @@
   std::vector<ForwardedPollResponse> polls;
 };
 
+struct JobStateChange {
+  JobId job;
+  JobPhase state = JobPhase::kQueued;
+};
+
+// Jobs whose committed state has changed, from the dispatching host to hosts
+// whose row says that they take it. The receiver still reads the rows.
+struct JobStatesPush {
+  std::vector<JobStateChange> changes;
+};
+
 using PeerMessage =
     std::variant<Hello, Heartbeat, HeartbeatEcho, ForwardRequest,
                  ForwardResponse, PeerLoadReport, RowsPush, RowsRequest,
                  ClaimQuery, ClaimQueryResponse, Leaving, PeerAdviceRequest,
-                 PeerAdviceResponse, WorkerCalls, WorkerCallResponses>;
+                 PeerAdviceResponse, WorkerCalls, WorkerCallResponses,
+                 JobStatesPush>;
 
 }  // namespace chivewing
--- a/tests/peer/codec_test.cc
+++ b/tests/peer/codec_test.cc
@@ -128,8 +128,11 @@
           AnyNumber(), true, {{WorkerId(AnyText()), AnyText()}}, AnyTime()};
     case 13:
       return AnyWorkerCalls();
-    default:
+    case 14:
       return AnyWorkerCallResponses();
+    default:
+      return JobStatesPush{{{JobId(AnyText()), JobPhase::kCancelled},
+                            {JobId(AnyText()), JobPhase::kQueued}}};
   }
 }
 
