--- a/tests/peer/codec_test.cc
+++ b/tests/peer/codec_test.cc
@@ -145,6 +145,25 @@
   RC_ASSERT(Encode(back.value()) == bytes);
 }
 
+// A peer connection was closed at the first response with such figures.
+TEST(Codec, PollResponsesKeepWholeFiguresAndTimesSince1970) {
+  PollResponse poll;
+  poll.incarnation_start = std::chrono::milliseconds(1788546984031);
+  for (const double load : {0.0, 250.0, 2.5, -3.0}) {
+    poll.running.push_back({TaskRunKey{}, "", 100, load});
+  }
+  const Result<PeerMessage> back =
+      Decode(Encode(PeerMessage(WorkerCallResponses{{}, {{7, poll}}})));
+  ASSERT_TRUE(back.has_value());
+  const auto& got =
+      std::get<WorkerCallResponses>(back.value()).polls.front().response;
+  EXPECT_EQ(got.incarnation_start, poll.incarnation_start);
+  ASSERT_EQ(got.running.size(), poll.running.size());
+  for (std::size_t i = 0; i < got.running.size(); ++i) {
+    EXPECT_EQ(got.running[i].load, poll.running[i].load);
+  }
+}
+
 bool IsBad(const std::string& bytes) {
   const Result<PeerMessage> result = Decode(bytes);
   return !result && result.error().code == ResultCode::kBadFrame;
