Peer messages carry calls to workers and their responses

Cause: the dispatching host alone makes all calls to the workers, since entry hosts have no message by which one could ask another to make them.

Change: WorkerCalls holds the starts, stops, paces and polls of one turn for one host, WorkerCallResponses what came of them. Both stand at the end of the variant, so the numbers of all other messages stay.

Conclusion: round trip and damaged bytes hold for all message types.

--- a/src/peer/message_codec.cc
+++ b/src/peer/message_codec.cc
@@ -84,6 +84,65 @@
   visit(m.query_id, m.answered, m.approved, m.valid_for);
 }
 
+template <typename Visitor>
+void Fields(Visitor& visit, ForwardedStart& m) {
+  TaskRunKey& run = m.command.run;
+  visit(m.call_id, m.time_limit, m.command.worker, m.command.address,
+        run.task.job, run.task.occurrence, run.task.step, run.task.index,
+        run.number, m.command.payload, m.command.deadline, m.command.fence,
+        m.command.saved, m.command.ticket, m.command.fresh_connection);
+}
+template <typename Visitor>
+void Fields(Visitor& visit, ForwardedStop& m) {
+  TaskRunKey& run = m.command.run;
+  visit(m.call_id, m.time_limit, m.command.worker, m.command.address,
+        run.task.job, run.task.occurrence, run.task.step, run.task.index,
+        run.number, m.command.fence);
+}
+template <typename Visitor>
+void Fields(Visitor& visit, ForwardedPace& m) {
+  TaskRunKey& run = m.command.run;
+  visit(m.call_id, m.time_limit, m.command.worker, m.command.address,
+        run.task.job, run.task.occurrence, run.task.step, run.task.index,
+        run.number, m.command.percent, m.command.fence);
+}
+template <typename Visitor>
+void Fields(Visitor& visit, ForwardedPoll& m) {
+  visit(m.call_id, m.time_limit, m.command.worker, m.command.address,
+        m.command.fence, m.command.persisted_end, m.command.deadline,
+        m.command.wait, m.command.fresh_connection);
+}
+template <typename Visitor>
+void Fields(Visitor& visit, WorkerCalls& m) {
+  visit(m.starts, m.stops, m.paces, m.polls);
+}
+template <typename Visitor>
+void Fields(Visitor& visit, ForwardedCommandResponse& m) {
+  visit(m.call_id, m.response.outcome, m.response.fence, m.response.clock);
+}
+template <typename Visitor>
+void Fields(Visitor& visit, ActiveRunReport& m) {
+  visit(m.run.task.job, m.run.task.occurrence, m.run.task.step,
+        m.run.task.index, m.run.number, m.saved, m.percent, m.load);
+}
+template <typename Visitor>
+void Fields(Visitor& visit, EndedRunReport& m) {
+  visit(m.number, m.run.task.job, m.run.task.occurrence, m.run.task.step,
+        m.run.task.index, m.run.number, m.how, m.saved);
+}
+template <typename Visitor>
+void Fields(Visitor& visit, ForwardedPollResponse& m) {
+  // A time since 1970 is longer than the longest duration that is accepted.
+  auto start = static_cast<std::uint64_t>(m.response.incarnation_start.count());
+  visit(m.call_id, m.response.outcome, m.response.fence, m.response.clock,
+        start, m.response.running, m.response.ended);
+  m.response.incarnation_start = std::chrono::milliseconds(start);
+}
+template <typename Visitor>
+void Fields(Visitor& visit, WorkerCallResponses& m) {
+  visit(m.commands, m.polls);
+}
+
 // Counts the fields of a structure: the size of its msgpack array.
 struct FieldCounter {
   std::uint32_t count = 0;
@@ -105,7 +164,18 @@
   void Put(std::string& value) { packer_.pack(value); }
   void Put(ResultCode value) { packer_.pack(static_cast<int>(value)); }
   void Put(ClaimState value) { packer_.pack(static_cast<int>(value)); }
+  void Put(CommandOutcome value) { packer_.pack(static_cast<int>(value)); }
+  void Put(RunEndReason value) { packer_.pack(static_cast<int>(value)); }
+  void Put(int value) { packer_.pack(value); }
+  void Put(double value) { packer_.pack(value); }
   void Put(std::chrono::milliseconds value) { packer_.pack(value.count()); }
+  void Put(std::optional<std::chrono::milliseconds> value) {
+    if (value) {
+      Put(*value);
+    } else {
+      packer_.pack_nil();
+    }
+  }
   template <typename Tag>
   void Put(Id<Tag>& value) {
     packer_.pack(value.value());
@@ -171,12 +241,46 @@
     return false;
   }
   static bool Take(const msgpack::object& from, ClaimState& to) {
-    std::uint64_t number = 0;
-    if (!Take(from, number)) return false;
-    if (number > static_cast<std::uint64_t>(ClaimState::kUnknown)) return false;
-    to = static_cast<ClaimState>(number);
+    return TakeEnumerator(from, ClaimState::kUnknown, to);
+  }
+  static bool Take(const msgpack::object& from, CommandOutcome& to) {
+    return TakeEnumerator(from, CommandOutcome::kNotSent, to);
+  }
+  static bool Take(const msgpack::object& from, RunEndReason& to) {
+    return TakeEnumerator(from, RunEndReason::kAlone, to);
+  }
+  static bool Take(const msgpack::object& from, int& to) {
+    const bool is_integer = from.type == msgpack::type::POSITIVE_INTEGER ||
+                            from.type == msgpack::type::NEGATIVE_INTEGER;
+    if (!is_integer || !std::in_range<int>(from.via.i64)) return false;
+    to = static_cast<int>(from.via.i64);
     return true;
   }
+  static bool Take(const msgpack::object& from, double& to) {
+    // The library packs a whole number as an integer.
+    switch (from.type) {
+      case msgpack::type::FLOAT32:
+      case msgpack::type::FLOAT64:
+        to = from.via.f64;
+        return true;
+      case msgpack::type::POSITIVE_INTEGER:
+        to = static_cast<double>(from.via.u64);
+        return true;
+      case msgpack::type::NEGATIVE_INTEGER:
+        to = static_cast<double>(from.via.i64);
+        return true;
+      default:
+        return false;
+    }
+  }
+  static bool Take(const msgpack::object& from,
+                   std::optional<std::chrono::milliseconds>& to) {
+    if (from.type == msgpack::type::NIL) {
+      to.reset();
+      return true;
+    }
+    return Take(from, to.emplace());
+  }
   static bool Take(const msgpack::object& from, std::chrono::milliseconds& to) {
     constexpr std::uint64_t longest = 1ULL << 40;  // 34 years
     std::uint64_t count = 0;
@@ -214,6 +318,14 @@
   }
 
  private:
+  template <typename Enum>
+  static bool TakeEnumerator(const msgpack::object& from, Enum last, Enum& to) {
+    std::uint64_t number = 0;
+    if (!Take(from, number)) return false;
+    if (number > static_cast<std::uint64_t>(last)) return false;
+    to = static_cast<Enum>(number);
+    return true;
+  }
   template <typename Type>
   void TakeNext(Type& to) {
     good_ = good_ && next_ < list_.size && Take(list_.ptr[next_], to);
--- a/src/peer/messages.h
+++ b/src/peer/messages.h
@@ -8,6 +8,7 @@
 
 #include "base/id.h"
 #include "base/result_code.h"
+#include "dispatch/worker_messages.h"
 #include "store/table.h"
 
 // Messages between entry hosts. docs/PROTOCOLS.md lists their fields in
@@ -130,10 +131,62 @@
   std::chrono::milliseconds valid_for{0};
 };
 
+// A call to a worker that the receiver makes on behalf of the dispatching host.
+// `run_id` and `poll_id` of the commands are not sent.
+struct ForwardedStart {
+  std::uint64_t call_id = 0;  // unique in the sender's process
+  // The receiver does not send the call after it has waited this long there.
+  std::chrono::milliseconds time_limit{0};
+  StartRun command;
+};
+
+struct ForwardedStop {
+  std::uint64_t call_id = 0;
+  std::chrono::milliseconds time_limit{0};
+  StopRun command;
+};
+
+struct ForwardedPace {
+  std::uint64_t call_id = 0;
+  std::chrono::milliseconds time_limit{0};
+  PaceRun command;
+};
+
+struct ForwardedPoll {
+  std::uint64_t call_id = 0;
+  std::chrono::milliseconds time_limit{0};
+  PollWorker command;
+};
+
+// Calls that the dispatching host's loop has produced in one turn for the
+// workers of one gateway.
+struct WorkerCalls {
+  std::vector<ForwardedStart> starts;
+  std::vector<ForwardedStop> stops;
+  std::vector<ForwardedPace> paces;
+  std::vector<ForwardedPoll> polls;
+};
+
+struct ForwardedCommandResponse {
+  std::uint64_t call_id = 0;
+  CommandResponse response;
+};
+
+struct ForwardedPollResponse {
+  std::uint64_t call_id = 0;
+  PollResponse response;
+};
+
+// Responses to forwarded calls, in the order of their arrival.
+struct WorkerCallResponses {
+  std::vector<ForwardedCommandResponse> commands;
+  std::vector<ForwardedPollResponse> polls;
+};
+
 using PeerMessage =
     std::variant<Hello, Heartbeat, HeartbeatEcho, ForwardRequest,
                  ForwardResponse, PeerLoadReport, RowsPush, RowsRequest,
                  ClaimQuery, ClaimQueryResponse, Leaving, PeerAdviceRequest,
-                 PeerAdviceResponse>;
+                 PeerAdviceResponse, WorkerCalls, WorkerCallResponses>;
 
 }  // namespace chivewing
--- a/tests/peer/codec_test.cc
+++ b/tests/peer/codec_test.cc
@@ -28,6 +28,58 @@
   return row;
 }
 
+TaskRunKey AnyRun() {
+  return {{JobId(AnyText()), AnyNumber(), AnyNumber(), AnyNumber()},
+          AnyNumber()};
+}
+std::optional<std::chrono::milliseconds> AnyOptionalTime() {
+  if (*rc::gen::arbitrary<bool>()) return std::nullopt;
+  return AnyTime();
+}
+CommandOutcome AnyOutcome() {
+  return static_cast<CommandOutcome>(
+      *rc::gen::inRange(0, static_cast<int>(CommandOutcome::kNotSent) + 1));
+}
+double AnyLoadFigure() {
+  return *rc::gen::element(0.0, 1.0, 2.5, 250.0, -3.0, 1.0 / 3);
+}
+WorkerCalls AnyWorkerCalls() {
+  WorkerCalls out;
+  out.starts.push_back({AnyNumber(),
+                        AnyTime(),
+                        {0, WorkerId(AnyText()), AnyText(), AnyRun(), AnyText(),
+                         AnyTime(), AnyNumber(), AnyText(), AnyText(), true}});
+  out.stops.push_back(
+      {AnyNumber(),
+       AnyTime(),
+       {0, WorkerId(AnyText()), AnyText(), AnyRun(), AnyNumber()}});
+  out.paces.push_back({AnyNumber(),
+                       AnyTime(),
+                       {0, WorkerId(AnyText()), AnyText(), AnyRun(),
+                        *rc::gen::inRange(0, 101), AnyNumber()}});
+  out.polls.push_back(
+      {AnyNumber(),
+       AnyTime(),
+       {0, WorkerId(AnyText()), AnyText(), AnyNumber(), AnyNumber(),
+        AnyOptionalTime(), AnyTime(), *rc::gen::arbitrary<bool>()}});
+  return out;
+}
+WorkerCallResponses AnyWorkerCallResponses() {
+  WorkerCallResponses out;
+  out.commands.push_back(
+      {AnyNumber(), {AnyOutcome(), AnyNumber(), AnyOptionalTime()}});
+  PollResponse poll;
+  poll.outcome = AnyOutcome();
+  poll.clock = AnyOptionalTime();
+  poll.incarnation_start = AnyTime() + std::chrono::years(56);  // since 1970
+  poll.running.push_back(
+      {AnyRun(), AnyText(), *rc::gen::inRange(0, 101), AnyLoadFigure()});
+  poll.ended.push_back(
+      {AnyNumber(), AnyRun(), RunEndReason::kAlone, AnyText()});
+  out.polls.push_back({AnyNumber(), poll});
+  return out;
+}
+
 PeerMessage AnyMessage() {
   constexpr int last = static_cast<int>(std::variant_size_v<PeerMessage>) - 1;
   switch (*rc::gen::inRange(0, last + 1)) {
@@ -71,9 +123,13 @@
                                AnyNumber(),
                                {WorkerId(AnyText()), WorkerId(AnyText())},
                                AnyTime()};
-    default:
+    case 12:
       return PeerAdviceResponse{
           AnyNumber(), true, {{WorkerId(AnyText()), AnyText()}}, AnyTime()};
+    case 13:
+      return AnyWorkerCalls();
+    default:
+      return AnyWorkerCallResponses();
   }
 }
 
@@ -86,6 +142,25 @@
   RC_ASSERT(Encode(back.value()) == bytes);
 }
 
+// A peer connection was closed at the first response with such figures.
+TEST(Codec, PollResponsesKeepWholeFiguresAndTimesSince1970) {
+  PollResponse poll;
+  poll.incarnation_start = std::chrono::milliseconds(1788546984031);
+  for (const double load : {0.0, 250.0, 2.5, -3.0}) {
+    poll.running.push_back({TaskRunKey{}, "", 100, load});
+  }
+  const Result<PeerMessage> back =
+      Decode(Encode(PeerMessage(WorkerCallResponses{{}, {{7, poll}}})));
+  ASSERT_TRUE(back.has_value());
+  const auto& got =
+      std::get<WorkerCallResponses>(back.value()).polls.front().response;
+  EXPECT_EQ(got.incarnation_start, poll.incarnation_start);
+  ASSERT_EQ(got.running.size(), poll.running.size());
+  for (std::size_t i = 0; i < got.running.size(); ++i) {
+    EXPECT_EQ(got.running[i].load, poll.running[i].load);
+  }
+}
+
 bool IsBad(const std::string& bytes) {
   const Result<PeerMessage> result = Decode(bytes);
   return !result && result.error().code == ResultCode::kBadFrame;
