Calls to workers go through other hosts

Cause: one host makes about 2,000 calls a second to 350 workers on half a core: HTTP, JSON and connections compete with deciding, the lease lapses, and take-over adds load.

Ruled out: dividing decisions (gangs and advised steps need workers of all zones).

Change: the dispatching host sends the calls of one turn of its loop for one gateway as one message; gateways make them and gather responses. Decisions, fences and deadlines stay where they were. A lost, silent or late gateway loses its workers at once; a poll that failed through one is made directly once before the worker counts as silent; what was not sent is made directly. A host is a gateway only if its row, written by the process that is connected, says that it knows the messages, and once it has offered itself on its own connection.

Tests: forwarder and gateway with fakes, among them a property that each call ends exactly once; two hosts end to end, the second one stopped.

--- a/src/cluster/cluster_host.cc
+++ b/src/cluster/cluster_host.cc
@@ -24,6 +24,7 @@
 // How long callers are still served after a graceful stop has begun.
 constexpr milliseconds kMaxStopGracePeriod{2500};
 constexpr milliseconds kMaxTickInterval{500};
+constexpr milliseconds kGatewayOfferInterval{1000};
 const char* const kMeshKey = "chivewing-cluster";
 
 }  // namespace
@@ -54,8 +55,25 @@
                },
            .wall_clock = [] { return WallClockNow(); },
            .decode_job = platform.decode_job}),
+      worker_calls_(platform,
+                    {.send =
+                         [this](const HostId& to, const PeerMessage& message) {
+                           return mesh_->Send(to, message);
+                         },
+                     .zone_of =
+                         [this](const WorkerId& worker) {
+                           return ZoneOfWorker(worker);
+                         }}),
+      worker_gateway_(
+          platform,
+          {.post = [this](auto run) { Post(LoopWork::kPeers, std::move(run)); },
+           .send =
+               [this](const HostId& to, const PeerMessage& message) {
+                 return mesh_->Send(to, message);
+               }}),
       dispatcher_runner_(
-          BootClock::now(), settings_, incarnation_, platform, table_watcher_,
+          BootClock::now(), settings_, incarnation_, worker_calls_.interface(),
+          table_watcher_,
           {[this](LoopWork work, auto run) { Post(work, std::move(run)); },
            [] { return WallClockNow(); },
            [this](TimePoint now, const std::vector<TableRow>& rows) {
@@ -152,9 +170,9 @@
   mesh.listen_address = settings_.peer_address;
   Result<std::unique_ptr<PeerMesh>> started =
       PeerMesh::Start(mesh, [this](PeerEvent event) {
-        Post(LoopWork::kPeers, [this, event = std::move(event)](TimePoint now) {
-          OnPeerEvent(now, event);
-        });
+        Post(LoopWork::kPeers,
+             [this, received_at = BootClock::now(), event = std::move(event)](
+                 TimePoint now) { OnPeerEvent(now, received_at, event); });
       });
   if (!started) return started.error();
   mesh_ = std::move(started.value());
@@ -175,6 +193,7 @@
   }
   WatchDesiredState(now);
   WriteHostRow(now);
+  OfferAsGateway(now);
   TimePoint next = now + kMaxTickInterval;
   table_watcher_.set_min_poll_interval(dispatcher_runner_.dispatching()
                                            ? kDispatchingPollInterval
@@ -183,6 +202,8 @@
   next = std::min(next, caller_requests_.Tick(now));
   measured = AccountSince(measured, LoopWork::kTableTimer);
   next = std::min(next, dispatcher_runner_.Tick(now));
+  next = std::min(next, worker_calls_.Flush(now));
+  next = std::min(next, worker_gateway_.Tick(now));
   measured = AccountSince(measured, LoopWork::kDeciding);
   loop_monitor_.AddIteration(measured - now, events.size(),
                              event_loop_.waiting());
@@ -199,7 +220,8 @@
   const std::optional<std::string> summary = loop_monitor_.TakeSummary(now);
   if (!summary || !dispatcher_runner_.dispatching()) return;
   LogInfo(LogPart::kMain, "dispatcher load " + *summary + " " +
-                              dispatcher_runner_.LoadSummary(now));
+                              dispatcher_runner_.LoadSummary(now) + " " +
+                              worker_calls_.LoadSummary());
 }
 
 void ClusterHost::OnRow(TimePoint now, const TableRow& row) {
@@ -276,7 +298,8 @@
       "host-" + settings_.host.value() + "-" + std::to_string(incarnation_);
   write.conditions = {{key, table_watcher_.cache().version(key)}};
   write.writes = {{key, EncodeHostRow({settings_.host, settings_.zone,
-                                       settings_.peer_address, incarnation_})}};
+                                       settings_.peer_address, incarnation_,
+                                       /*takes_worker_calls=*/true})}};
   platform_.table.commit(write, [this, write](const CommitResponse& response) {
     Post(LoopWork::kTable, [this, write, response](TimePoint then) {
       host_row_in_flight_ = false;
@@ -326,6 +349,7 @@
     } else if (!wanted && mesh_peers_.erase(host) > 0) {
       mesh_->RemovePeer(host);
       connected_peers_.erase(host);
+      peer_incarnations_.erase(host);
     }
   }
   dispatcher_runner_.set_rank(rank);
@@ -336,23 +360,68 @@
   std::set<HostId> advice_hosts = connected_peers_;
   advice_hosts.insert(settings_.host);
   dispatcher_runner_.set_advice_hosts(std::move(advice_hosts));
+  UpdateGateways();
+}
+
+// A host that has offered itself also has a connection to this one, for its
+// responses.
+void ClusterHost::UpdateGateways() {
+  std::vector<GatewayOption> options;
+  for (const auto& [host, incarnation] : peer_incarnations_) {
+    const auto offered = offered_gateways_.find(host);
+    if (offered == offered_gateways_.end()) continue;
+    if (offered->second != incarnation || !TakesWorkerCalls(host)) continue;
+    options.push_back({host, other_hosts_.at(host).zone});
+  }
+  worker_calls_.SetGateways(options);
+}
+
+// A host whose row is of another process than the connection may run another
+// build, which may not know the messages.
+bool ClusterHost::TakesWorkerCalls(const HostId& host) const {
+  const auto row = other_hosts_.find(host);
+  const auto peer = peer_incarnations_.find(host);
+  return row != other_hosts_.end() && peer != peer_incarnations_.end() &&
+         row->second.takes_worker_calls &&
+         row->second.incarnation == peer->second;
 }
 
-void ClusterHost::OnPeerEvent(TimePoint now, const PeerEvent& event) {
+// Offers this host to the dispatching one, again and again because a message
+// may be lost with its connection.
+void ClusterHost::OfferAsGateway(TimePoint now) {
+  if (now < next_gateway_offer_ || stopping_) return;
+  if (!TakesWorkerCalls(dispatching_host_)) return;
+  next_gateway_offer_ = now + kGatewayOfferInterval;
+  mesh_->Send(dispatching_host_, PeerMessage(WorkerCallResponses{}));
+}
+
+ZoneId ClusterHost::ZoneOfWorker(const WorkerId& worker) const {
+  const Dispatcher* const dispatcher = dispatcher_runner_.dispatcher();
+  if (dispatcher == nullptr) return {};
+  const auto found = dispatcher->state().workers.find(worker);
+  if (found == dispatcher->state().workers.end()) return {};
+  return found->second.registration().zone;
+}
+
+void ClusterHost::OnPeerEvent(TimePoint now, TimePoint received_at,
+                              const PeerEvent& event) {
   if (const auto* up = std::get_if<PeerUp>(&event)) {
     connected_peers_.insert(up->host);
+    peer_incarnations_[up->host] = up->incarnation;
+    if (up->host == dispatching_host_) next_gateway_offer_ = now;
     LogInfo(LogPart::kPeer, "peer connected host=" + up->host.value());
     UpdateAdviceHosts();
   } else if (const auto* down = std::get_if<PeerDown>(&event)) {
     connected_peers_.erase(down->host);
+    peer_incarnations_.erase(down->host);
     UpdateAdviceHosts();
     LogWarning(LogPart::kPeer, "peer disconnected host=" + down->host.value());
   } else if (const auto* received = std::get_if<PeerMessageReceived>(&event)) {
-    OnPeerMessage(now, *received);
+    OnPeerMessage(now, received_at, *received);
   }
 }
 
-void ClusterHost::OnPeerMessage(TimePoint now,
+void ClusterHost::OnPeerMessage(TimePoint now, TimePoint received_at,
                                 const PeerMessageReceived& received) {
   if (const auto* push = std::get_if<RowsPush>(&received.message)) {
     for (const TableRow& row : push->rows) table_watcher_.Apply(now, row);
@@ -368,6 +437,15 @@
       response.approved.push_back({ticket.worker, ticket.ticket});
     }
     dispatcher_runner_.OnAdvice(now, peer_response->query_id, response);
+  } else if (const auto* calls = std::get_if<WorkerCalls>(&received.message)) {
+    worker_gateway_.OnCalls(now, received_at, received.from, *calls);
+  } else if (const auto* responses =
+                 std::get_if<WorkerCallResponses>(&received.message)) {
+    if (std::exchange(offered_gateways_[received.from], received.incarnation) !=
+        received.incarnation) {
+      UpdateGateways();
+    }
+    worker_calls_.OnResponses(now, received.from, *responses);
   }
 }
 
--- a/src/cluster/cluster_host.h
+++ b/src/cluster/cluster_host.h
@@ -15,6 +15,8 @@
 #include "cluster/loop_monitor.h"
 #include "cluster/platform_interface.h"
 #include "cluster/table_watcher.h"
+#include "cluster/worker_call_forwarder.h"
+#include "cluster/worker_gateway.h"
 #include "entry/event_loop_thread.h"
 #include "http/http_server.h"
 #include "peer/peer_mesh.h"
@@ -62,12 +64,19 @@
   void WriteHostRow(TimePoint now);
   void OnHostRow(const TableRow& row);
   void ConnectPeers();
-  void OnPeerEvent(TimePoint now, const PeerEvent& event);
-  void OnPeerMessage(TimePoint now, const PeerMessageReceived& received);
+  void OnPeerEvent(TimePoint now, TimePoint received_at,
+                   const PeerEvent& event);
+  void OnPeerMessage(TimePoint now, TimePoint received_at,
+                     const PeerMessageReceived& received);
   void SendAdviceRequest(const AdviceRequest& request);
   void OnPeerAdviceRequest(const HostId& from,
                            const PeerAdviceRequest& request);
   void UpdateAdviceHosts();
+  void UpdateGateways();
+  // True if the connected process of the host knows the messages of gateways.
+  bool TakesWorkerCalls(const HostId& host) const;
+  void OfferAsGateway(TimePoint now);
+  ZoneId ZoneOfWorker(const WorkerId& worker) const;
 
   const ClusterSettings settings_;
   const PlatformInterface& platform_;
@@ -76,9 +85,15 @@
   JobStatusIndex job_status_;
   TableWatcher table_watcher_;
   CallerRequestHandler caller_requests_;
+  WorkerCallForwarder worker_calls_;
+  WorkerGateway worker_gateway_;
   DispatcherRunner dispatcher_runner_;
   std::map<HostId, HostRow> other_hosts_;  // without this host
   std::set<HostId> connected_peers_;
+  std::map<HostId, std::uint64_t> peer_incarnations_;  // of connected peers
+  // Incarnations of the hosts that have offered to make calls to workers.
+  std::map<HostId, std::uint64_t> offered_gateways_;
+  TimePoint next_gateway_offer_{};
   std::set<HostId> mesh_peers_;
   HostId dispatching_host_;
 
--- a/src/cluster/host_row.cc
+++ b/src/cluster/host_row.cc
@@ -14,7 +14,8 @@
 std::string EncodeHostRow(const HostRow& row) {
   const nlohmann::json out = {{"zone", row.zone.value()},
                               {"address", row.address},
-                              {"incarnation", row.incarnation}};
+                              {"incarnation", row.incarnation},
+                              {"takes_worker_calls", row.takes_worker_calls}};
   return out.dump();
 }
 
@@ -27,6 +28,7 @@
   out.zone = ZoneId(reader.Text("zone"));
   out.address = reader.Text("address");
   out.incarnation = static_cast<std::uint64_t>(reader.Integer("incarnation"));
+  out.takes_worker_calls = reader.Flag("takes_worker_calls", false);
   if (!reader.good()) return Error{ResultCode::kBadRequest, reader.problem()};
   return out;
 }
--- a/src/cluster/host_row.h
+++ b/src/cluster/host_row.h
@@ -17,6 +17,8 @@
   ZoneId zone{};
   std::string address{};          // "ip:port" for peer connections
   std::uint64_t incarnation = 0;  // of the process that wrote the row
+  // True if the host takes WorkerCalls; older builds do not know them.
+  bool takes_worker_calls = false;
 };
 
 std::string HostRowKey(const HostId& host);
--- a/src/cluster/platform_interface.h
+++ b/src/cluster/platform_interface.h
@@ -19,6 +19,11 @@
 // with a `done` parameter calls it exactly once, from any thread.
 namespace chivewing {
 
+// Longest time from a command to a worker to its response.
+inline constexpr std::chrono::milliseconds kWorkerCommandTimeout{600};
+// Longest time from a poll to its response, beyond its long-poll time.
+inline constexpr std::chrono::milliseconds kWorkerPollTimeoutMargin{400};
+
 // Result of a read of the desired state or of its changes.
 struct DesiredStateUpdate {
   bool ok = false;
