Hosts read the state of a progress row without its tasks

Cause: JobStatusIndex decoded the whole of each progress row, a tree with an entry for each ended task, in order to keep one word of it.

Change: DecodeJobPhase reads the state alone and stops there; the state is now written first, so that it need not pass over the tasks. Members may come in any order, so rows of older builds are read to their state, and older builds read the new rows.

Evidence: ReadsTheStateWithoutTheTasks fails when the row is decoded whole, since its tasks are cut off. A row without a known state is still logged and ignored, whichever way it is malformed. The saving in processor time has not been measured apart; conclusion: the cost of a row to a host that does not dispatch no longer grows with the tasks of its job.

--- a/src/cluster/job_status_index.cc
+++ b/src/cluster/job_status_index.cc
@@ -27,15 +27,14 @@
   } else if (key.starts_with(kCancelRows) && row.value) {
     entries_[JobOfRowKey(key, kCancelRows)].cancelled = true;
   } else if (key.starts_with(kProgressRows) && row.value) {
-    const Result<JobProgress> progress = DecodeJobProgress(*row.value);
-    if (!progress) {
-      LogError(LogPart::kPlacer,
-               "row cannot be decoded; ignoring it key=" + row.key +
-                   " why=" + progress.error().detail);
+    const Result<JobPhase> state = DecodeJobPhase(*row.value);
+    if (!state) {
+      LogError(LogPart::kPlacer, "row cannot be decoded; ignoring it key=" +
+                                     row.key + " why=" + state.error().detail);
       return std::nullopt;
     }
-    const JobPhase state = progress.value().state;
-    if (OnCommittedState(JobOfRowKey(key, kProgressRows), state)) return state;
+    if (OnCommittedState(JobOfRowKey(key, kProgressRows), state.value()))
+      return state.value();
   }
   return std::nullopt;
 }
--- a/src/dispatch/job_progress.cc
+++ b/src/dispatch/job_progress.cc
@@ -11,6 +11,8 @@
 namespace {
 
 using Json = nlohmann::json;
+// Keeps the order of its members.
+using OrderedJson = nlohmann::ordered_json;
 
 constexpr std::array<std::string_view, 5> kPhaseNames = {
     "queued", "running", "completed", "failed", "cancelled"};
@@ -71,6 +73,59 @@
   if (!reader.good()) parent.Fail("occurrences", reader.problem());
 }
 
+// Finds the text of the outermost member "state" and stops there.
+class PhaseFinder : public nlohmann::json_sax<Json> {
+ public:
+  const std::optional<JobPhase>& phase() const { return phase_; }
+
+  bool null() override { return OnOtherValue(); }
+  bool boolean(bool /*value*/) override { return OnOtherValue(); }
+  bool number_integer(number_integer_t /*value*/) override {
+    return OnOtherValue();
+  }
+  bool number_unsigned(number_unsigned_t /*value*/) override {
+    return OnOtherValue();
+  }
+  bool number_float(number_float_t /*value*/,
+                    const string_t& /*text*/) override {
+    return OnOtherValue();
+  }
+  bool string(string_t& value) override {
+    if (!is_state_) return true;
+    phase_ = ParsePhase(value);
+    return false;
+  }
+  bool binary(binary_t& /*value*/) override { return OnOtherValue(); }
+  bool start_object(std::size_t /*elements*/) override { return Open(); }
+  bool key(string_t& value) override {
+    is_state_ = depth_ == 1 && value == "state";
+    return true;
+  }
+  bool end_object() override { return Close(); }
+  bool start_array(std::size_t /*elements*/) override { return Open(); }
+  bool end_array() override { return Close(); }
+  bool parse_error(std::size_t /*position*/, const std::string& /*token*/,
+                   const nlohmann::detail::exception& /*error*/) override {
+    return false;
+  }
+
+ private:
+  // A state that is not a text is malformed.
+  bool OnOtherValue() const { return !is_state_; }
+  bool Open() {
+    ++depth_;
+    return !is_state_;
+  }
+  bool Close() {
+    --depth_;
+    return true;
+  }
+
+  std::size_t depth_ = 0;
+  bool is_state_ = false;  // the last key was the outermost "state"
+  std::optional<JobPhase> phase_;
+};
+
 }  // namespace
 
 std::string_view Name(JobPhase state) {
@@ -84,11 +139,20 @@
     for (const StepProgress& step : steps) list.push_back(ToJson(step));
     occurrences.push_back({{"number", number}, {"steps", std::move(list)}});
   }
-  const Json out = {{"state", Name(progress.state)},
-                    {"top_run", progress.highest_run},
-                    {"finished", progress.finished_occurrences},
-                    {"occurrences", std::move(occurrences)}};
-  return out.dump(-1, ' ', false, Json::error_handler_t::replace);
+  // The state goes first, so that a reader of the state alone can stop there.
+  OrderedJson out;
+  out["state"] = Name(progress.state);
+  out["top_run"] = progress.highest_run;
+  out["finished"] = progress.finished_occurrences;
+  out["occurrences"] = std::move(occurrences);
+  return out.dump(-1, ' ', false, OrderedJson::error_handler_t::replace);
+}
+
+Result<JobPhase> DecodeJobPhase(std::string_view value) {
+  PhaseFinder finder;
+  Json::sax_parse(value, &finder);
+  if (finder.phase()) return *finder.phase();
+  return Error{ResultCode::kBadRequest, "progress row: state is not known"};
 }
 
 Result<JobProgress> DecodeJobProgress(std::string_view value) {
--- a/src/dispatch/job_progress.h
+++ b/src/dispatch/job_progress.h
@@ -44,5 +44,8 @@
 // kBadRequest.
 std::string EncodeJobProgress(const JobProgress& progress);
 Result<JobProgress> DecodeJobProgress(std::string_view value);
+// The state alone. Reads no further than the state, so the rest may be
+// malformed; fails with kBadRequest if there is no state.
+Result<JobPhase> DecodeJobPhase(std::string_view value);
 
 }  // namespace chivewing
--- a/tests/cluster/caller_request_handler_test.cc
+++ b/tests/cluster/caller_request_handler_test.cc
@@ -259,6 +259,27 @@
   EXPECT_FALSE(index.OnCommittedState(JobId("a"), JobPhase::kRunning));
 }
 
+// The tasks in the row are not valid; only the state may be read.
+TEST(JobStatusIndexTest, ReadsTheStateWithoutTheTasks) {
+  JobStatusIndex index;
+  const std::string key = ProgressRowKey(JobId("a"));
+  EXPECT_EQ(index.OnRow({key, R"({"state":"running","occurrences":[{)", 1, ""}),
+            JobPhase::kRunning);
+  const std::string other_order =
+      R"({"occurrences":[{"state":"failed"}],"state":"completed"})";
+  EXPECT_EQ(index.OnRow({key, other_order, 2, ""}), JobPhase::kCompleted);
+}
+
+TEST(JobStatusIndexTest, IgnoresAProgressRowWithoutAState) {
+  JobStatusIndex index;
+  const std::string key = ProgressRowKey(JobId("a"));
+  for (const char* value :
+       {"", "not json", "[]", R"({"state":5})", R"({"state":"other"})",
+        R"({"state":["running"]})", R"({"steps":{"state":"running"}})"}) {
+    EXPECT_FALSE(index.OnRow({key, value, 1, ""})) << value;
+  }
+}
+
 TEST(DesiredStateCacheTest, IgnoresOlderVersions) {
   DesiredStateCache table;
   DesiredState state;
