Limit the dispatching host's decisions to half of its loop's time

Callers saw their jobs accepted and not started: the dispatching host went on holding the lease, but its loop decided without a pause, 0.9 to 1.0 s a second, so that the threads of the same process which carry polls, answers and commits hardly ran. Ruled out: the lease, which it held with 0.4 to 0.7 s left until its zone was cut.

DecisionPacer lets the next decision wait as long as the last one took; a short decision is hardly delayed. It also tells, with hysteresis, whether the host is overloaded; DispatcherRunner::overloaded() is for those who refuse callers, and both changes are logged.

The cost of a decision and the refusing of callers by overloaded() are not part of this change.

--- a/src/cluster/cluster_host.cc
+++ b/src/cluster/cluster_host.cc
@@ -190,8 +190,10 @@
   next = std::min(next, table_watcher_.Tick(now));
   next = std::min(next, caller_requests_.Tick(now));
   measured = AccountSince(measured, LoopWork::kTableTimer);
+  const TimePoint deciding_from = measured;
   next = std::min(next, dispatcher_runner_.Tick(now));
   measured = AccountSince(measured, LoopWork::kDeciding);
+  dispatcher_runner_.OnTickMeasured(measured, measured - deciding_from);
   loop_monitor_.AddIteration(measured - now, events.size(),
                              event_loop_.waiting());
   if (!state_watch_in_flight_) next = std::min(next, next_state_watch_);
--- a/src/cluster/dispatcher_runner.cc
+++ b/src/cluster/dispatcher_runner.cc
@@ -376,7 +376,9 @@
   }
   // The table's availability must be checked several times a second.
   TimePoint next = now + milliseconds(100);
-  if (dispatcher_) {
+  decided_ = dispatcher_ && now >= pacer_.next_decision();
+  if (dispatcher_ && !decided_) next = std::min(next, pacer_.next_decision());
+  if (decided_) {
     DispatchEffects effects;
     dispatcher_->set_sole_until(lease_.state().valid_until);
     next = std::min(next,
@@ -389,6 +391,16 @@
   return next;
 }
 
+void DispatcherRunner::OnTickMeasured(TimePoint end, Duration spent) {
+  if (!decided_) return;
+  const bool was_overloaded = overloaded();
+  pacer_.OnDecision(end, spent);
+  if (overloaded() == was_overloaded) return;
+  LogWarning(LogPart::kPlacer,
+             overloaded() ? "dispatching host is overloaded"
+                          : "dispatching host is no longer overloaded");
+}
+
 std::string DispatcherRunner::LoadSummary(TimePoint now) const {
   if (!dispatcher_) return "";
   const DispatchState& state = dispatcher_->state();
--- a/src/cluster/dispatcher_runner.h
+++ b/src/cluster/dispatcher_runner.h
@@ -11,6 +11,7 @@
 
 #include "base/time.h"
 #include "cluster/cluster_settings.h"
+#include "cluster/decision_pacer.h"
 #include "cluster/lease_keeper.h"
 #include "cluster/loop_monitor.h"
 #include "cluster/platform_interface.h"
@@ -55,6 +56,11 @@
   void StopLease() { lease_.Stop(); }
 
   TimePoint Tick(TimePoint now);
+  // The last Tick has ended at `end` and has taken `spent`.
+  void OnTickMeasured(TimePoint end, Duration spent);
+  // True while this host dispatches and its decisions take most of the time
+  // that they may: callers should be refused rather than accepted.
+  bool overloaded() const { return dispatcher_ && pacer_.overloaded(); }
   // Graceful stop: stops dispatching and releases the lease.
   void Stop(TimePoint now);
   bool IsStopped() const { return lease_.state().stopped; }
@@ -105,6 +111,8 @@
   TableWatcher& table_watcher_;
   Callbacks callbacks_;
   LeaseKeeper lease_;
+  DecisionPacer pacer_;
+  bool decided_ = false;  // in the last Tick
   std::uint64_t acquired_epoch_ =
       0;  // of the lease that was last taken note of
   std::optional<TimePoint> reported_available_since_;
