Count a shortened lease from its sending

Two hosts could hold a lease at once: a holder with a lease of up to 3 s sends a renewal of 0.6 s, which takes effect, and the answer is lost. The holder went on by the older, longer lease, while others waited only for the shorter one. Found by reading the renewal after the first acquisition, which always is longer. LeaseManagerOutage.AShorterLeaseCountsFromItsSending failed ("held by two hosts") with renewals in the lease row and with separate ones.

The holder now limits its lease when it sends the shorter one; the confirmed renewal extends it as before.

--- a/src/lease/lease_manager.cc
+++ b/src/lease/lease_manager.cc
@@ -195,9 +195,15 @@
     transaction.writes.push_back({key, EncodeLeaseRow(lease_row)});
   }
   out.emplace_back(CommitLease{commit.transaction});
+  if (kind == CommitKind::kRenew) LimitTo(now, row);
   in_flight_ = std::move(commit);
 }
 
+void LeaseManager::LimitTo(TimePoint now, const LeaseRow& row) {
+  valid_until_ =
+      std::min(valid_until_, now + row.lease - settings_.clock_drift_margin);
+}
+
 std::optional<TableCondition> LeaseManager::FenceCondition(
     TimePoint now) const {
   if (!IsHeld(now)) return std::nullopt;
@@ -215,6 +221,7 @@
   commit.transaction.write_id = write_id;
   LeaseTransactionPart part{{key, row_version_},
                             {key, EncodeLeaseRow(commit.written_row)}};
+  LimitTo(now, commit.written_row);
   in_flight_ = std::move(commit);
   return part;
 }
--- a/src/lease/lease_manager.h
+++ b/src/lease/lease_manager.h
@@ -162,6 +162,9 @@
   LeaseRow MakeRow(const HostId& host, std::uint64_t epoch) const;
   void StartCommit(TimePoint now, CommitKind kind, const LeaseRow& row,
                    Effects& out);
+  // A shorter lease counts as soon as it is sent: it may take effect although
+  // its response is lost.
+  void LimitTo(TimePoint now, const LeaseRow& row);
   std::string NewWriteId();
   void ApplyRow(TimePoint now, const TableRow& row, Effects& out);
   void ApplyRenewalRow(TimePoint now, const TableRow& row);
--- a/tests/lease/lease_manager_test.cc
+++ b/tests/lease/lease_manager_test.cc
@@ -404,6 +404,40 @@
   EXPECT_EQ(table.Commit(batch).status, CommitStatus::kConflict);
 }
 
+// The renewal that shortens the lease has taken effect, but its answer is lost.
+TEST(LeaseManagerOutage, AShorterLeaseCountsFromItsSending) {
+  for (const bool separate : {false, true}) {
+    InMemoryTable table;
+    LeaseSettings settings = SeparateSettings("h1");
+    settings.separate_renewals = separate;
+    settings.lease = milliseconds(600);
+    settings.max_lease_duration = seconds(3);
+    settings.clock_drift_margin = milliseconds(100);
+    LeaseManager holder(kStart, settings);
+    settings.host = HostId("h2");
+    LeaseManager waiting(kStart, settings);
+    LeaseManager::Effects out;
+    holder.Tick(kStart, out);
+    const auto taken = std::get<CommitLease>(out.back()).transaction;
+    holder.OnCommit(kStart, taken.write_id, table.Commit(taken), out);
+    out.clear();
+    const TimePoint due = kStart + settings.renew_interval;
+    holder.Tick(due, out);
+    table.Commit(std::get<CommitLease>(out.back()).transaction);
+    for (const char* key : {"placer/z", "placer-renewal/z"}) {
+      waiting.OnRow(due, table.Row(key), out);
+    }
+    const TimePoint lapsed = due + milliseconds(710);
+    out.clear();
+    waiting.Tick(lapsed, out);
+    ASSERT_EQ(out.size(), 1U);
+    const auto next = std::get<CommitLease>(out.back()).transaction;
+    waiting.OnCommit(lapsed, next.write_id, table.Commit(next), out);
+    EXPECT_TRUE(waiting.IsHeld(lapsed));
+    EXPECT_FALSE(holder.IsHeld(lapsed)) << "held by two hosts";
+  }
+}
+
 // Commits take longer than the usual lease, which would then expire before the
 // response to its acquisition arrives.
 TEST(LeaseManagerOutage, LeaseIsAcquiredWithASlowTable) {
