Drop a move that does not move in the writer of progress rows

The linter names it: an ordered object's member is assigned from a constant reference, so the move had no effect. No change of behaviour; the tests of the cluster library pass as before, and the file is clean under the linter.

--- a/src/dispatch/job_progress.cc
+++ b/src/dispatch/job_progress.cc
@@ -144,7 +144,7 @@
   out["state"] = Name(progress.state);
   out["top_run"] = progress.highest_run;
   out["finished"] = progress.finished_occurrences;
-  out["occurrences"] = std::move(occurrences);
+  out["occurrences"] = occurrences;
   return out.dump(-1, ' ', false, OrderedJson::error_handler_t::replace);
 }
 
