Only steps that what became free may help are tried again

Seen by callers: on a large site a burst makes starts late, then the holder loses its lease, since the loop that decides takes the processor. Cause: each end and each advice response raised one version for the whole cluster, so every waiting step was tried again; each try looked at every worker once for each task, and sorted all workers with room to ask advice. Change: workers that accept tasks are kept in the order of their free processors; ready steps keep what they wait for (room on an approved worker, room on any that is not rejected, a host that can ask) and are tried when that comes, in the same order of urgency. All tasks of a step have one size, so one sorted list of candidates gives the same best fits, data's rack and failed-on order as before. Pending questions and unknown runs are counted by host and by worker. All steps are still tried twice a second, for tickets and pauses of workers that end. Conclusion: the cost of a try no longer grows with waiting steps times workers; the walks of each turn over all workers and jobs remain.

--- a/src/dispatch/advice_request_manager.cc
+++ b/src/dispatch/advice_request_manager.cc
@@ -32,30 +32,26 @@
   });
 }
 
-std::size_t AdviceRequestManager::CountPending(const HostId& advice_host,
-                                               bool slow) const {
-  return static_cast<std::size_t>(
-      std::count_if(pending_.begin(), pending_.end(), [&](const auto& entry) {
-        return entry.second.advice_host == advice_host &&
-               entry.second.slow == slow;
-      }));
+AdviceRequestManager::PendingCounts AdviceRequestManager::CountPending(
+    const HostId& advice_host) const {
+  const auto found = pending_by_host_.find(advice_host);
+  return found == pending_by_host_.end() ? PendingCounts{} : found->second;
 }
 
-std::optional<HostId> AdviceRequestManager::FindAdviceHost(
-    TimePoint now, std::chrono::microseconds duration) const {
-  const bool slow = IsSlow(duration);
+std::optional<HostId> AdviceRequestManager::FindHost(TimePoint now,
+                                                     bool slow) const {
   std::size_t without_slow = 0;
   std::optional<HostId> best;
   std::size_t best_pending = kMaxQuickRequestsPerHost;
   for (const HostId& advice_host : advice_hosts_) {
-    if (CountPending(advice_host, true) > 0) continue;
+    const PendingCounts counts = CountPending(advice_host);
+    if (counts.slow > 0) continue;
     const auto backoff = backoff_until_.find(advice_host);
     if (backoff != backoff_until_.end() && now < backoff->second) continue;
     ++without_slow;
-    const std::size_t pending = CountPending(advice_host, false);
-    if (pending >= best_pending) continue;
+    if (counts.quick >= best_pending) continue;
     best = advice_host;
-    best_pending = pending;
+    best_pending = counts.quick;
   }
   if (!slow) return best;
   const std::size_t reserved =
@@ -67,6 +63,8 @@
 }
 
 std::uint64_t AdviceRequestManager::AddRequest(PendingAdviceRequest request) {
+  PendingCounts& counts = pending_by_host_[request.advice_host];
+  ++(request.slow ? counts.slow : counts.quick);
   pending_.emplace(++last_request_id_, std::move(request));
   return last_request_id_;
 }
@@ -75,7 +73,13 @@
     std::uint64_t request) {
   auto node = pending_.extract(request);
   if (node.empty()) return std::nullopt;
-  return std::move(node.mapped());
+  PendingAdviceRequest& taken = node.mapped();
+  const auto counts = pending_by_host_.find(taken.advice_host);
+  --(taken.slow ? counts->second.slow : counts->second.quick);
+  if (counts->second.slow + counts->second.quick == 0) {
+    pending_by_host_.erase(counts);
+  }
+  return std::move(taken);
 }
 
 void AdviceRequestManager::OnFailure(TimePoint now, const HostId& advice_host) {
--- a/src/dispatch/advice_request_manager.h
+++ b/src/dispatch/advice_request_manager.h
@@ -42,7 +42,13 @@
   // The host to send a request that takes `duration`; nullopt while all hosts
   // are busy or in backoff.
   std::optional<HostId> FindAdviceHost(
-      TimePoint now, std::chrono::microseconds duration) const;
+      TimePoint now, std::chrono::microseconds duration) const {
+    return FindHost(now, IsSlow(duration));
+  }
+  // True if some host can send a quick or a slow request now.
+  bool HasFreeHost(TimePoint now, bool slow) const {
+    return FindHost(now, slow).has_value();
+  }
 
   // Stores a request as sent and returns its id.
   std::uint64_t AddRequest(PendingAdviceRequest request);
@@ -63,11 +69,17 @@
   static bool IsSlow(std::chrono::microseconds duration);
 
  private:
-  std::size_t CountPending(const HostId& advice_host, bool slow) const;
+  struct PendingCounts {
+    std::size_t quick = 0;
+    std::size_t slow = 0;
+  };
+  std::optional<HostId> FindHost(TimePoint now, bool slow) const;
+  PendingCounts CountPending(const HostId& advice_host) const;
 
   std::set<HostId> advice_hosts_;
   std::map<HostId, TimePoint> backoff_until_;
   std::map<std::uint64_t, PendingAdviceRequest> pending_;
+  std::map<HostId, PendingCounts> pending_by_host_;
   std::map<std::string, double> approval_rates_;
   std::uint64_t last_request_id_ = 0;
 };
--- a/src/dispatch/dispatch_state.cc
+++ b/src/dispatch/dispatch_state.cc
@@ -44,21 +44,19 @@
   return out;
 }
 
-void DispatchState::SetReady(const ReadyStepKey& key) {
-  const auto found = ready_keys.find(key.step);
-  if (found != ready_keys.end()) {
-    if (found->second == key) return;
-    ready.erase(found->second);
-  }
-  ready_keys[key.step] = key;
-  ready.insert(key);
+void DispatchState::UpdateWorker(TrackedWorker& worker) {
+  const WorkerId& id = worker.registration().worker;
+  const bool accepts_tasks = worker.registered() && worker.enrolled &&
+                             worker.synced && worker.has_clock() &&
+                             !worker.registration().draining &&
+                             !worker.IsUnresponsive() && !runs.HasOrphan(id);
+  if (free_workers.Update(worker, accepts_tasks)) freed_workers.insert(id);
 }
 
-void DispatchState::ClearReady(const StepKey& step) {
-  const auto found = ready_keys.find(step);
-  if (found == ready_keys.end()) return;
-  ready.erase(found->second);
-  ready_keys.erase(found);
+void DispatchState::RemoveWorker(const WorkerId& id) {
+  free_workers.Remove(id);
+  freed_workers.erase(id);
+  workers.erase(id);
 }
 
 void DispatchState::ReportInvariantBreach(const std::string& what) {
--- a/src/dispatch/dispatch_state.h
+++ b/src/dispatch/dispatch_state.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <compare>
 #include <cstdint>
 #include <map>
 #include <set>
@@ -11,24 +10,14 @@
 #include "base/time.h"
 #include "dispatch/advice_request_manager.h"
 #include "dispatch/dispatch_options.h"
+#include "dispatch/free_worker_index.h"
+#include "dispatch/ready_steps.h"
 #include "dispatch/run_table.h"
 #include "dispatch/tracked_job.h"
 #include "dispatch/tracked_worker.h"
 
 namespace chivewing {
 
-// Sort key of a step that has tasks to start: the smallest is scheduled first.
-struct ReadyStepKey {
-  int tier = 0;  // 1 once the job is past `useless_after`, else 0
-  int priority = 0;
-  TimePoint due{};  // objective of the job
-  StepKey step{};
-
-  // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 misreads the operator
-  friend auto operator<=>(const ReadyStepKey&, const ReadyStepKey&) = default;
-  friend bool operator==(const ReadyStepKey&, const ReadyStepKey&) = default;
-};
-
 // Event counters since the dispatcher was constructed.
 struct DispatchCounters {
   std::uint64_t starts = 0;
@@ -41,6 +30,8 @@
   std::uint64_t asks_failed = 0;
   std::uint64_t polls = 0;
   std::uint64_t invariant_breaches = 0;
+  std::uint64_t steps_tried = 0;       // attempts to place a waiting step
+  std::uint64_t workers_examined = 0;  // looked at while deciding
 };
 
 // The whole state of the dispatcher, shared by JobManager, RunManager,
@@ -58,17 +49,16 @@
   std::map<JobId, TrackedJob> jobs{};
   RunTable runs{};
   AdviceRequestManager advice{};
-  std::set<ReadyStepKey> ready{};
-  std::map<StepKey, ReadyStepKey> ready_keys{};
+  FreeWorkerIndex free_workers{};
+  // Workers that can hold more than at the last attempt to place steps.
+  std::set<WorkerId> freed_workers{};
+  ReadySteps ready{};
   std::set<JobId> dirty{};  // jobs with a progress row to write
   // Workers that may run tasks of an earlier dispatcher and have not listed
   // their runs yet.
   std::set<WorkerId> unsynced_workers{};
   // Workers that are certainly gone and whose rows are still to be deleted.
   std::set<WorkerId> removed_workers{};
-  // Rises whenever a step that could not be placed is worth another attempt:
-  // resources or tickets have become available.
-  std::uint64_t capacity_version = 1;
   std::uint64_t last_poll = 0;
   DispatchCounters counts{};
   // Time from a job's acceptance to its first acknowledged start.
@@ -85,8 +75,10 @@
   // Indices of the tasks of a step with `copies_allowed` whose only run is on
   // an unresponsive worker: a copy of each may be started elsewhere.
   std::vector<std::size_t> TasksToCopy(const StepKey& key) const;
-  void SetReady(const ReadyStepKey& key);
-  void ClearReady(const StepKey& step);
+  // To be called after each change of a worker's resources, registration or
+  // condition: keeps `free_workers` and `freed_workers`.
+  void UpdateWorker(TrackedWorker& worker);
+  void RemoveWorker(const WorkerId& id);
   // Logs and counts a violated invariant.
   void ReportInvariantBreach(const std::string& what);
 };
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -20,7 +20,7 @@
     : jobs_(state_),
       runs_(state_, jobs_),
       workers_(state_, jobs_, runs_),
-      scheduler_(state_, runs_, workers_) {
+      scheduler_(state_, runs_) {
   state_.options = std::move(options);
   state_.fence = fence;
   state_.advice.set_request_id_base(fence << kRequestIdBitsPerFence);
@@ -63,7 +63,6 @@
 
 void Dispatcher::set_advice_hosts(std::set<HostId> hosts) {
   state_.advice.set_advice_hosts(std::move(hosts));
-  ++state_.capacity_version;
 }
 
 void Dispatcher::OnStartResponse(TimePoint now, std::uint64_t run_id,
@@ -93,7 +92,6 @@
   const std::optional<PendingAdviceRequest> request =
       state_.advice.TakeRequest(request_id);
   if (!request) return;
-  ++state_.capacity_version;
   if (response.ok) {
     state_.advice.RecordApprovals(request->queue, request->workers.size(),
                                   response.approved.size());
@@ -112,6 +110,8 @@
   if (step == nullptr || step->advice.pending_request_id() != request_id)
     return;
   step->advice.OnResponse(request->sent, request->workers, response);
+  state_.ready.OnApproved(request->step, response.approved);
+  state_.ready.Wake(request->step);
 }
 
 void Dispatcher::TimeOutAdviceRequests(TimePoint now) {
@@ -133,7 +133,7 @@
   if (now >= reprioritized_at_ + kReprioritizeInterval) {
     jobs_.Reprioritize(now);
     reprioritized_at_ = now;
-    ++state_.capacity_version;  // tickets and backoffs may have expired
+    state_.ready.WakeAll();  // tickets and backoffs may have expired
   }
   scheduler_.ScheduleReadySteps(now, out);
   TimePoint next = now + kMaxSleep;
@@ -191,7 +191,7 @@
     if (worker == nullptr) continue;
     worker->enrolled = true;
     worker->enrolling = false;
-    ++state_.capacity_version;
+    state_.UpdateWorker(*worker);
   }
   for (const auto& [id, end] : batch.ends)
     workers_.OnEndsPersisted(now, id, end);
--- a/src/dispatch/job_description.h
+++ b/src/dispatch/job_description.h
@@ -33,6 +33,13 @@
   std::chrono::milliseconds latency_target{0};  // 0: none
   // Tasks that the scheduler may have stopped at the same time.
   std::optional<std::size_t> max_unavailable{};
+
+  // What one task holds on its worker. Best-effort tasks hold no processors.
+  Resources ResourcesHeld() const {
+    Resources held = size;
+    if (best_effort) held.processors_milli = 0;
+    return held;
+  }
 };
 
 // What a job runs: its steps, and its schedule if it repeats.
--- a/src/dispatch/job_manager.cc
+++ b/src/dispatch/job_manager.cc
@@ -63,7 +63,7 @@
   if (job == nullptr) return;
   for (const auto& [number, steps] : job->occurrences) {
     for (std::size_t s = 0; s < steps.size(); ++s) {
-      state_.ClearReady({id, number, s});
+      state_.ready.Clear({id, number, s});
     }
   }
   state_.dirty.erase(id);
@@ -79,14 +79,12 @@
                           (!job.WaitingTasks(number, s).empty() ||
                            !state_.TasksToCopy(key).empty());
       if (!wanted) {
-        state_.ClearReady(key);
+        state_.ready.Clear(key);
         continue;
       }
-      const auto known = state_.ready_keys.find(key);
-      const int tier =
-          known == state_.ready_keys.end() ? 0 : known->second.tier;
-      state_.SetReady({tier, job.record.queue.priority, job.due, key});
-      job.occurrences[number][s].tried_capacity_version = 0;
+      const ReadyStepKey* const known = state_.ready.Find(key);
+      const int tier = known == nullptr ? 0 : known->tier;
+      state_.ready.Set({tier, job.record.queue.priority, job.due, key}, job);
     }
   }
 }
@@ -114,7 +112,7 @@
 
 void JobManager::Reprioritize(TimePoint now) {
   std::vector<ReadyStepKey> moved;
-  for (const ReadyStepKey& key : state_.ready) {
+  for (const ReadyStepKey& key : state_.ready.Keys()) {
     const TrackedJob& job = state_.jobs.at(key.step.job);
     const bool repeating = job.record.spec.repeats > 0;
     const bool long_running = job.spec(key.step.step).long_running;
@@ -124,7 +122,7 @@
   }
   for (ReadyStepKey key : moved) {
     key.tier = 1;
-    state_.SetReady(key);
+    state_.ready.Set(key, state_.jobs.at(key.step.job));
   }
 }
 
@@ -154,7 +152,11 @@
     }
     if (!all_done) break;
     ++job.finished_occurrences;
-    if (job.record.spec.repeats > 0) job.occurrences.erase(found);
+    if (job.record.spec.repeats == 0) continue;
+    for (std::size_t s = 0; s < list.size(); ++s) {
+      state_.ready.Clear({job.record.id, number, s});
+    }
+    job.occurrences.erase(found);
   }
   if (job.finished_occurrences == job.OccurrenceCount()) {
     Finish(job, JobPhase::kCompleted);
@@ -204,7 +206,7 @@
     StopPartialGangs(job);
     RefreshReadySteps(job);
   }
-  ++state_.capacity_version;
+  state_.ready.WakeAll();
 }
 
 // Stops the runs of gangs of which an earlier dispatcher started only a part.
--- a/src/dispatch/run_manager.cc
+++ b/src/dispatch/run_manager.cc
@@ -23,12 +23,6 @@
          std::to_string(run.task.index) + " run=" + std::to_string(run.number);
 }
 
-Resources ResourcesHeldBy(const StepSpec& spec) {
-  Resources held = spec.size;
-  if (spec.best_effort) held.processors_milli = 0;
-  return held;
-}
-
 }  // namespace
 
 void RunManager::Start(TimePoint now, TrackedJob& job, const TaskKey& task,
@@ -38,7 +32,7 @@
   Run run;
   run.key = {task, number};
   run.worker = worker.registration().worker;
-  run.held = ResourcesHeldBy(job.spec(task.step));
+  run.held = job.spec(task.step).ResourcesHeld();
   run.is_copy = !state.runs.empty();
   run.ticket = ticket;
   run.saved = state.progress.saved;
@@ -49,6 +43,7 @@
     return;
   }
   worker.Occupy(run.held);
+  state_.UpdateWorker(worker);
   Run& added = state_.runs.Add(std::move(run));
   state.runs.push_back(added.id);
   state.highest_run = std::max(state.highest_run, number);
@@ -91,6 +86,7 @@
   run.saved = listed.saved;
   run.orphaned = true;
   Run& added = state_.runs.Add(std::move(run));
+  state_.UpdateWorker(worker);
   if (TrackedJob* const job = state_.FindJob(listed.run.task.job)) {
     Attach(added, *job);
   }
@@ -106,13 +102,13 @@
 
 void RunManager::Attach(Run& run, TrackedJob& job) {
   state_.runs.SetAttached(run.id);
-  ++state_.capacity_version;
   const TaskKey& key = run.key.task;
   if (key.step < job.record.spec.steps.size()) {
-    run.held = ResourcesHeldBy(job.spec(key.step));
+    run.held = job.spec(key.step).ResourcesHeld();
   }
   if (TrackedWorker* const worker = state_.FindWorker(run.worker)) {
     worker->Occupy(run.held);
+    state_.UpdateWorker(*worker);
   }
   TrackedTask* const task = job.FindTask(key);
   const bool needed = task != nullptr && job.IsActive() &&
@@ -270,13 +266,13 @@
   Run* const found = state_.runs.Find(run_id);
   if (found == nullptr) return;
   const Run run = *found;
+  state_.runs.Remove(run_id);
   if (TrackedWorker* const worker = state_.FindWorker(run.worker)) {
     worker->Release(run.held);
+    state_.UpdateWorker(*worker);
     if (reason == RunEndReason::kDone) worker->failures_in_row = 0;
     if (reason == RunEndReason::kFailed) ++worker->failures_in_row;
   }
-  state_.runs.Remove(run_id);
-  ++state_.capacity_version;
   TrackedJob* const job = state_.FindJob(run.key.task.job);
   if (job == nullptr) return;
   if (TrackedTask* const task = job->FindTask(run.key.task)) {
--- a/src/dispatch/run_table.cc
+++ b/src/dispatch/run_table.cc
@@ -1,14 +1,15 @@
 #include "dispatch/run_table.h"
 
-#include <algorithm>
-
 namespace chivewing {
 
 Run& RunTable::Add(Run run) {
   run.id = ++last_id_;
   by_key_[{run.worker, run.key}] = run.id;
   by_worker_[run.worker].insert(run.id);
-  if (run.orphaned) orphans_.insert(run.id);
+  if (run.orphaned) {
+    orphans_.insert(run.id);
+    ++orphans_by_worker_[run.worker];
+  }
   return runs_.emplace(run.id, std::move(run)).first->second;
 }
 
@@ -30,9 +31,13 @@
 }
 
 bool RunTable::HasOrphan(const WorkerId& worker) const {
-  return std::any_of(orphans_.begin(), orphans_.end(), [&](std::uint64_t id) {
-    return runs_.at(id).worker == worker;
-  });
+  return orphans_by_worker_.contains(worker);
+}
+
+void RunTable::EraseOrphan(const Run& run) {
+  if (orphans_.erase(run.id) == 0) return;
+  const auto count = orphans_by_worker_.find(run.worker);
+  if (--count->second == 0) orphans_by_worker_.erase(count);
 }
 
 std::vector<std::uint64_t> RunTable::OrphansOf(const JobId& job) const {
@@ -44,8 +49,9 @@
 }
 
 void RunTable::SetAttached(std::uint64_t id) {
-  Find(id)->orphaned = false;
-  orphans_.erase(id);
+  Run& run = *Find(id);
+  run.orphaned = false;
+  EraseOrphan(run);
 }
 
 void RunTable::Remove(std::uint64_t id) {
@@ -57,7 +63,7 @@
   worker->second.erase(id);
   if (worker->second.empty()) by_worker_.erase(worker);
   pending_commands_.erase(id);
-  orphans_.erase(id);
+  EraseOrphan(run);
   runs_.erase(found);
 }
 
--- a/src/dispatch/run_table.h
+++ b/src/dispatch/run_table.h
@@ -73,11 +73,14 @@
   void SetCommandPending(std::uint64_t id, bool pending);
 
  private:
+  void EraseOrphan(const Run& run);
+
   std::map<std::uint64_t, Run> runs_;
   std::map<std::pair<WorkerId, TaskRunKey>, std::uint64_t> by_key_;
   std::map<WorkerId, std::set<std::uint64_t>> by_worker_;
   std::set<std::uint64_t> pending_commands_;
   std::set<std::uint64_t> orphans_;
+  std::map<WorkerId, std::size_t> orphans_by_worker_;
   std::uint64_t last_id_ = 0;
 };
 
--- a/src/dispatch/step_advice_cache.h
+++ b/src/dispatch/step_advice_cache.h
@@ -34,6 +34,13 @@
     return rejected_.contains(worker);
   }
 
+  struct Approval {
+    std::string ticket;
+    TimePoint expires;
+  };
+  // The approved workers; their tickets may have expired.
+  const std::map<WorkerId, Approval>& approved() const { return approved_; }
+
   std::uint64_t pending_request_id() const {
     return pending_request_id_;
   }  // 0: none
@@ -42,10 +49,6 @@
   }
 
  private:
-  struct Approval {
-    std::string ticket;
-    TimePoint expires;
-  };
   std::map<WorkerId, Approval> approved_;
   std::set<WorkerId> rejected_;
   std::uint64_t pending_request_id_ = 0;
--- a/src/dispatch/step_scheduler.cc
+++ b/src/dispatch/step_scheduler.cc
@@ -1,7 +1,6 @@
 #include "dispatch/step_scheduler.h"
 
 #include <algorithm>
-#include <limits>
 #include <optional>
 #include <set>
 #include <string>
@@ -20,6 +19,8 @@
 // slack.
 constexpr int kTimeoutFactor = 3;
 constexpr std::chrono::milliseconds kTimeoutSlack{300};
+// No task is started while a command could grant less than this.
+constexpr std::chrono::seconds kMinLeaseToStart{1};
 
 std::chrono::microseconds ExpectedDuration(const AdvicePolicy& policy,
                                            std::size_t workers) {
@@ -28,135 +29,57 @@
 
 }  // namespace
 
-struct StepScheduler::StepPlacement {
-  StepKey key;
-  TrackedJob& job;
-  TrackedStep& step;
-  const StepSpec& spec;
-  const std::optional<AdvicePolicy>& advice;
-  Resources held;                         // by one task on its worker
-  std::vector<std::size_t> waiting;       // indices of the tasks to start
-  std::map<WorkerId, std::size_t> count;  // runs of the step per worker
-};
-
 void StepScheduler::ScheduleReadySteps(TimePoint now, DispatchEffects& out) {
-  const std::vector<ReadyStepKey> keys(state_.ready.begin(),
-                                       state_.ready.end());
-  for (const ReadyStepKey& key : keys) {
-    TrackedJob* const job = state_.FindJob(key.step.job);
-    if (job == nullptr) continue;
-    TrackedStep* const step = job->FindStep(key.step.occurrence, key.step.step);
-    if (step == nullptr ||
-        step->tried_capacity_version == state_.capacity_version)
-      continue;
-    if (!PlaceStep(now, key.step, out)) {
-      step->tried_capacity_version = state_.capacity_version;
+  if (state_.GrantableLease(now) < kMinLeaseToStart) return;
+  for (const WorkerId& id : state_.freed_workers) {
+    state_.ready.OnRoomFreed(*state_.FindWorker(id));
+  }
+  state_.freed_workers.clear();
+  while (const auto key = state_.ready.TakeDue()) TryStep(now, *key, out);
+  for (const bool slow : {false, true}) {
+    while (state_.ready.HasAdviceHostWaiter(slow) &&
+           state_.advice.HasFreeHost(now, slow)) {
+      TryStep(now, *state_.ready.TakeAdviceHostWaiter(slow), out);
     }
   }
 }
 
-// Returns false if nothing more can be done for the step before
-// capacity_version rises.
-bool StepScheduler::PlaceStep(TimePoint now, const StepKey& key,
-                              DispatchEffects& out) {
-  TrackedJob& job = *state_.FindJob(key.job);
-  const StepSpec& spec = job.spec(key.step);
-  if (now < job.uncertain_until && !spec.copies_allowed) return false;
-  TrackedStep& step = *job.FindStep(key.occurrence, key.step);
-  StepPlacement placement{key,       job, step, spec, job.record.queue.advice,
-                          spec.size, {},  {}};
-  if (spec.best_effort) placement.held.processors_milli = 0;
-  placement.waiting = job.WaitingTasks(key.occurrence, key.step);
-  for (const std::size_t index : state_.TasksToCopy(key)) {
-    placement.waiting.push_back(index);
-  }
-  if (placement.waiting.empty()) return false;
-  for (const TrackedTask& task : step.tasks) {
-    for (const std::uint64_t id : task.runs) {
-      if (const Run* const run = state_.runs.Find(id)) {
-        ++placement.count[run->worker];
-      }
-    }
-  }
-  const std::size_t wanted = placement.waiting.size();
+void StepScheduler::TryStep(TimePoint now, const ReadyStepKey& key,
+                            DispatchEffects& out) {
+  const TrackedJob& job = *state_.FindJob(key.step.job);
+  const StepSpec& spec = job.spec(key.step.step);
+  if (now < job.uncertain_until && !spec.copies_allowed) return;
+  ++state_.counts.steps_tried;
+  StepPlacement placement(state_, key.step);
+  const std::size_t wanted = placement.waiting().size();
+  if (wanted == 0) return;
+  placement.FindCandidates(now);
   const std::size_t placed = spec.gang ? PlaceGang(now, placement, out)
                                        : PlaceTasks(now, placement, out);
   if (placed == wanted) {
-    state_.ClearReady(key);
-  }
-  if (placed == wanted) return true;
-  return RequestAdvice(now, placement, wanted - placed, out);
-}
-
-bool StepScheduler::MayRun(TimePoint now, const StepPlacement& placement,
-                           const TrackedWorker& worker) const {
-  if (!worker_manager_.AcceptsTasks(now, worker)) return false;
-  const WorkerRegistration& registration = worker.registration();
-  if (registration.service != placement.job.record.queue.service) return false;
-  const std::string& label = placement.spec.required_label;
-  return label.empty() || label == registration.kind ||
-         label == registration.rack;
-}
-
-std::size_t StepScheduler::CountFitting(const StepPlacement& placement,
-                                        const TrackedWorker& worker) const {
-  const std::int64_t by_resources =
-      CountFits(placement.held, worker.free_resources());
-  if (by_resources <= 0) return 0;
-  auto fitting = static_cast<std::size_t>(by_resources);
-  if (placement.spec.most_per_worker > 0) {
-    const auto existing = placement.count.find(worker.registration().worker);
-    const std::size_t used =
-        existing == placement.count.end() ? 0 : existing->second;
-    const std::size_t most = placement.spec.most_per_worker;
-    fitting = std::min(fitting, most > used ? most - used : 0);
-  }
-  return fitting;
-}
-
-// Of the workers that may run the task, the one with the fewest free processors
-// left after it. Workers outside the data's rack come after all others, and
-// workers on which the task has failed come last.
-TrackedWorker* StepScheduler::ChooseWorker(TimePoint now,
-                                           const StepPlacement& placement,
-                                           const TrackedTask* task) {
-  TrackedWorker* best = nullptr;
-  double best_score = std::numeric_limits<double>::max();
-  for (auto& [id, worker] : state_.workers) {
-    if (!MayRun(now, placement, worker)) continue;
-    if (CountFitting(placement, worker) == 0) continue;
-    const TimePoint margin = now + state_.options.ticket_margin;
-    if (placement.advice && !placement.step.advice.FindTicket(id, margin))
-      continue;
-    const Resources left = worker.free_resources() - placement.held;
-    double score = static_cast<double>(left.processors_milli);
-    const std::string& rack = placement.spec.data_rack;
-    if (!rack.empty() && worker.registration().rack != rack) score += 1e9;
-    if (task != nullptr && task->failed_on.contains(id)) score += 1e10;
-    if (score >= best_score) continue;
-    best_score = score;
-    best = &worker;
+    state_.ready.Clear(key.step);
+    return;
   }
-  return best;
+  state_.ready.Park(key, RequestAdvice(now, placement, wanted - placed, out));
 }
 
 std::size_t StepScheduler::PlaceTasks(TimePoint now, StepPlacement& placement,
                                       DispatchEffects& out) {
   std::size_t placed = 0;
-  for (const std::size_t index : placement.waiting) {
-    TrackedTask& task = placement.step.tasks[index];
-    TrackedWorker* const worker = ChooseWorker(now, placement, &task);
+  for (const std::size_t index : placement.waiting()) {
+    TrackedTask& task = placement.step().tasks[index];
+    TrackedWorker* const worker = placement.ChooseWorker(&task);
     if (worker == nullptr) break;
     const WorkerId id = worker->registration().worker;
-    const std::string* const ticket = placement.step.advice.FindTicket(
+    const std::string* const ticket = placement.step().advice.FindTicket(
         id, now + state_.options.ticket_margin);
     const std::uint64_t number =
-        std::max(task.highest_run, placement.job.run_number_floor) + 1;
-    const TaskKey key{placement.key.job, placement.key.occurrence,
-                      placement.key.step, index};
-    runs_.Start(now, placement.job, key, *worker, number,
+        std::max(task.highest_run, placement.job().run_number_floor) + 1;
+    const TaskKey key{placement.key().job, placement.key().occurrence,
+                      placement.key().step, index};
+    runs_.Start(now, placement.job(), key, *worker, number,
                 ticket == nullptr ? "" : *ticket, out);
-    ++placement.count[id];
+    placement.CountTask(id);
     ++placed;
   }
   return placed;
@@ -167,46 +90,44 @@
 std::size_t StepScheduler::PlaceGang(TimePoint now, StepPlacement& placement,
                                      DispatchEffects& out) {
   std::vector<TrackedWorker*> chosen;
-  for (std::size_t i = 0; i < placement.waiting.size(); ++i) {
-    TrackedWorker* const worker = ChooseWorker(now, placement, nullptr);
+  for (std::size_t i = 0; i < placement.waiting().size(); ++i) {
+    TrackedWorker* const worker = placement.ChooseWorker(nullptr);
     if (worker == nullptr) break;
-    worker->Occupy(placement.held);
-    ++placement.count[worker->registration().worker];
+    worker->Occupy(placement.held());
+    placement.CountTask(worker->registration().worker);
     chosen.push_back(worker);
   }
-  for (TrackedWorker* const worker : chosen) worker->Release(placement.held);
-  if (chosen.size() < placement.waiting.size()) {
-    for (TrackedWorker* const worker : chosen) {
-      --placement.count[worker->registration().worker];
-    }
-    return 0;
-  }
-  std::uint64_t number = placement.job.run_number_floor;
+  for (TrackedWorker* const worker : chosen) worker->Release(placement.held());
+  if (chosen.size() < placement.waiting().size()) return 0;
+  std::uint64_t number = placement.job().run_number_floor;
   std::string saved;
-  for (const TrackedTask& task : placement.step.tasks) {
+  for (const TrackedTask& task : placement.step().tasks) {
     number = std::max(number, task.highest_run);
     if (saved.empty()) saved = task.progress.saved;
   }
   for (std::size_t i = 0; i < chosen.size(); ++i) {
-    const std::size_t index = placement.waiting[i];
-    placement.step.tasks[index].progress.saved = saved;
+    const std::size_t index = placement.waiting()[i];
+    placement.step().tasks[index].progress.saved = saved;
     const WorkerId id = chosen[i]->registration().worker;
-    const std::string* const ticket = placement.step.advice.FindTicket(
+    const std::string* const ticket = placement.step().advice.FindTicket(
         id, now + state_.options.ticket_margin);
-    const TaskKey key{placement.key.job, placement.key.occurrence,
-                      placement.key.step, index};
-    runs_.Start(now, placement.job, key, *chosen[i], number + 1,
+    const TaskKey key{placement.key().job, placement.key().occurrence,
+                      placement.key().step, index};
+    runs_.Start(now, placement.job(), key, *chosen[i], number + 1,
                 ticket == nullptr ? "" : *ticket, out);
   }
   return chosen.size();
 }
 
 // Requests advice about as many workers with free resources as the missing
-// tasks are likely to need. Returns false if no request could be sent.
-bool StepScheduler::RequestAdvice(TimePoint now, StepPlacement& placement,
-                                  std::size_t missing, DispatchEffects& out) {
-  if (!placement.advice || placement.step.advice.pending_request_id() != 0)
-    return false;
+// tasks are likely to need. Returns what the step waits for after that.
+StepWait StepScheduler::RequestAdvice(TimePoint now,
+                                      const StepPlacement& placement,
+                                      std::size_t missing,
+                                      DispatchEffects& out) {
+  if (!placement.advice()) return StepWait::kRoom;
+  if (placement.step().advice.pending_request_id() != 0)
+    return StepWait::kAdvice;
   struct Candidate {
     std::size_t fitting;
     bool approved;
@@ -214,20 +135,27 @@
   };
   std::vector<Candidate> candidates;
   const TimePoint margin = now + state_.options.ticket_margin;
-  StepAdviceCache& advice = placement.step.advice;
-  for (const auto& [id, worker] : state_.workers) {
-    if (advice.IsRejected(id) || !MayRun(now, placement, worker)) continue;
+  StepAdviceCache& advice = placement.step().advice;
+  const FreeWorkerIndex::Order& order =
+      state_.free_workers.OfService(placement.job().record.queue.service);
+  for (auto entry = order.lower_bound(
+           {placement.held().processors_milli, WorkerId(), nullptr});
+       entry != order.end(); ++entry) {
+    ++state_.counts.workers_examined;
+    const WorkerId& id = entry->id;
+    if (advice.IsRejected(id) || !placement.MayRun(now, *entry->worker))
+      continue;
     if (advice.FindTicket(id, margin) != nullptr) continue;
-    const std::size_t fitting = CountFitting(placement, worker);
+    const std::size_t fitting = placement.CountFitting(*entry->worker);
     if (fitting > 0) candidates.push_back({fitting, advice.IsApproved(id), id});
   }
-  if (candidates.empty()) return false;
+  if (candidates.empty()) return StepWait::kRoom;
   std::sort(candidates.begin(), candidates.end(),
             [](const Candidate& a, const Candidate& b) {
               if (a.approved != b.approved) return a.approved;
               return a.fitting > b.fitting;
             });
-  const std::string& queue = placement.job.record.queue.name;
+  const std::string& queue = placement.job().record.queue.name;
   const double approval_rate = state_.advice.ApprovalRate(queue);
   double expected = 0;
   PendingAdviceRequest request;
@@ -242,28 +170,31 @@
     expected += candidate.approved ? fitting : fitting * approval_rate;
   }
   const auto duration =
-      ExpectedDuration(*placement.advice, request.workers.size());
+      ExpectedDuration(*placement.advice(), request.workers.size());
   const auto advice_host = state_.advice.FindAdviceHost(now, duration);
-  if (!advice_host) return false;
+  const bool slow = AdviceRequestManager::IsSlow(duration);
+  if (!advice_host) {
+    return slow ? StepWait::kSlowAdviceHost : StepWait::kQuickAdviceHost;
+  }
   const auto timeout =
       std::chrono::ceil<std::chrono::milliseconds>(duration) * kTimeoutFactor +
       kTimeoutSlack;
   AdviceRequest effect;
   effect.advice_host = *advice_host;
-  effect.step = placement.key;
+  effect.step = placement.key();
   effect.workers.assign(request.workers.begin(), request.workers.end());
   effect.timeout = timeout;
   request.advice_host = *advice_host;
-  request.step = placement.key;
+  request.step = placement.key();
   request.queue = queue;
   request.sent = now;
   request.timeout_at = now + timeout;
-  request.slow = AdviceRequestManager::IsSlow(duration);
+  request.slow = slow;
   effect.request_id = state_.advice.AddRequest(std::move(request));
   advice.set_pending_request_id(effect.request_id);
   ++state_.counts.asks;
   out.emplace_back(std::move(effect));
-  return true;
+  return StepWait::kAdvice;
 }
 
 }  // namespace chivewing
--- a/src/dispatch/tracked_job.h
+++ b/src/dispatch/tracked_job.h
@@ -27,9 +27,6 @@
   std::vector<TrackedTask> tasks{};
   std::size_t done_count = 0;
   StepAdviceCache advice{};
-  // DispatchState::capacity_version at the last attempt that could not place
-  // all waiting tasks; no new attempt is made before it rises.
-  std::uint64_t tried_capacity_version = 0;
 };
 
 // A job as the dispatcher sees it: its record, its phase and its tasks.
--- a/src/dispatch/worker_manager.cc
+++ b/src/dispatch/worker_manager.cc
@@ -10,8 +10,6 @@
 namespace chivewing {
 namespace {
 
-// No task is started while a command could grant less than this.
-constexpr std::chrono::seconds kMinLeaseToStart{1};
 // A worker on which this many runs in a row have failed gets no new tasks for
 // the backoff.
 constexpr int kFailuresBeforeBackoff = 3;
@@ -22,7 +20,6 @@
 void WorkerManager::Register(TimePoint now,
                              const WorkerRegistration& registration) {
   TrackedWorker* const known = state_.FindWorker(registration.worker);
-  ++state_.capacity_version;
   if (known == nullptr) {
     TrackedWorker worker(registration);
     worker.next_poll = now;
@@ -31,12 +28,14 @@
   }
   const bool moved = known->registration().address != registration.address;
   known->set_registration(registration);
+  state_.UpdateWorker(*known);
   if (moved) known->next_poll = now;
 }
 
 void WorkerManager::Unregister(const WorkerId& id) {
   if (TrackedWorker* const worker = state_.FindWorker(id)) {
     worker->set_registered(false);
+    state_.UpdateWorker(*worker);
   }
 }
 
@@ -56,15 +55,6 @@
   state_.unsynced_workers.insert(registration.worker);
 }
 
-bool WorkerManager::AcceptsTasks(TimePoint now,
-                                 const TrackedWorker& worker) const {
-  return state_.GrantableLease(now) >= kMinLeaseToStart &&
-         worker.registered() && worker.enrolled && worker.synced &&
-         worker.has_clock() && !worker.registration().draining &&
-         !worker.IsUnresponsive() && now >= worker.backoff_until &&
-         !state_.runs.HasOrphan(worker.registration().worker);
-}
-
 void WorkerManager::Poll(TimePoint now, TrackedWorker& worker,
                          DispatchEffects& out) {
   PollWorker poll;
@@ -110,7 +100,7 @@
   }
   for (const WorkerId& id : removed) {
     if (state_.workers.at(id).enrolled) state_.removed_workers.insert(id);
-    state_.workers.erase(id);
+    state_.RemoveWorker(id);
   }
 }
 
@@ -129,7 +119,7 @@
 void WorkerManager::OnPollFailure(TimePoint now, TrackedWorker& worker) {
   if (!worker.IsUnresponsive()) {
     worker.unresponsive_since = now;
-    ++state_.capacity_version;
+    state_.UpdateWorker(worker);
     EnableCopies(worker.registration().worker);
     LogWarning(
         LogPart::kWorker,
@@ -180,6 +170,7 @@
   worker.ResetForNewIncarnation();
   worker.unresponsive_since = now;
   worker.next_poll = now + state_.options.poll_retry_delay;
+  state_.UpdateWorker(worker);
   MarkSynced(id);
 }
 
@@ -192,6 +183,7 @@
           "worker has restarted; requesting new advice about it worker=" +
               id.value());
   worker.ResetForNewIncarnation();
+  state_.UpdateWorker(worker);
   worker.set_foreign_lease_expiry(
       now + state_.options.LongestOnSlowClock(state_.options.max_worker_lease));
   for (const std::uint64_t run_id : state_.runs.OnWorker(id)) {
@@ -230,13 +222,13 @@
   worker->incarnation_start = response.incarnation_start;
   worker->SetClock(now, *response.clock);
   worker->last_response_at = now;
-  if (worker->IsUnresponsive() || !worker->synced) ++state_.capacity_version;
   worker->unresponsive_since = TimePoint{};
   ProcessEnds(now, *worker, response);
   ProcessRunning(now, *worker, response);
   EndUnlistedRuns(now, *worker, response);
   const bool first_response = !worker->synced;
   worker->synced = true;
+  state_.UpdateWorker(*worker);
   MarkSynced(id);
   const bool ends_pending = worker->persisted_end != worker->processed_end;
   worker->next_poll = ends_pending && !first_response
@@ -358,6 +350,7 @@
                  id.value());
   EndRunsAsLost(now, id);
   worker.synced = false;
+  state_.UpdateWorker(worker);
   MarkSynced(id);
 }
 
--- a/src/dispatch/worker_manager.h
+++ b/src/dispatch/worker_manager.h
@@ -38,9 +38,6 @@
   // called at `now`.
   TimePoint next_due(TimePoint now) const;
 
-  // True if new tasks may be started on the worker.
-  bool AcceptsTasks(TimePoint now, const TrackedWorker& worker) const;
-
  private:
   void Poll(TimePoint now, TrackedWorker& worker, DispatchEffects& out);
   void OnPollFailure(TimePoint now, TrackedWorker& worker);
--- /dev/null
+++ b/tests/dispatch/deciding_cost_test.cc
@@ -0,0 +1,36 @@
+// Counts what the dispatcher examines, to hold the cost of its decisions in
+// proportion to what has changed rather than to the size of the cluster.
+
+#include <gtest/gtest.h>
+
+#include "dispatch/load_model.h"
+
+namespace chivewing {
+namespace {
+
+using std::chrono::milliseconds;
+
+// As many workers as one advice request may name.
+constexpr std::uint64_t kWorkersPerDecision = 100;
+
+LoadOptions Burst() {
+  LoadOptions options;
+  options.queues = DayQueues();
+  options.burst = 2.2;
+  options.length = milliseconds(10000);
+  return options;
+}
+
+// A waiting step was tried, and every worker looked at, after each end.
+TEST(DecidingCostTest, StepsThatWaitForRoomAreNotAllTriedAfterEachEnd) {
+  LoadModel model(Burst());
+  model.Run();
+  const DispatchCounters& counts = model.dispatcher().state().counts;
+  ASSERT_GT(model.dispatcher().state().ready.size(), 20U);
+  EXPECT_LT(counts.steps_tried, counts.starts + model.ends() + counts.asks);
+  EXPECT_LT(counts.workers_examined,
+            kWorkersPerDecision * (counts.starts + counts.asks));
+}
+
+}  // namespace
+}  // namespace chivewing
--- /dev/null
+++ b/tests/dispatch/load_model.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "dispatch/dispatcher.h"
+
+namespace chivewing {
+
+// Arrivals of one queue in LoadModel. Task counts, times and sizes are drawn
+// evenly between 0.3 and 1.7 of their mean.
+struct LoadQueue {
+  Queue queue{};
+  double jobs_per_second = 0;
+  std::size_t steps = 1;
+  double tasks = 1;  // mean of one step
+  std::chrono::milliseconds task_time{0};
+  Resources size{};
+  bool long_running = false;
+  double approved = 1.0;  // fraction of the workers that the advice approves
+};
+
+struct LoadOptions {
+  std::size_t workers = 350;
+  std::size_t advice_hosts = 44;
+  std::uint64_t seed = 1;
+  std::chrono::milliseconds length{6000};
+  double load = 1.0;  // factor of all arrivals
+  // From then on arrivals are multiplied by `burst`.
+  std::chrono::milliseconds burst_at{3000};
+  double burst = 1.0;
+  std::vector<LoadQueue> queues{};
+};
+
+// The queues of a large site on an ordinary day.
+std::vector<LoadQueue> DayQueues();
+
+// A fault-free cluster of many workers on a fake clock, to measure what the
+// decisions of one dispatcher cost. Workers hold polls and answer them as soon
+// as a run ends; the advice service handles the requests of a host in turn.
+class LoadModel {
+ public:
+  explicit LoadModel(LoadOptions options);
+
+  void Run();
+  // Runs until `until` after the start, without arrivals if `idle`.
+  void RunUntil(Duration until, bool idle);
+
+  const Dispatcher& dispatcher() const { return dispatcher_; }
+  std::uint64_t turns() const { return turns_; }
+  std::uint64_t ends() const { return ends_; }
+
+ private:
+  struct Worker {
+    WorkerRegistration registration{};
+    std::map<TaskRunKey, TimePoint> running{};
+    std::vector<EndedRunReport> ended{};
+    std::uint64_t last_end = 0;
+    std::optional<PollWorker> held{};
+  };
+
+  void After(Duration delay, std::function<void()> run);
+  void AddArrivals();
+  void AddJob(const LoadQueue& queue);
+  void WriteBatch();
+  void CarryOut(const StartRun& command);
+  void CarryOut(const StopRun& command);
+  void CarryOut(const PaceRun& command);
+  void CarryOut(const PollWorker& command);
+  void CarryOut(const AdviceRequest& request);
+  void EndRun(Worker& worker, const TaskRunKey& run);
+  void AnswerPoll(Worker& worker);
+  double Draw() { return std::uniform_real_distribution<>(0.3, 1.7)(random_); }
+  std::chrono::milliseconds wall() const;
+  WorkerTimestamp clock() const;
+
+  LoadOptions options_;
+  std::mt19937_64 random_;
+  TimePoint now_{std::chrono::hours(1)};
+  const TimePoint start_ = now_;
+  Dispatcher dispatcher_;
+  std::map<WorkerId, Worker> workers_;
+  std::map<JobId, const LoadQueue*> jobs_;
+  std::multimap<TimePoint, std::function<void()>> events_;
+  std::map<HostId, TimePoint> advice_busy_until_;
+  std::vector<double> due_jobs_;  // fractions of a job that have arrived
+  std::optional<ProgressWriteBatch> batch_{};
+  std::uint64_t added_ = 0;
+  std::uint64_t turns_ = 0;
+  std::uint64_t ends_ = 0;
+};
+
+}  // namespace chivewing
