--- a/src/dispatch/dispatch_state.h
+++ b/src/dispatch/dispatch_state.h
@@ -47,6 +47,7 @@
   bool fenced = false;  // true once a worker has seen a higher fence
   std::map<WorkerId, TrackedWorker> workers{};
   std::map<JobId, TrackedJob> jobs{};
+  std::set<JobId> repeating_jobs{};  // those that have not ended
   RunTable runs{};
   AdviceRequestManager advice{};
   FreeWorkerIndex free_workers{};
--- a/src/dispatch/job_manager.cc
+++ b/src/dispatch/job_manager.cc
@@ -44,7 +44,11 @@
   job.useless_after = job.accepted_at + kUselessAfterFactor * objective;
   if (progress) job.set_progress(*progress);
   if (IsFinal(job.state)) return;
-  if (job.record.spec.repeats == 0) job.OpenOccurrence(0);
+  if (job.record.spec.repeats == 0) {
+    job.OpenOccurrence(0);
+  } else {
+    state_.repeating_jobs.insert(id);
+  }
   job.uncertain_until = uncertain_until;
   if (may_have_runs)
     job.run_number_floor = kRunNumbersPerFence * (state_.fence - 1);
@@ -67,6 +71,7 @@
     }
   }
   state_.dirty.erase(id);
+  state_.repeating_jobs.erase(id);
   state_.jobs.erase(id);
 }
 
@@ -91,8 +96,9 @@
 
 std::optional<milliseconds> JobManager::OpenDueOccurrences(milliseconds wall) {
   std::optional<milliseconds> next;
-  for (auto& [id, job] : state_.jobs) {
-    if (job.record.spec.repeats == 0 || !job.IsActive()) continue;
+  for (const JobId& id : state_.repeating_jobs) {
+    TrackedJob& job = *state_.FindJob(id);
+    if (!job.IsActive()) continue;
     bool opened = false;
     for (std::size_t k = job.finished_occurrences; k < job.OccurrenceCount();
          ++k) {
@@ -177,6 +183,7 @@
 void JobManager::Finish(TrackedJob& job, JobPhase state) {
   job.state = state;
   state_.dirty.insert(job.record.id);
+  state_.repeating_jobs.erase(job.record.id);
   LogInfo(LogPart::kPlacer, "job=" + job.record.id.value() +
                                 " ended state=" + std::string(Name(state)));
   RefreshReadySteps(job);
--- a/src/dispatch/worker_manager.cc
+++ b/src/dispatch/worker_manager.cc
@@ -91,12 +91,12 @@
     if (worker.pending_poll == 0 && now >= worker.next_poll) {
       Poll(now, worker, out);
     }
+    if (worker.registered() || !worker.IsUnresponsive() ||
+        now <= worker.LeaseExpiry(state_.options))
+      continue;
     const bool idle = state_.runs.OnWorker(id).empty() &&
                       !state_.unsynced_workers.contains(id);
-    if (!worker.registered() && worker.IsUnresponsive() && idle &&
-        now > worker.LeaseExpiry(state_.options)) {
-      removed.push_back(id);
-    }
+    if (idle) removed.push_back(id);
   }
   for (const WorkerId& id : removed) {
     if (state_.workers.at(id).enrolled) state_.removed_workers.insert(id);
