--- a/src/dispatch/job_manager.cc
+++ b/src/dispatch/job_manager.cc
@@ -44,7 +44,11 @@
   job.useless_after = job.accepted_at + kUselessAfterFactor * objective;
   if (progress) job.set_progress(*progress);
   if (IsFinal(job.state)) return;
-  if (job.record.spec.repeats == 0) job.OpenOccurrence(0);
+  if (job.record.spec.repeats == 0) {
+    job.OpenOccurrence(0);
+  } else {
+    state_.repeating_jobs.insert(id);
+  }
   job.uncertain_until = uncertain_until;
   if (may_have_runs)
     job.run_number_floor = kRunNumbersPerFence * (state_.fence - 1);
@@ -63,10 +67,11 @@
   if (job == nullptr) return;
   for (const auto& [number, steps] : job->occurrences) {
     for (std::size_t s = 0; s < steps.size(); ++s) {
-      state_.ClearReady({id, number, s});
+      state_.ready.Clear({id, number, s});
     }
   }
   state_.dirty.erase(id);
+  state_.repeating_jobs.erase(id);
   state_.jobs.erase(id);
 }
 
@@ -79,22 +84,21 @@
                           (!job.WaitingTasks(number, s).empty() ||
                            !state_.TasksToCopy(key).empty());
       if (!wanted) {
-        state_.ClearReady(key);
+        state_.ready.Clear(key);
         continue;
       }
-      const auto known = state_.ready_keys.find(key);
-      const int tier =
-          known == state_.ready_keys.end() ? 0 : known->second.tier;
-      state_.SetReady({tier, job.record.queue.priority, job.due, key});
-      job.occurrences[number][s].tried_capacity_version = 0;
+      const ReadyStepKey* const known = state_.ready.Find(key);
+      const int tier = known == nullptr ? 0 : known->tier;
+      state_.ready.Set({tier, job.record.queue.priority, job.due, key}, job);
     }
   }
 }
 
 std::optional<milliseconds> JobManager::OpenDueOccurrences(milliseconds wall) {
   std::optional<milliseconds> next;
-  for (auto& [id, job] : state_.jobs) {
-    if (job.record.spec.repeats == 0 || !job.IsActive()) continue;
+  for (const JobId& id : state_.repeating_jobs) {
+    TrackedJob& job = *state_.FindJob(id);
+    if (!job.IsActive()) continue;
     bool opened = false;
     for (std::size_t k = job.finished_occurrences; k < job.OccurrenceCount();
          ++k) {
@@ -114,7 +118,7 @@
 
 void JobManager::Reprioritize(TimePoint now) {
   std::vector<ReadyStepKey> moved;
-  for (const ReadyStepKey& key : state_.ready) {
+  for (const ReadyStepKey& key : state_.ready.Keys()) {
     const TrackedJob& job = state_.jobs.at(key.step.job);
     const bool repeating = job.record.spec.repeats > 0;
     const bool long_running = job.spec(key.step.step).long_running;
@@ -124,7 +128,7 @@
   }
   for (ReadyStepKey key : moved) {
     key.tier = 1;
-    state_.SetReady(key);
+    state_.ready.Set(key, state_.jobs.at(key.step.job));
   }
 }
 
@@ -154,7 +158,11 @@
     }
     if (!all_done) break;
     ++job.finished_occurrences;
-    if (job.record.spec.repeats > 0) job.occurrences.erase(found);
+    if (job.record.spec.repeats == 0) continue;
+    for (std::size_t s = 0; s < list.size(); ++s) {
+      state_.ready.Clear({job.record.id, number, s});
+    }
+    job.occurrences.erase(found);
   }
   if (job.finished_occurrences == job.OccurrenceCount()) {
     Finish(job, JobPhase::kCompleted);
@@ -175,6 +183,7 @@
 void JobManager::Finish(TrackedJob& job, JobPhase state) {
   job.state = state;
   state_.dirty.insert(job.record.id);
+  state_.repeating_jobs.erase(job.record.id);
   LogInfo(LogPart::kPlacer, "job=" + job.record.id.value() +
                                 " ended state=" + std::string(Name(state)));
   RefreshReadySteps(job);
@@ -205,7 +214,7 @@
     StopPartialGangs(job);
     RefreshReadySteps(job);
   }
-  ++state_.capacity_version;
+  state_.ready.WakeAll();
 }
 
 // Stops the runs of gangs of which an earlier dispatcher started only a part.
