The HTTP client's work per response no longer grows with the requests that wait

The dispatching host keeps a poll open at each of 350 workers, and the thread of its HTTP client needed ever more of the processor, so that polls, starts, the lease and progress waited for it.

Cause: curl_multi_perform and curl_multi_poll visit every open transfer and every socket each time one response arrives: with 350 polls open and about 2,000 responses a second a quadratic cost.

Ruled out: decoding of the responses (the test's bodies are two bytes) and new connections (all are reused).

--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -13,6 +13,7 @@
 
 #include "base/ring.h"
 #include "base/time.h"
+#include "http/curl_event_loop.h"
 #include "http/http_transfer.h"
 
 namespace chivewing {
@@ -94,11 +95,11 @@
   void Finish(HttpTransfer& transfer, HttpResponse answer);
   void Report(const ResponseCallback& done, HttpResponse answer);
   void FailAll();
-  int PollTimeout() const;
+  std::chrono::milliseconds PollTimeout() const;
   std::unique_ptr<HttpTransfer> TakeTransfer();
 
   HttpClientOptions options_;
-  CURLM* multi_;
+  CurlEventLoop events_;
   Ring<Submission> ring_;
   std::vector<Submission> taken_;
   std::unordered_map<std::string, Host> hosts_;
@@ -121,22 +122,21 @@
 
 HttpClient::Loop::Loop(HttpClientOptions options)
     : options_(options),
-      multi_(curl_multi_init()),
-      ring_(options.ring_capacity, [this] { curl_multi_wakeup(multi_); }) {
-  curl_multi_setopt(multi_, CURLMOPT_MAX_HOST_CONNECTIONS,
+      ring_(options.ring_capacity, [this] { events_.Wake(); }) {
+  CURLM* const multi = events_.multi();
+  curl_multi_setopt(multi, CURLMOPT_MAX_HOST_CONNECTIONS,
                     static_cast<long>(options_.max_connections_per_host));
-  curl_multi_setopt(multi_, CURLMOPT_MAX_TOTAL_CONNECTIONS,
+  curl_multi_setopt(multi, CURLMOPT_MAX_TOTAL_CONNECTIONS,
                     static_cast<long>(options_.max_connections));
-  curl_multi_setopt(multi_, CURLMOPT_MAXCONNECTS,
+  curl_multi_setopt(multi, CURLMOPT_MAXCONNECTS,
                     static_cast<long>(options_.max_connections));
-  curl_multi_setopt(multi_, CURLMOPT_PIPELINING, CURLPIPE_NOTHING);
+  curl_multi_setopt(multi, CURLMOPT_PIPELINING, CURLPIPE_NOTHING);
   thread_ = std::thread([this] { Run(); });
 }
 
 HttpClient::Loop::~Loop() {
   Stop();
   idle_.clear();
-  curl_multi_cleanup(multi_);
 }
 
 bool HttpClient::Loop::Push(HttpRequest request, ResponseCallback done) {
@@ -162,20 +162,17 @@
   while (!ring_.closed()) {
     TakeSubmissions();
     ExpireWaiting();
-    int running = 0;
-    curl_multi_perform(multi_, &running);
+    events_.RunOnce(PollTimeout());
     TakeFinished();
-    curl_multi_poll(multi_, nullptr, 0, PollTimeout(), nullptr);
   }
   FailAll();
 }
 
-int HttpClient::Loop::PollTimeout() const {
-  if (deadlines_.empty()) return static_cast<int>(kMaxPollTime.count());
+std::chrono::milliseconds HttpClient::Loop::PollTimeout() const {
+  if (deadlines_.empty()) return kMaxPollTime;
   const auto left = std::chrono::ceil<std::chrono::milliseconds>(
       deadlines_.begin()->first - BootClock::now());
-  return static_cast<int>(
-      std::clamp(left, std::chrono::milliseconds(0), kMaxPollTime).count());
+  return std::clamp(left, std::chrono::milliseconds(0), kMaxPollTime);
 }
 
 void HttpClient::Loop::TakeSubmissions() {
@@ -215,7 +212,7 @@
   std::unique_ptr<HttpTransfer> transfer = TakeTransfer();
   transfer->Prepare(std::move(submission.request), std::move(submission.done),
                     left);
-  curl_multi_add_handle(multi_, transfer->handle());
+  curl_multi_add_handle(events_.multi(), transfer->handle());
   HttpTransfer* const key = transfer.get();
   active_.emplace(key, std::move(transfer));
   return true;
@@ -235,7 +232,7 @@
 
 void HttpClient::Loop::TakeFinished() {
   int left = 0;
-  while (CURLMsg* message = curl_multi_info_read(multi_, &left)) {
+  while (CURLMsg* message = curl_multi_info_read(events_.multi(), &left)) {
     if (message->msg != CURLMSG_DONE) continue;
     void* transfer = nullptr;
     curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &transfer);
@@ -245,7 +242,7 @@
 }
 
 void HttpClient::Loop::Finish(HttpTransfer& transfer, HttpResponse answer) {
-  curl_multi_remove_handle(multi_, transfer.handle());
+  curl_multi_remove_handle(events_.multi(), transfer.handle());
   const std::string name = HostOf(transfer.request().url);
   const ResponseCallback done = transfer.TakeDone();
   auto node = active_.extract(&transfer);
@@ -316,7 +313,7 @@
   }
   waiting_.clear();
   for (const auto& [key, transfer] : active_) {
-    curl_multi_remove_handle(multi_, transfer->handle());
+    curl_multi_remove_handle(events_.multi(), transfer->handle());
     Report(transfer->TakeDone(), transfer->TakeStoppedResponse());
   }
   active_.clear();
