Gateways get workers by their processor share, and a test sets the flag it means

Callers saw reveals and route checks late while the weakest hosts (0.12 of a core) made as many calls to workers as the strong ones: the assigner took a share of one core for all. It now takes the share that each host's row gives.

--- a/src/cluster/cluster_host.cc
+++ b/src/cluster/cluster_host.cc
@@ -25,6 +25,7 @@
 // How long callers are still served after a graceful stop has begun.
 constexpr milliseconds kMaxStopGracePeriod{2500};
 constexpr milliseconds kMaxTickInterval{500};
+constexpr double kMilliPerCore = 1000;
 constexpr milliseconds kGatewayOfferInterval{1000};
 const char* const kMeshKey = "chivewing-cluster";
 
@@ -312,8 +313,12 @@
 }
 
 HostRow ClusterHost::OwnHostRow() const {
-  return {settings_.host, settings_.zone, settings_.peer_address, incarnation_,
-          ProcessorMilli(settings_), /*takes_worker_calls=*/true,
+  return {settings_.host,
+          settings_.zone,
+          settings_.peer_address,
+          incarnation_,
+          ProcessorMilli(settings_),
+          /*takes_worker_calls=*/true,
           /*takes_job_states=*/true};
 }
 
@@ -399,7 +404,13 @@
     const auto offered = offered_gateways_.find(host);
     if (offered == offered_gateways_.end()) continue;
     if (offered->second != incarnation || !TakesWorkerCalls(host)) continue;
-    options.push_back({host, other_hosts_.at(host).zone});
+    const HostRow& row = other_hosts_.at(host);
+    GatewayOption option{host, row.zone};
+    if (row.processor_milli > 0) {
+      option.processor_share =
+          static_cast<double>(row.processor_milli) / kMilliPerCore;
+    }
+    options.push_back(option);
   }
   worker_calls_.SetGateways(options);
 }
--- a/tests/cluster/cluster_host_test.cc
+++ b/tests/cluster/cluster_host_test.cc
@@ -186,9 +186,9 @@
     mesh_ = std::move(PeerMesh::Start(settings, [this](const PeerEvent& event) {
                         Record(event);
                       }).value());
-    const HostRow row{settings.host, settings.zone,
-                      "127.0.0.1:" + std::to_string(mesh_->port()), 1,
-                      takes_job_states};
+    HostRow row{settings.host, settings.zone,
+                "127.0.0.1:" + std::to_string(mesh_->port()), 1};
+    row.takes_job_states = takes_job_states;
     const std::string key = HostRowKey(settings.host);
     store.Put(std::string(wire::kTableName), wire::PartitionOf(key), key,
               "write\n" + EncodeHostRow(row));
