A take-over that has lost its lease does not begin to dispatch

Cause: the lease row now changes only when the lease is taken or given back, and a row of another holder dropped a running dispatcher but not a take-over in progress; the take-over went on, began to dispatch with its old fence, and no later row corrected it. Change: such a row abandons the take-over too, and a take-over begins to dispatch only while its lease is held. Acquired anew, the lease begins another take-over. DoesNotBeginToDispatchAfterAnotherHostTookTheLease failed before (it dispatched), passes now.

--- a/src/cluster/dispatcher_runner.cc
+++ b/src/cluster/dispatcher_runner.cc
@@ -79,10 +79,10 @@
     lease_.OnRow(row);
     const std::optional<LeaseRow> lease =
         row.value ? DecodeLeaseRow(*row.value) : std::nullopt;
-    const bool superseded = lease && dispatcher_ &&
-                            lease->epoch > dispatcher_->fence() &&
-                            lease->host != settings_.host;
-    if (superseded) DropDispatcher(now, "another host holds the lease");
+    if (!lease || lease->host == settings_.host) return;
+    if (dispatcher_ && lease->epoch > dispatcher_->fence())
+      DropDispatcher(now, "another host holds the lease");
+    if (take_over_ && lease->epoch > take_over_->epoch) AbandonTakeOver();
     return;
   }
   if (!dispatcher_) return;
@@ -221,6 +221,11 @@
 
 void DispatcherRunner::ContinueTakeOver(TimePoint now) {
   if (!take_over_->rows_read || !take_over_->workers_read) return;
+  const LeaseKeeper::State lease = lease_.state();
+  if (!lease_.IsHeld(now) || lease.epoch != take_over_->epoch) {
+    AbandonTakeOver();
+    return;
+  }
   const TakeOver take_over = std::move(*take_over_);
   take_over_.reset();
   DispatchOptions options;
@@ -250,6 +255,14 @@
           " workers=" + std::to_string(dispatcher_->state().workers.size()));
 }
 
+// The lease is lost before the dispatcher has started. Acquired anew, it begins
+// another take-over.
+void DispatcherRunner::AbandonTakeOver() {
+  LogWarning(LogPart::kPlacer, "take-over abandoned, its lease is lost fence=" +
+                                   std::to_string(take_over_->epoch));
+  take_over_.reset();
+}
+
 void DispatcherRunner::AddKnownJobs(TimePoint now,
                                     std::uint64_t first_new_version) {
   table_watcher_.cache().ForEach(kJobRows, [&](const TableRow& row) {
--- a/src/cluster/dispatcher_runner.h
+++ b/src/cluster/dispatcher_runner.h
@@ -84,6 +84,7 @@
   void BeginTakeOver(TimePoint now, std::uint64_t epoch);
   void ReadWorkers(TimePoint now);
   void ContinueTakeOver(TimePoint now);
+  void AbandonTakeOver();
   void AddKnownJobs(TimePoint now, std::uint64_t first_new_version);
   void AddJobRow(TimePoint now, const TableRow& row, bool uncertain);
   void AddDeferredJobs(TimePoint now);
--- /dev/null
+++ b/tests/cluster/dispatcher_runner_test.cc
@@ -0,0 +1,94 @@
+#include "cluster/dispatcher_runner.h"
+
+#include <gtest/gtest.h>
+
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "lease/lease_row.h"
+
+namespace chivewing {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// A dispatcher runner on a table that holds back the read with which a
+// take-over catches up.
+class TakeOverTest : public testing::Test {
+ protected:
+  using ChangesCallback = std::function<void(ChangesResponse)>;
+
+  void SetUp() override {
+    watcher_.Tick(BootClock::now());
+    runner_.StartLease([] { return BootClock::now(); });
+    const TimePoint end = BootClock::now() + seconds(10);
+    while (!catch_up_ && BootClock::now() < end) {
+      runner_.Tick(BootClock::now());
+      watcher_.Tick(BootClock::now());
+      std::this_thread::sleep_for(milliseconds(2));
+    }
+    ASSERT_TRUE(catch_up_);
+  }
+  void TearDown() override { runner_.StopLease(); }
+  void CatchUp() { catch_up_({.ok = true, .revision = 50}); }
+
+  static PlatformInterface MakePlatform(ChangesCallback& catch_up) {
+    PlatformInterface out;
+    out.table.read_all = [](const auto& done) {
+      done({.ok = true, .revision = 1});
+    };
+    out.table.changes = [&catch_up](auto /*since*/, milliseconds wait,
+                                    const auto& done) {
+      if (wait.count() == 0) catch_up = done;
+    };
+    out.commit_lease = [](const TableTransaction&, const auto& done) {
+      done({.status = CommitStatus::kCommitted, .revision = 10});
+    };
+    out.watch_workers = [](auto /*after*/, auto /*wait*/, const auto& done) {
+      done({.ok = true, .revision = 1});
+    };
+    return out;
+  }
+  static ClusterSettings MakeSettings() {
+    ClusterSettings settings;
+    settings.host = HostId("h1");
+    return settings;
+  }
+
+  ChangesCallback catch_up_{};
+  const PlatformInterface platform_ = MakePlatform(catch_up_);
+  TableWatcher watcher_{platform_.table,
+                        [](const auto& run) { run(BootClock::now()); },
+                        [](TimePoint, const TableRow&) {}};
+  DispatcherRunner runner_{
+      BootClock::now(),
+      MakeSettings(),
+      /*incarnation=*/1,
+      platform_,
+      watcher_,
+      {.post = [](LoopWork, const auto& run) { run(BootClock::now()); },
+       .wake = [](LoopWork) {},
+       .wall_clock = [] { return milliseconds(0); },
+       .on_rows_committed = [](TimePoint, const std::vector<TableRow>&) {},
+       .request_advice = [](const AdviceRequest&) {}}};
+};
+
+TEST_F(TakeOverTest, BeginsToDispatchOnceItHasCaughtUp) {
+  EXPECT_FALSE(runner_.dispatching());
+  CatchUp();
+  EXPECT_TRUE(runner_.dispatching());
+}
+
+TEST_F(TakeOverTest, DoesNotBeginToDispatchAfterAnotherHostTookTheLease) {
+  const LeaseRow other{HostId("h2"), 7, 99, seconds(1), 1};
+  runner_.OnRow(BootClock::now(), {LeaseManager::RowKey(ZoneId("all")),
+                                   EncodeLeaseRow(other), 20, "write-of-h2"});
+  CatchUp();
+  EXPECT_FALSE(runner_.dispatching());
+}
+
+}  // namespace
+}  // namespace chivewing
