--- a/src/peer/messages.h
+++ b/src/peer/messages.h
@@ -8,8 +8,8 @@
 
 #include "base/id.h"
 #include "base/result_code.h"
-#include "dispatch/worker_messages.h"
 #include "dispatch/job_progress.h"
+#include "dispatch/worker_messages.h"
 #include "store/table.h"
 
 // Messages between entry hosts. docs/PROTOCOLS.md lists their fields in
