Calls of an ended dispatcher are forgotten, not made again

Seen in review: at a change of the lease's holder the former holder makes about one direct poll for each open poll, with a fence that is no longer its own, and still sends the calls queued in that turn.

Cause: the row that names the new holder disconnects the peers before the dispatcher ends. Without their gateways the open calls end as lost, and a lost poll is made again by this host. Nothing told the forwarder that the dispatcher of its calls had ended.

Change: the forwarder has DropAll, which ends each queued and open call once without a response and makes none of them again. The dispatcher's end calls it, whatever its reason, and the dispatcher sees a row before the peers are disconnected.

Evidence: with an empty DropAll, CallsOfAnEndedDispatcherAreNotMadeAgain and LateResponsesToDroppedCallsAreIgnored fail, as calls are made directly; with it both pass, and the property that each call ends exactly once also drops calls at random. The order of the steps in the host has no test of its own.

--- a/src/cluster/cluster_host.cc
+++ b/src/cluster/cluster_host.cc
@@ -84,9 +84,8 @@
            [this](TimePoint now, const std::vector<TableRow>& rows) {
              for (const TableRow& row : rows) table_watcher_.Apply(now, row);
            },
-           [this](const AdviceRequest& request) {
-             SendAdviceRequest(request);
-           }}),
+           [this](const AdviceRequest& request) { SendAdviceRequest(request); },
+           [this] { worker_calls_.DropAll(); }}),
       event_loop_(kRingCapacity) {}
 
 ClusterHost::~ClusterHost() {
@@ -240,6 +239,9 @@
         {JobOfRowKey(row.key, kProgressRows), *new_state});
   }
   if (row.key.starts_with(kHostRowPrefix)) OnHostRow(row);
+  // Before the peers are disconnected: a dispatcher that ends here makes no
+  // more calls, and its calls through them are not lost but forgotten.
+  dispatcher_runner_.OnRow(now, row);
   if (row.key.starts_with("placer/") && row.value) {
     if (const auto lease = DecodeLeaseRow(*row.value)) {
       if (lease->host != dispatching_host_) {
@@ -250,7 +252,6 @@
       }
     }
   }
-  dispatcher_runner_.OnRow(now, row);
 }
 
 // Callers may ask any host for a state. The other hosts read the rows later,
--- a/src/cluster/dispatcher_runner.cc
+++ b/src/cluster/dispatcher_runner.cc
@@ -273,6 +273,7 @@
                                    std::to_string(dispatcher_->fence()) +
                                    " why=" + why);
   dispatcher_.reset();
+  callbacks_.drop_calls();
 }
 
 void DispatcherRunner::SaveProgress(TimePoint now) {
--- a/src/cluster/dispatcher_runner.h
+++ b/src/cluster/dispatcher_runner.h
@@ -36,6 +36,8 @@
         on_rows_committed{};
     // Sends a request to the advice service, from this host or from a peer.
     std::function<void(const AdviceRequest&)> request_advice{};
+    // Called when a dispatcher has ended: none of its calls is to be made.
+    std::function<void()> drop_calls{};
   };
 
   DispatcherRunner(TimePoint now, const ClusterSettings& settings,
--- a/src/cluster/worker_call_forwarder.cc
+++ b/src/cluster/worker_call_forwarder.cc
@@ -99,6 +99,27 @@
   for (const HostId& host : listed) gateways_.try_emplace(host);
 }
 
+void WorkerCallForwarder::DropAll() {
+  const std::vector<Call> queued = std::exchange(queued_, {});
+  const std::map<std::uint64_t, Call> open = std::exchange(calls_, {});
+  expiries_.clear();
+  for (auto& [host, gateway] : gateways_) {
+    gateway.commands.clear();
+    gateway.polls.clear();
+  }
+  counts_.dropped += queued.size() + open.size();
+  for (const Call& call : queued) EndWithoutResponse(call);
+  for (const auto& [id, call] : open) EndWithoutResponse(call);
+}
+
+void WorkerCallForwarder::EndWithoutResponse(const Call& call) {
+  if (call.poll_done) {
+    call.poll_done(PollResponse{});
+  } else {
+    call.command_done(CommandResponse{});
+  }
+}
+
 TimePoint WorkerCallForwarder::Flush(TimePoint now) {
   if (now - last_flush_ > kLongPause) blameless_until_ = now + kLongPause;
   last_flush_ = now;
@@ -305,6 +326,7 @@
          " calls_direct=" + std::to_string(counts_.direct) +
          " calls_retried=" + std::to_string(counts_.retried) +
          " calls_lost=" + std::to_string(counts_.lost) +
+         " calls_dropped=" + std::to_string(counts_.dropped) +
          " calls_open=" + std::to_string(calls_.size());
 }
 
--- a/src/cluster/worker_call_forwarder.h
+++ b/src/cluster/worker_call_forwarder.h
@@ -23,6 +23,7 @@
   std::uint64_t direct = 0;     // calls made by this host
   std::uint64_t retried = 0;    // of them, after a gateway's failure
   std::uint64_t lost = 0;       // ended without a response of the gateway
+  std::uint64_t dropped = 0;    // ended with their dispatcher
 };
 
 // Sends the dispatcher's calls to workers through other hosts, the gateways:
@@ -47,6 +48,9 @@
 
   // Replaces the hosts that may serve. Calls to others end as lost.
   void SetGateways(const std::vector<GatewayOption>& options);
+  // Ends all calls as without a response and makes none of them again. Called
+  // when the dispatcher that made them ends.
+  void DropAll();
   void OnResponses(TimePoint now, const HostId& from,
                    const WorkerCallResponses& responses);
   // Ends overdue calls and sends the calls made since the last Flush. Called at
@@ -81,6 +85,7 @@
     std::size_t bytes = 0;  // estimate
   };
 
+  static void EndWithoutResponse(const Call& call);
   void Queue(Command command, std::function<void(CommandResponse)> done);
   void MakeDirectly(Call call);
   void RetryPollDirectly(Call call);
--- a/tests/cluster/worker_call_forwarder_test.cc
+++ b/tests/cluster/worker_call_forwarder_test.cc
@@ -206,6 +206,42 @@
   EXPECT_EQ(test.forwarder.outstanding(), 0U);
 }
 
+TEST(WorkerCallForwarder, CallsOfAnEndedDispatcherAreNotMadeAgain) {
+  Harness test;
+  test.SetGateways({kA});
+  test.Start("w1");
+  test.Poll("w1");
+  test.forwarder.Flush(test.now);
+  test.Start("w2");
+  test.Poll("w2");
+  test.forwarder.DropAll();
+  test.SetGateways({});
+  test.Pass(seconds(3));
+  EXPECT_EQ(test.sent.size(), 1U);
+  EXPECT_TRUE(test.workers.starts.empty());
+  EXPECT_TRUE(test.workers.polls.empty());
+  EXPECT_EQ(test.started.size(), 2U);
+  EXPECT_EQ(test.polled.size(), 2U);
+  EXPECT_EQ(test.forwarder.outstanding(), 0U);
+}
+
+TEST(WorkerCallForwarder, LateResponsesToDroppedCallsAreIgnored) {
+  Harness test;
+  test.SetGateways({kA});
+  test.Start("w1");
+  test.Poll("w1");
+  test.forwarder.Flush(test.now);
+  test.forwarder.DropAll();
+  const WorkerCalls& calls = test.sent.front().second;
+  test.AnswerCommand(kA, calls.starts.front().call_id,
+                     CommandOutcome::kNotSent);
+  test.AnswerPoll(kA, calls.polls.front().call_id, CommandOutcome::kNotSent);
+  EXPECT_TRUE(test.workers.starts.empty());
+  EXPECT_TRUE(test.workers.polls.empty());
+  EXPECT_EQ(test.started.size(), 1U);
+  EXPECT_EQ(test.polled.size(), 1U);
+}
+
 TEST(WorkerCallForwarder, APauseOfThisHostIsNotBlamedOnTheGateways) {
   Harness test;
   test.SetGateways({kA});
@@ -224,8 +260,8 @@
 }
 
 // Random schedules of calls, responses, doubled and foreign responses, lost
-// messages, refusals, pauses, and gateways that come and go: each call ends
-// exactly once.
+// messages, refusals, pauses, gateways that come and go, and ended dispatchers:
+// each call ends exactly once.
 RC_GTEST_PROP(WorkerCallForwarder, EachCallEndsExactlyOnce, ()) {
   Harness test;
   const std::vector<std::vector<HostId>> hosts = {{}, {kA}, {kB}, {kA, kB}};
@@ -236,7 +272,7 @@
   };
   for (int step = *rc::gen::inRange(1, 80); step > 0; --step) {
     const std::string worker = "w" + std::to_string(*rc::gen::inRange(0, 4));
-    switch (*rc::gen::inRange(0, 7)) {
+    switch (*rc::gen::inRange(0, 8)) {
       case 0:
         test.forwarder.interface().start_run(
             MakeStart(worker),
@@ -266,6 +302,9 @@
             test.AnswerPoll(from, each.call_id, outcome);
         }
         break;
+      case 5:
+        test.forwarder.DropAll();
+        break;
       default:
         test.now += milliseconds(*rc::gen::inRange(0, 500));
         test.forwarder.Flush(test.now);
