Progress rows are written in the order in which jobs became dirty

Callers saw jobs with high ids as running long after they had completed, and workers kept the ends of runs while the dispatcher was busy. TakeBatch took the smallest ids first, so busy jobs with low ids were written again and again; ends were marked only if no job at all was left to write.

Evidence: before the change the four new tests fail; with z dirty before a, the first batch of one row holds a, and the ends stay unmarked after z is written. A failed write was ruled out as the cause: the fault shows with each batch saved.

Dirty jobs now keep the order of their first mark, and unwritten ones go back in front. Each processed end remembers the newest mark of its time and is persisted by the batch that has taken the marks up to it, never before.

--- a/src/dispatch/dispatch_state.h
+++ b/src/dispatch/dispatch_state.h
@@ -9,6 +9,7 @@
 #include "base/latency_histogram.h"
 #include "base/time.h"
 #include "dispatch/advice_request_manager.h"
+#include "dispatch/dirty_jobs.h"
 #include "dispatch/dispatch_options.h"
 #include "dispatch/free_worker_index.h"
 #include "dispatch/ready_steps.h"
@@ -61,7 +62,7 @@
   // Workers that can hold more than at the last attempt to place steps.
   std::set<WorkerId> freed_workers{};
   ReadySteps ready{};
-  std::set<JobId> dirty{};  // jobs with a progress row to write
+  DirtyJobs dirty{};
   // Workers that may run tasks of an earlier dispatcher and have not listed
   // their runs yet.
   std::set<WorkerId> unsynced_workers{};
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -160,8 +160,7 @@
 ProgressWriteBatch Dispatcher::TakeBatch(std::size_t max_rows) {
   ProgressWriteBatch batch;
   while (!state_.dirty.empty() && batch.jobs.size() < max_rows) {
-    const JobId id = *state_.dirty.begin();
-    state_.dirty.erase(state_.dirty.begin());
+    const JobId id = *state_.dirty.TakeOldest();
     if (const TrackedJob* const job = state_.FindJob(id)) {
       batch.jobs.emplace_back(id, job->progress());
     }
@@ -175,11 +174,11 @@
       worker.enrolling = true;
       batch.enrolled.push_back(worker.registration());
     }
-    // While jobs are left to write, their ends must not be marked as persisted;
-    // a later batch does that.
-    const bool all_taken = state_.dirty.empty();
-    if (all_taken && worker.persisted_end != worker.processed_end) {
-      batch.ends[id] = worker.processed_end;
+    // Ends must not be marked as persisted while a job that was dirty when they
+    // were processed is left to write; a later batch does that.
+    for (const UnpersistedEnd& end : worker.unpersisted_ends) {
+      if (!state_.dirty.HasTaken(end.change)) break;
+      batch.ends[id] = end.number;
     }
   }
   return batch;
@@ -198,7 +197,10 @@
 }
 
 void Dispatcher::OnNotSaved(const ProgressWriteBatch& batch) {
-  for (const auto& [id, progress] : batch.jobs) state_.dirty.insert(id);
+  std::vector<JobId> unwritten;
+  unwritten.reserve(batch.jobs.size());
+  for (const auto& [id, progress] : batch.jobs) unwritten.push_back(id);
+  state_.dirty.Restore(unwritten);
   state_.removed_workers.insert(batch.removed_workers.begin(),
                                 batch.removed_workers.end());
   for (const WorkerRegistration& enrolled : batch.enrolled) {
--- a/src/dispatch/job_manager.cc
+++ b/src/dispatch/job_manager.cc
@@ -70,7 +70,7 @@
       state_.ready.Clear({id, number, s});
     }
   }
-  state_.dirty.erase(id);
+  state_.dirty.Remove(id);
   state_.repeating_jobs.erase(id);
   state_.jobs.erase(id);
 }
@@ -135,11 +135,11 @@
 void JobManager::OnTaskStarted(TrackedJob& job) {
   if (job.state != JobPhase::kQueued) return;
   job.state = JobPhase::kRunning;
-  state_.dirty.insert(job.record.id);
+  state_.dirty.Mark(job.record.id);
 }
 
 void JobManager::OnTaskDone(TrackedJob& job, std::size_t occurrence) {
-  state_.dirty.insert(job.record.id);
+  state_.dirty.Mark(job.record.id);
   std::vector<TrackedStep>& steps = job.occurrences[occurrence];
   for (std::size_t s = 0; s < steps.size(); ++s) {
     if (!job.IsStepDone(occurrence, s)) {
@@ -173,7 +173,7 @@
 
 void JobManager::OnTaskFailed(TrackedJob& job, const TaskKey& task,
                               const TaskProgress& progress) {
-  state_.dirty.insert(job.record.id);
+  state_.dirty.Mark(job.record.id);
   if (job.spec(task.step).long_running) return;
   if (progress.failed_runs.size() < job.record.queue.max_attempts) return;
   if (!job.IsActive()) return;
@@ -182,7 +182,7 @@
 
 void JobManager::Finish(TrackedJob& job, JobPhase state) {
   job.state = state;
-  state_.dirty.insert(job.record.id);
+  state_.dirty.Mark(job.record.id);
   state_.repeating_jobs.erase(job.record.id);
   LogInfo(LogPart::kPlacer, "job=" + job.record.id.value() +
                                 " ended state=" + std::string(Name(state)));
--- a/src/dispatch/run_manager.cc
+++ b/src/dispatch/run_manager.cc
@@ -346,7 +346,7 @@
   job.highest_run = std::max(job.highest_run, run.number);
   if (!saved.empty() && spec.checkpoints) {
     task->progress.saved = saved;
-    state_.dirty.insert(job.record.id);
+    state_.dirty.Mark(job.record.id);
   }
   if (reason == RunEndReason::kDone && !spec.long_running) {
     ++state_.counts.runs_done;
--- a/src/dispatch/tracked_worker.cc
+++ b/src/dispatch/tracked_worker.cc
@@ -61,6 +61,7 @@
   synced = false;
   processed_end = 0;
   persisted_end = 0;
+  unpersisted_ends.clear();
   incarnation_start = std::chrono::milliseconds(0);
   clock_at_ = TimePoint{};
   clock_ = WorkerTimestamp(0);
--- a/src/dispatch/tracked_worker.h
+++ b/src/dispatch/tracked_worker.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <deque>
 #include <optional>
 
 #include "base/time.h"
@@ -10,6 +11,13 @@
 
 namespace chivewing {
 
+// A processed run end whose effect may not be in the table yet.
+struct UnpersistedEnd {
+  std::uint64_t number = 0;
+  // Newest mark of a dirty job once the end was processed.
+  std::int64_t change = 0;
+};
+
 // The dispatcher's view of one worker: its resources, its clock, the lease that
 // it may hold, and how many of the run ends that it reports have been
 // processed. Does no I/O.
@@ -57,7 +65,9 @@
   bool enrolling = false;
   std::uint64_t processed_end = 0;  // newest end applied to the state
   std::uint64_t persisted_end = 0;  // newest end written to the table
-  std::uint64_t pending_poll = 0;   // 0: none
+  // Ends between those two, in their order.
+  std::deque<UnpersistedEnd> unpersisted_ends{};
+  std::uint64_t pending_poll = 0;  // 0: none
   TimePoint poll_sent{};
   TimePoint next_poll{};
   TimePoint last_response_at{};    // to a poll or a command
--- a/src/dispatch/worker_manager.cc
+++ b/src/dispatch/worker_manager.cc
@@ -241,6 +241,9 @@
   TrackedWorker* const worker = state_.FindWorker(id);
   if (worker == nullptr || end > worker->processed_end) return;
   worker->persisted_end = std::max(worker->persisted_end, end);
+  std::erase_if(worker->unpersisted_ends, [end](const UnpersistedEnd& each) {
+    return each.number <= end;
+  });
   if (worker->persisted_end == worker->processed_end &&
       !worker->IsUnresponsive()) {
     worker->next_poll = std::min(worker->next_poll, now);
@@ -265,6 +268,7 @@
     } else if (TrackedJob* const job = state_.FindJob(end.run.task.job)) {
       runs_.OnUntrackedRunEnd(*job, end);
     }
+    worker.unpersisted_ends.push_back({end.number, state_.dirty.last_change()});
   }
   if (worker.failures_in_row >= kFailuresBeforeBackoff) {
     worker.backoff_until = now + kFailureBackoff;
--- /dev/null
+++ b/tests/dispatch/write_order_test.cc
@@ -0,0 +1,123 @@
+// Tests of the order in which the dispatcher writes progress rows and marks the
+// ends of runs as persisted.
+
+#include <gtest/gtest.h>
+
+#include <optional>
+#include <string>
+#include <variant>
+
+#include "dispatch/dispatcher.h"
+
+namespace chivewing {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+class WriteOrderTest : public testing::Test {
+ protected:
+  void SetUp() override {
+    WorkerRegistration worker;
+    worker.worker = WorkerId("w");
+    dispatcher_.RegisterWorker(now_, worker);
+    dispatcher_.OnSaved(now_, dispatcher_.TakeBatch(1));
+  }
+
+  void AddJob(const std::string& id) {
+    JobRecord record;
+    record.id = JobId(id);
+    record.spec.steps.resize(1);
+    record.spec.steps[0].task_count = 1;
+    record.spec.steps[0].size = {1000, 1000, 0};
+    record.spec.steps[0].estimate = seconds(1);
+    dispatcher_.AddJob(now_, milliseconds(0), record, std::nullopt, false);
+  }
+
+  void MakeDirty(const std::string& id) {
+    AddJob(id);
+    dispatcher_.CancelJob(JobId(id));
+  }
+
+  // The worker reports that the task of the job is done.
+  void EndRun(const std::string& id, std::uint64_t end) {
+    now_ += seconds(1);
+    DispatchEffects effects;
+    dispatcher_.Decide(now_, milliseconds(0), effects);
+    for (const DispatchEffect& effect : effects) {
+      const auto* const poll = std::get_if<PollWorker>(&effect);
+      if (poll == nullptr) continue;
+      PollResponse response;
+      response.outcome = CommandOutcome::kDone;
+      response.clock = WorkerTimestamp(now_.time_since_epoch().count() / 1000);
+      EndedRunReport report;
+      report.number = end;
+      report.run = {{JobId(id), 0, 0, 0}, 1};
+      report.how = RunEndReason::kDone;
+      response.ended.push_back(report);
+      dispatcher_.OnPollResponse(now_, poll->worker, poll->poll_id, response);
+    }
+  }
+
+  static std::string JobsOf(const ProgressWriteBatch& batch) {
+    std::string out;
+    for (const auto& [id, progress] : batch.jobs) out += id.value() + " ";
+    return out;
+  }
+
+  TimePoint now_{seconds(10)};
+  Dispatcher dispatcher_{{}, 1};
+};
+
+// Guards against jobs with high ids whose rows are never written under load.
+TEST_F(WriteOrderTest, BusyJobsWithLowerIdsDoNotStarveAnother) {
+  MakeDirty("z");
+  MakeDirty("a");
+  MakeDirty("b");
+  EXPECT_EQ(JobsOf(dispatcher_.TakeBatch(1)), "z ");
+  MakeDirty("aa");
+  EXPECT_EQ(JobsOf(dispatcher_.TakeBatch(2)), "a b ");
+  EXPECT_EQ(JobsOf(dispatcher_.TakeBatch(2)), "aa ");
+}
+
+// Guards against rows of a failed batch that fall behind the others for good.
+TEST_F(WriteOrderTest, UnwrittenRowsAreNextInTheirOrder) {
+  for (const char* const id : {"y", "x", "a"}) MakeDirty(id);
+  const ProgressWriteBatch failed = dispatcher_.TakeBatch(2);
+  dispatcher_.OnNotSaved(failed);
+  EXPECT_EQ(JobsOf(dispatcher_.TakeBatch(3)), "y x a ");
+}
+
+// Guards against ends that no worker may forget while any job is dirty.
+TEST_F(WriteOrderTest, EndsArePersistedWhileLaterChangesAreLeftToWrite) {
+  MakeDirty("y");
+  AddJob("z");
+  EndRun("z", 1);
+  MakeDirty("a");
+  const ProgressWriteBatch first = dispatcher_.TakeBatch(1);
+  EXPECT_EQ(JobsOf(first), "y ");
+  EXPECT_TRUE(first.ends.empty()) << "the row of z is not written yet";
+  dispatcher_.OnSaved(now_, first);
+  const ProgressWriteBatch second = dispatcher_.TakeBatch(1);
+  EXPECT_EQ(JobsOf(second), "z ");
+  ASSERT_TRUE(second.ends.contains(WorkerId("w")));
+  EXPECT_EQ(second.ends.at(WorkerId("w")), 1U);
+  dispatcher_.OnSaved(now_, second);
+  EXPECT_TRUE(dispatcher_.HasDirty());
+}
+
+// Guards against ends that are marked although their row was not written.
+TEST_F(WriteOrderTest, EndsOfAnUnwrittenRowAreNotPersisted) {
+  AddJob("z");
+  EndRun("z", 1);
+  MakeDirty("a");
+  dispatcher_.OnNotSaved(dispatcher_.TakeBatch(1));
+  MakeDirty("b");
+  EXPECT_TRUE(dispatcher_.TakeBatch(0).ends.empty());
+  const ProgressWriteBatch retried = dispatcher_.TakeBatch(1);
+  EXPECT_EQ(JobsOf(retried), "z ");
+  EXPECT_EQ(retried.ends.size(), 1U);
+}
+
+}  // namespace
+}  // namespace chivewing
