A progress batch stays within the store's limit when many workers are removed

Cause: a batch takes up to 60 rows, and the rows of all workers that are gone came on top without a bound; a zone holds 117. A refused batch is taken again as it was, so nothing would be saved any more. Rows to delete now count among the 60, the rest waits for the next batch. ManyRemovedWorkersDoNotOverfillABatch failed before (100 rows of 60), passes now; rows that come on top are the lease's condition and the batch's own row, so 100 is not reached.

--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -165,12 +165,19 @@
       batch.jobs.emplace_back(id, job->progress());
     }
   }
-  batch.removed_workers = std::move(state_.removed_workers);
-  state_.removed_workers.clear();
+  std::erase_if(state_.removed_workers, [this](const WorkerId& id) {
+    return state_.workers.contains(id);
+  });
+  while (!state_.removed_workers.empty() &&
+         batch.jobs.size() + batch.removed_workers.size() < max_rows) {
+    batch.removed_workers.insert(
+        state_.removed_workers.extract(state_.removed_workers.begin()));
+  }
   for (auto& [id, worker] : state_.workers) {
-    batch.removed_workers.erase(id);
     if (worker.registered() && !worker.enrolled && !worker.enrolling &&
-        batch.jobs.size() + batch.enrolled.size() < max_rows) {
+        batch.jobs.size() + batch.removed_workers.size() +
+                batch.enrolled.size() <
+            max_rows) {
       worker.enrolling = true;
       batch.enrolled.push_back(worker.registration());
     }
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -81,8 +81,8 @@
                    DispatchEffects& out);
 
   bool HasDirty() const;
-  // Takes about `max_rows` rows to write; the worker rows to delete come on
-  // top. Each batch must be completed by OnSaved or OnNotSaved.
+  // Takes at most `max_rows` rows to write or delete. Each batch must be
+  // completed by OnSaved or OnNotSaved.
   ProgressWriteBatch TakeBatch(std::size_t max_rows);
   void OnSaved(TimePoint now, const ProgressWriteBatch& batch);
   void OnNotSaved(const ProgressWriteBatch& batch);
--- a/tests/dispatch/write_order_test.cc
+++ b/tests/dispatch/write_order_test.cc
@@ -81,6 +81,35 @@
 }
 
 // Guards against rows of a failed batch that fall behind the others for good.
+TEST_F(WriteOrderTest, ManyRemovedWorkersDoNotOverfillABatch) {
+  constexpr int kRemoved = 100;
+  for (int i = 0; i < kRemoved; ++i) {
+    WorkerRegistration worker;
+    worker.worker = WorkerId("gone" + std::to_string(i));
+    dispatcher_.RegisterWorker(now_, worker);
+  }
+  dispatcher_.OnSaved(now_, dispatcher_.TakeBatch(kRemoved));
+  for (int i = 0; i < kRemoved; ++i) {
+    dispatcher_.UnregisterWorker(WorkerId("gone" + std::to_string(i)));
+  }
+  const TimePoint end = now_ + seconds(20);
+  for (; now_ < end; now_ += milliseconds(100)) {
+    DispatchEffects effects;
+    dispatcher_.Decide(now_, milliseconds(0), effects);
+    for (const DispatchEffect& effect : effects) {
+      const auto& poll = std::get<PollWorker>(effect);
+      dispatcher_.OnPollResponse(now_, poll.worker, poll.poll_id, {});
+    }
+  }
+  std::size_t removed = 0;
+  for (int batch = 0; batch < 2; ++batch) {
+    const std::size_t rows = dispatcher_.TakeBatch(60).removed_workers.size();
+    EXPECT_LE(rows, 60U);
+    removed += rows;
+  }
+  EXPECT_EQ(removed, kRemoved);
+}
+
 TEST_F(WriteOrderTest, UnwrittenRowsAreNextInTheirOrder) {
   for (const char* const id : {"y", "x", "a"}) MakeDirty(id);
   const ProgressWriteBatch failed = dispatcher_.TakeBatch(2);
