--- a/tests/dispatch/write_order_test.cc
+++ b/tests/dispatch/write_order_test.cc
@@ -15,6 +15,8 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+constexpr std::size_t kRemovedWorkers = 100;
+
 class WriteOrderTest : public testing::Test {
  protected:
   void SetUp() override {
@@ -82,14 +84,13 @@
 
 // Guards against rows of a failed batch that fall behind the others for good.
 TEST_F(WriteOrderTest, ManyRemovedWorkersDoNotOverfillABatch) {
-  constexpr int kRemoved = 100;
-  for (int i = 0; i < kRemoved; ++i) {
+  for (std::size_t i = 0; i < kRemovedWorkers; ++i) {
     WorkerRegistration worker;
     worker.worker = WorkerId("gone" + std::to_string(i));
     dispatcher_.RegisterWorker(now_, worker);
   }
-  dispatcher_.OnSaved(now_, dispatcher_.TakeBatch(kRemoved));
-  for (int i = 0; i < kRemoved; ++i) {
+  dispatcher_.OnSaved(now_, dispatcher_.TakeBatch(kRemovedWorkers));
+  for (std::size_t i = 0; i < kRemovedWorkers; ++i) {
     dispatcher_.UnregisterWorker(WorkerId("gone" + std::to_string(i)));
   }
   const TimePoint end = now_ + seconds(20);
@@ -107,7 +108,7 @@
     EXPECT_LE(rows, 60U);
     removed += rows;
   }
-  EXPECT_EQ(removed, kRemoved);
+  EXPECT_EQ(removed, kRemovedWorkers);
 }
 
 TEST_F(WriteOrderTest, UnwrittenRowsAreNextInTheirOrder) {
