--- a/tests/cluster/cluster_host_test.cc
+++ b/tests/cluster/cluster_host_test.cc
@@ -10,6 +10,7 @@
 #include <thread>
 
 #include "cluster/host_row.h"
+#include "cluster/small_day.h"
 #include "peer/peer_mesh.h"
 #include "platform/platform_client.h"
 #include "platform/store_codec.h"
@@ -24,15 +25,9 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr const char* kDesiredState =
-    R"({"version":3,"routes":[{"name":"r","host":"desk.example",
-        "pathPrefix":"/jobs/","sloMs":250,"priority":0,"service":"pool",
-        "maxAttempts":2,"stretch":1.5}],
-        "services":[{"name":"pool"}]})";
-constexpr const char* kJob =
-    R"({"spec":"x","steps":[{"count":3,"cpu":500,"memMb":100,"estMs":50},
-                            {"count":2,"cpu":500,"memMb":100,"estMs":50,
-                             "after":[0]}]})";
+using small_day::kDesiredState;
+using small_day::kJob;
+using small_day::WaitFor;
 
 // An entry host with its own platform clients.
 struct Host {
@@ -85,15 +80,6 @@
   bool started = false;
 };
 
-bool WaitFor(const std::function<bool()>& holds) {
-  const TimePoint end = BootClock::now() + seconds(15);
-  while (BootClock::now() < end) {
-    if (holds()) return true;
-    std::this_thread::sleep_for(milliseconds(10));
-  }
-  return false;
-}
-
 class ClusterHostTest : public testing::Test {
  protected:
   ClusterHostTest() {
--- a/tests/cluster/gateway_end_to_end_test.cc
+++ b/tests/cluster/gateway_end_to_end_test.cc
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "cluster/cluster_host.h"
+#include "cluster/small_day.h"
 #include "platform/platform_client.h"
 #include "standins/blocking_http.h"
 #include "standins/free_ports.h"
@@ -23,26 +24,10 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr const char* kDesiredState =
-    R"({"version":3,"routes":[{"name":"r","host":"desk.example",
-        "pathPrefix":"/jobs/","sloMs":250,"priority":0,"service":"pool",
-        "maxAttempts":2,"stretch":1.5}],
-        "services":[{"name":"pool"}]})";
-constexpr const char* kJob =
-    R"({"spec":"x","steps":[{"count":3,"cpu":500,"memMb":100,"estMs":50},
-                            {"count":2,"cpu":500,"memMb":100,"estMs":50,
-                             "after":[0]}]})";
-constexpr std::size_t kTasksPerJob = 5;
-constexpr seconds kLimit{15};
-
-bool WaitFor(const std::function<bool()>& holds) {
-  const TimePoint end = BootClock::now() + kLimit;
-  while (BootClock::now() < end) {
-    if (holds()) return true;
-    std::this_thread::sleep_for(milliseconds(10));
-  }
-  return false;
-}
+using small_day::kDesiredState;
+using small_day::kJob;
+using small_day::kTasksPerJob;
+using small_day::WaitFor;
 
 // An entry host that counts the calls which it makes to workers.
 class CountingHost {
--- a/tests/process/failure_test.cc
+++ b/tests/process/failure_test.cc
@@ -6,6 +6,7 @@
 
 #include "cell/client_load_generator.h"
 #include "cell/test_cell.h"
+#include "process/cell_entries.h"
 
 // Invariants of a cell whose entry hosts are real processes, checked while
 // faults are injected under load: no keyed request runs twice, none reported as
@@ -21,14 +22,8 @@
 constexpr seconds kLimit{30};
 constexpr milliseconds kLoadTime{1500};
 
-constexpr const char* kReveal = R"({"name":"hint-reveal","owner":"puzzles",
-  "class":"service","limits":{"processors":2,"memory_mb":512,"instances":3},
-  "policy":{"deadline_ms":3000,"request_timeout_ms":500,"longest_run_ms":1000,
-            "idempotent":true}})";
-constexpr const char* kNotice = R"({"name":"notice-post","owner":"hauliers",
-  "class":"service","limits":{"processors":2,"memory_mb":512,"instances":3},
-  "policy":{"deadline_ms":3000,"request_timeout_ms":1000,"longest_run_ms":2000,
-            "idempotent":false}})";
+using cell_entries::kNotice;
+using cell_entries::kReveal;
 constexpr const char* kTracker = R"({"name":"streak-tracker","owner":"puzzles",
   "class":"singleton","limits":{"processors":1,"memory_mb":256,"slots":0},
   "policy":{"when_cut_off":"lapse","lapse_after_s":10}})";
--- a/tests/process/mixed_builds_test.cc
+++ b/tests/process/mixed_builds_test.cc
@@ -12,6 +12,7 @@
 
 #include "cell/client_load_generator.h"
 #include "cell/test_cell.h"
+#include "process/cell_entries.h"
 #include "standins/blocking_http.h"
 #include "standins/free_ports.h"
 #include "standins/store_standin.h"
@@ -25,14 +26,8 @@
 
 constexpr seconds kLimit{30};
 
-constexpr const char* kReveal = R"({"name":"hint-reveal","owner":"puzzles",
-  "class":"service","limits":{"processors":2,"memory_mb":512,"instances":3},
-  "policy":{"deadline_ms":3000,"request_timeout_ms":500,"longest_run_ms":1000,
-            "idempotent":true}})";
-constexpr const char* kNotice = R"({"name":"notice-post","owner":"hauliers",
-  "class":"service","limits":{"processors":2,"memory_mb":512,"instances":3},
-  "policy":{"deadline_ms":3000,"request_timeout_ms":1000,"longest_run_ms":2000,
-            "idempotent":false}})";
+using cell_entries::kNotice;
+using cell_entries::kReveal;
 constexpr const char* kCheck = R"({"name":"route-check","owner":"hauliers",
   "class":"service","limits":{"processors":1,"memory_mb":256,"instances":2},
   "policy":{"deadline_ms":3000,"request_timeout_ms":500,"longest_run_ms":1000,
