The peer mesh's work per wake-up does not grow with the peers

Each wake-up walked all connections and peers twice for timers and flushed each connection, and each message was a wake-up of its own.

Change: the loop remembers when the next timer is due, flushes only the queues that were filled, and is woken once for all messages queued meanwhile. SendToEach encodes a message once for all its receivers.

--- a/src/peer/peer_mesh.cc
+++ b/src/peer/peer_mesh.cc
@@ -31,6 +31,11 @@
   return loop_->Broadcast(message);
 }
 
+std::size_t PeerMesh::SendToEach(const std::vector<HostId>& to,
+                                 const PeerMessage& message) {
+  return loop_->SendToEach(to, message);
+}
+
 void PeerMesh::AddPeer(const PeerAddress& peer) { loop_->SetPeerAddress(peer); }
 
 void PeerMesh::RemovePeer(const HostId& host) {
--- a/src/peer/peer_mesh.h
+++ b/src/peer/peer_mesh.h
@@ -44,6 +44,10 @@
   // Queues a message to every peer that is up; returns the number of peers for
   // which it was queued.
   std::size_t Broadcast(const PeerMessage& message);
+  // Queues a message to each of the peers, encoded once; returns the number of
+  // peers for which it was queued.
+  std::size_t SendToEach(const std::vector<HostId>& to,
+                         const PeerMessage& message);
 
   // Starts dialling a peer; a changed address closes its present connection.
   void AddPeer(const PeerAddress& peer);
--- a/src/peer/peer_mesh_loop.cc
+++ b/src/peer/peer_mesh_loop.cc
@@ -38,6 +38,13 @@
   return difference == 0;
 }
 
+// For epoll_wait: rounded up, so that it does not wake up too early.
+int MillisecondsUntil(TimePoint due) {
+  const auto wait =
+      std::chrono::ceil<std::chrono::milliseconds>(due - BootClock::now());
+  return static_cast<int>(std::max<std::int64_t>(wait.count(), 0));
+}
+
 void AddToEpoll(const UniqueFd& epoll, const UniqueFd& fd, std::uint64_t id,
                 std::uint32_t events) {
   epoll_event event{};
@@ -94,6 +101,18 @@
   return queued;
 }
 
+std::size_t PeerMeshLoop::SendToEach(const std::vector<HostId>& to,
+                                     const PeerMessage& message) {
+  const std::string payload = Encode(message);
+  if (payload.size() > settings_.max_frame_bytes) return 0;
+  const std::string frame = MakeFrame(payload);
+  const auto queued = static_cast<std::size_t>(std::count_if(
+      to.begin(), to.end(),
+      [&](const HostId& host) { return send_queues_.Push(host, frame); }));
+  if (queued > 0) Wake();
+  return queued;
+}
+
 void PeerMeshLoop::SetPeerAddress(const PeerAddress& peer) {
   {
     const std::lock_guard lock(mutex_);
@@ -109,6 +128,7 @@
 }
 
 void PeerMeshLoop::Wake() {
+  if (wake_pending_.exchange(true)) return;
   const std::uint64_t one = 1;
   const ssize_t ignored = write(wake_.get(), &one, sizeof(one));
   // Only a full counter fails, and that wakes the loop as well.
@@ -140,7 +160,7 @@
 void PeerMeshLoop::Wait() {
   std::array<epoll_event, kMaxEventsPerWait> events;
   const int count = epoll_wait(epoll_.get(), events.data(), kMaxEventsPerWait,
-                               WaitTimeoutMs(BootClock::now()));
+                               MillisecondsUntil(timers_at_));
   const TimePoint now = BootClock::now();
   for (int i = 0; i < count; ++i) {
     const epoll_event& event = events.at(static_cast<std::size_t>(i));
@@ -150,6 +170,7 @@
       std::uint64_t wakes = 0;
       const ssize_t ignored = read(wake_.get(), &wakes, sizeof(wakes));
       static_cast<void>(ignored);
+      wake_pending_ = false;
     } else {
       OnReady(now, event.data.u64, event.events);
     }
@@ -172,6 +193,7 @@
     Peer& peer = peers_[change.host];
     peer.address = change.address;
     peer.dial_at = BootClock::now();
+    timers_at_ = TimePoint{};
   }
 }
 
@@ -194,6 +216,7 @@
 }
 
 void PeerMeshLoop::RunTimers(TimePoint now) {
+  if (now < timers_at_) return;
   std::vector<ConnectionId> timed_out;
   for (const auto& [id, connection] : connections_) {
     if (now >= *TimeoutAt(connection)) timed_out.push_back(id);
@@ -213,9 +236,10 @@
     QueueFrame(connection, Heartbeat{++peer.sequence});
     UpdateWriteEvents(peer.connection, connection);
   }
+  timers_at_ = NextTimer(now);
 }
 
-int PeerMeshLoop::WaitTimeoutMs(TimePoint now) const {
+TimePoint PeerMeshLoop::NextTimer(TimePoint now) const {
   TimePoint due = now + std::chrono::milliseconds(kMaxWaitMs);
   for (const auto& [id, connection] : connections_) {
     due = std::min(due, *TimeoutAt(connection));
@@ -227,9 +251,7 @@
       due = std::min(due, peer.heartbeat_at);
     }
   }
-  const auto wait =
-      std::chrono::ceil<std::chrono::milliseconds>(due - now).count();
-  return static_cast<int>(std::max<std::int64_t>(wait, 0));
+  return due;
 }
 
 void PeerMeshLoop::Dial(TimePoint now, const HostId& host, Peer& peer) {
@@ -259,6 +281,7 @@
 
 PeerMeshLoop::ConnectionId PeerMeshLoop::Register(PeerConnection connection) {
   const ConnectionId id = next_connection_++;
+  timers_at_ = TimePoint{};
   AddToEpoll(epoll_, connection.fd, id, EPOLLIN | EPOLLOUT);
   connections_.emplace(id, std::move(connection));
   return id;
@@ -352,6 +375,7 @@
     return false;
   }
   connection.stage = Stage::kOpen;
+  timers_at_ = TimePoint{};
   connection.host = hello.host;
   connection.incarnation = hello.incarnation;
   connection.frames.set_max_payload(settings_.max_frame_bytes);
@@ -434,14 +458,13 @@
   Count(&PeerMeshCounters::frames_sent);
 }
 
+// A connection that does not take all frames now is flushed when it becomes
+// writable.
 void PeerMeshLoop::FlushSendQueues(TimePoint now) {
-  std::vector<ConnectionId> open;
-  for (const auto& [host, peer] : peers_) {
-    if (peer.connection == 0) continue;
-    if (connections_.at(peer.connection).stage != Stage::kOpen) continue;
-    open.push_back(peer.connection);
+  for (const HostId& host : send_queues_.TakeFilled()) {
+    const auto peer = peers_.find(host);
+    if (peer != peers_.end()) Flush(now, peer->second.connection);
   }
-  for (const ConnectionId id : open) Flush(now, id);
 }
 
 void PeerMeshLoop::Flush(TimePoint now, ConnectionId id) {
@@ -507,6 +530,7 @@
   if (found == peers_.end()) return;
   Peer& peer = found->second;
   peer.connection = 0;
+  timers_at_ = TimePoint{};
   send_queues_.Close(host);
   if (stage == Stage::kOpen) {
     peer.dial_at = now;
--- a/src/peer/peer_mesh_loop.h
+++ b/src/peer/peer_mesh_loop.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <atomic>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -32,6 +33,8 @@
   PeerMeshCounters counters() const;
   bool Send(const HostId& to, const PeerMessage& message);
   std::size_t Broadcast(const PeerMessage& message);
+  std::size_t SendToEach(const std::vector<HostId>& to,
+                         const PeerMessage& message);
   // Makes the loop dial the peer, or remove it if the address is empty.
   void SetPeerAddress(const PeerAddress& peer);
   void SetDropFilter(std::function<bool(const HostId&)> should_drop);
@@ -58,7 +61,7 @@
   void ApplyAddressChanges();
   void RemovePeer(const HostId& host);
   void RunTimers(TimePoint now);
-  int WaitTimeoutMs(TimePoint now) const;
+  TimePoint NextTimer(TimePoint now) const;
   std::optional<TimePoint> TimeoutAt(const PeerConnection& connection) const;
 
   void Dial(TimePoint now, const HostId& host, Peer& peer);
@@ -92,12 +95,16 @@
   UniqueFd epoll_;
   UniqueFd wake_;
   PeerSendQueues send_queues_;
+  std::atomic<bool> wake_pending_{false};
 
   // Used on the loop's thread only.
   std::map<ConnectionId, PeerConnection> connections_;
   std::map<HostId, Peer> peers_;
   ConnectionId next_connection_;
   std::size_t accepted_ = 0;
+  // Before it no timer of a connection or peer is due. Reset by each change
+  // that may make one due earlier.
+  TimePoint timers_at_{};
 
   // Guards the members from here to `address_changes_`.
   mutable std::mutex mutex_;
--- a/src/peer/peer_send_queues.cc
+++ b/src/peer/peer_send_queues.cc
@@ -1,5 +1,7 @@
 #include "peer/peer_send_queues.h"
 
+#include <utility>
+
 namespace chivewing {
 
 void PeerSendQueues::Open(const HostId& host) {
@@ -15,14 +17,14 @@
 bool PeerSendQueues::Push(const HostId& host, const std::string& frame) {
   const std::lock_guard lock(mutex_);
   const auto found = queues_.find(host);
-  return found != queues_.end() && PushTo(found->second, frame);
+  return found != queues_.end() && PushTo(host, found->second, frame);
 }
 
 std::size_t PeerSendQueues::PushAll(const std::string& frame) {
   const std::lock_guard lock(mutex_);
   std::size_t queued = 0;
   for (auto& [host, queue] : queues_) {
-    if (PushTo(queue, frame)) ++queued;
+    if (PushTo(host, queue, frame)) ++queued;
   }
   return queued;
 }
@@ -45,18 +47,32 @@
   return taken;
 }
 
+std::vector<HostId> PeerSendQueues::TakeFilled() {
+  const std::lock_guard lock(mutex_);
+  for (const HostId& host : filled_) {
+    const auto found = queues_.find(host);
+    if (found != queues_.end()) found->second.listed = false;
+  }
+  return std::exchange(filled_, {});
+}
+
 std::uint64_t PeerSendQueues::refused_full() const {
   const std::lock_guard lock(mutex_);
   return refused_full_;
 }
 
-bool PeerSendQueues::PushTo(SendQueue& queue, const std::string& frame) {
+bool PeerSendQueues::PushTo(const HostId& host, SendQueue& queue,
+                            const std::string& frame) {
   if (queue.bytes + frame.size() > max_bytes_) {
     ++refused_full_;
     return false;
   }
   queue.bytes += frame.size();
   queue.frames.push_back(frame);
+  if (!queue.listed) {
+    queue.listed = true;
+    filled_.push_back(host);
+  }
   return true;
 }
 
--- a/src/peer/peer_send_queues.h
+++ b/src/peer/peer_send_queues.h
@@ -6,6 +6,7 @@
 #include <mutex>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 #include "base/id.h"
 
@@ -30,18 +31,23 @@
   // queue is empty; returns the number of frames.
   std::size_t Take(const HostId& host, std::size_t max_bytes, std::string& to);
 
+  // Hosts to which frames have been pushed since the last call.
+  std::vector<HostId> TakeFilled();
+
   std::uint64_t refused_full() const;
 
  private:
   struct SendQueue {
     std::deque<std::string> frames;
     std::size_t bytes = 0;
+    bool listed = false;  // in filled_
   };
-  bool PushTo(SendQueue& queue, const std::string& frame);
+  bool PushTo(const HostId& host, SendQueue& queue, const std::string& frame);
 
   std::size_t max_bytes_;
   mutable std::mutex mutex_;
   std::unordered_map<HostId, SendQueue> queues_;
+  std::vector<HostId> filled_;
   std::uint64_t refused_full_ = 0;
 };
 
