Silent gateways are looked for every 25 ms, not in each turn

A gateway is silent after 300 ms, so a look each 25 ms finds it as well. The tests of the forwarder pass unchanged.

--- a/src/cluster/worker_call_forwarder.cc
+++ b/src/cluster/worker_call_forwarder.cc
@@ -16,6 +16,8 @@
 // A gateway from which nothing has come for so long, though commands wait for
 // their responses, counts as failed.
 constexpr milliseconds kSilenceLimit{300};
+// How often gateways are checked for silence.
+constexpr milliseconds kSilenceCheckInterval{25};
 // After a pause of the loop longer than this, gateways get the same time to be
 // heard.
 constexpr milliseconds kLongPause{150};
@@ -306,7 +308,8 @@
 }
 
 void WorkerCallForwarder::FindSilentGateways(TimePoint now) {
-  if (now < blameless_until_) return;
+  if (now < blameless_until_ || now < next_silence_check_) return;
+  next_silence_check_ = now + kSilenceCheckInterval;
   for (const auto& [host, gateway] : gateways_) {
     if (gateway.commands.empty()) continue;
     const TimePoint oldest = calls_.at(*gateway.commands.begin()).sent_at;
@@ -331,16 +334,9 @@
 }
 
 TimePoint WorkerCallForwarder::NextDue() const {
-  TimePoint next = TimePoint::max();
-  if (!expiries_.empty()) next = expiries_.begin()->first;
-  for (const auto& [host, gateway] : gateways_) {
-    if (gateway.commands.empty()) continue;
-    const TimePoint oldest = calls_.at(*gateway.commands.begin()).sent_at;
-    const TimePoint silent_at =
-        std::max(oldest, gateway.heard_at) + kSilenceLimit;
-    next = std::min(next, std::max(silent_at, blameless_until_));
-  }
-  return next;
+  if (expiries_.empty()) return TimePoint::max();
+  return std::min(expiries_.begin()->first,
+                  std::max(next_silence_check_, blameless_until_));
 }
 
 }  // namespace chivewing
--- a/src/cluster/worker_call_forwarder.h
+++ b/src/cluster/worker_call_forwarder.h
@@ -117,6 +117,7 @@
   // then no gateway is blamed.
   TimePoint last_flush_{};
   TimePoint blameless_until_{};
+  TimePoint next_silence_check_{};
   ForwarderCounts counts_;
 };
 
