A turn of the deciding loop costs nothing for workers that need no attention

Callers of the large notice desk wait for starts that come late: the dispatching host spends 320 to 470 ms of each second deciding, on half a core.

Ruled out: the placing itself is 16% of the process; logs are under 2%.

Change: workers are kept by the time at which they need attention, those without a row or with ends to write in sets, commands by the time at which they are due. RunTable::RequestStop replaces three copies of the same lines.

--- a/src/cluster/dispatcher_runner.cc
+++ b/src/cluster/dispatcher_runner.cc
@@ -426,8 +426,7 @@
          " jobs=" + std::to_string(state.jobs.size()) +
          " steps_ready=" + std::to_string(state.ready.size()) +
          " runs=" + std::to_string(state.runs.all().size()) +
-         " commands_pending=" +
-         std::to_string(state.runs.pending_commands().size()) +
+         " commands_pending=" + std::to_string(state.runs.pending_commands()) +
          " progress_unsaved=" + std::to_string(state.dirty.size()) +
          " deferred_jobs=" + std::to_string(deferred_job_rows_.size()) +
          " workers_unsynced=" + std::to_string(state.unsynced_workers.size()) +
--- a/src/dispatch/dispatch_state.cc
+++ b/src/dispatch/dispatch_state.cc
@@ -3,6 +3,17 @@
 #include "base/log.h"
 
 namespace chivewing {
+namespace {
+
+void SetMember(std::set<WorkerId>& workers, const WorkerId& id, bool member) {
+  if (member) {
+    workers.insert(id);
+  } else {
+    workers.erase(id);
+  }
+}
+
+}  // namespace
 
 TrackedWorker* DispatchState::FindWorker(const WorkerId& id) {
   const auto found = workers.find(id);
@@ -53,9 +64,17 @@
   if (free_workers.Update(worker, accepts_tasks)) freed_workers.insert(id);
 }
 
+void DispatchState::UpdateTableWork(const TrackedWorker& worker) {
+  const WorkerId& id = worker.registration().worker;
+  SetMember(workers_without_row, id, worker.NeedsRow());
+  SetMember(workers_with_ends, id, worker.HasUnpersistedEnds());
+}
+
 void DispatchState::RemoveWorker(const WorkerId& id) {
   free_workers.Remove(id);
   freed_workers.erase(id);
+  workers_without_row.erase(id);
+  workers_with_ends.erase(id);
   workers.erase(id);
 }
 
--- a/src/dispatch/dispatch_state.h
+++ b/src/dispatch/dispatch_state.h
@@ -40,6 +40,8 @@
   std::uint64_t stop_retries = 0;
   std::uint64_t steps_tried = 0;       // attempts to place a waiting step
   std::uint64_t workers_examined = 0;  // looked at while deciding
+  // Looked at for a poll that is due, a lease that may be over or a batch.
+  std::uint64_t workers_attended = 0;
 };
 
 // The whole state of the dispatcher, shared by JobManager, RunManager,
@@ -68,6 +70,10 @@
   std::set<WorkerId> unsynced_workers{};
   // Workers that are certainly gone and whose rows are still to be deleted.
   std::set<WorkerId> removed_workers{};
+  // Registered workers whose rows are still to be written, and workers with
+  // ends whose effects may not be in the table.
+  std::set<WorkerId> workers_without_row{};
+  std::set<WorkerId> workers_with_ends{};
   std::uint64_t last_poll = 0;
   DispatchCounters counts{};
   StartGuard start_guard{};
@@ -88,6 +94,9 @@
   // To be called after each change of a worker's resources, registration or
   // condition: keeps `free_workers` and `freed_workers`.
   void UpdateWorker(TrackedWorker& worker);
+  // To be called after each change of a worker's registration, its row or its
+  // ends: keeps `workers_without_row` and `workers_with_ends`.
+  void UpdateTableWork(const TrackedWorker& worker);
   void RemoveWorker(const WorkerId& id);
   // Logs and counts a violated invariant.
   void ReportInvariantBreach(const std::string& what);
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -137,8 +137,8 @@
   }
   scheduler_.ScheduleReadySteps(now, out);
   TimePoint next = now + kMaxSleep;
-  next = std::min(next, workers_.next_due(now));
-  next = std::min(next, runs_.next_send());
+  next = std::min(next, workers_.next_due());
+  next = std::min(next, state_.runs.next_command());
   next = std::min(next, state_.advice.next_timeout().value_or(next));
   if (next_due) next = std::min(next, now + (*next_due - wall));
   if (!state_.ready.empty())
@@ -147,14 +147,9 @@
 }
 
 bool Dispatcher::HasDirty() const {
-  if (!state_.dirty.empty() || !state_.removed_workers.empty()) return true;
-  return std::any_of(
-      state_.workers.begin(), state_.workers.end(), [](const auto& entry) {
-        const TrackedWorker& worker = entry.second;
-        const bool ends_pending = worker.persisted_end != worker.processed_end;
-        return ends_pending ||
-               (worker.registered() && !worker.enrolled && !worker.enrolling);
-      });
+  return !state_.dirty.empty() || !state_.removed_workers.empty() ||
+         !state_.workers_without_row.empty() ||
+         !state_.workers_with_ends.empty();
 }
 
 ProgressWriteBatch Dispatcher::TakeBatch(std::size_t max_rows) {
@@ -173,17 +168,22 @@
     batch.removed_workers.insert(
         state_.removed_workers.extract(state_.removed_workers.begin()));
   }
-  for (auto& [id, worker] : state_.workers) {
-    if (worker.registered() && !worker.enrolled && !worker.enrolling &&
-        batch.jobs.size() + batch.removed_workers.size() +
-                batch.enrolled.size() <
-            max_rows) {
-      worker.enrolling = true;
-      batch.enrolled.push_back(worker.registration());
-    }
-    // Ends must not be marked as persisted while a job that was dirty when they
-    // were processed is left to write; a later batch does that.
-    for (const UnpersistedEnd& end : worker.unpersisted_ends) {
+  const std::set<WorkerId> without_row = state_.workers_without_row;
+  for (const WorkerId& id : without_row) {
+    if (batch.jobs.size() + batch.removed_workers.size() +
+            batch.enrolled.size() >=
+        max_rows)
+      break;
+    TrackedWorker& worker = *state_.FindWorker(id);
+    worker.enrolling = true;
+    state_.UpdateTableWork(worker);
+    batch.enrolled.push_back(worker.registration());
+  }
+  // Ends must not be marked as persisted while a job that was dirty when they
+  // were processed is left to write; a later batch does that.
+  for (const WorkerId& id : state_.workers_with_ends) {
+    ++state_.counts.workers_attended;
+    for (const UnpersistedEnd& end : state_.workers.at(id).unpersisted_ends) {
       if (!state_.dirty.HasTaken(end.change)) break;
       batch.ends[id] = end.number;
     }
@@ -198,6 +198,7 @@
     worker->enrolled = true;
     worker->enrolling = false;
     state_.UpdateWorker(*worker);
+    state_.UpdateTableWork(*worker);
   }
   for (const auto& [id, end] : batch.ends)
     workers_.OnEndsPersisted(now, id, end);
@@ -212,7 +213,9 @@
                                 batch.removed_workers.end());
   for (const WorkerRegistration& enrolled : batch.enrolled) {
     TrackedWorker* const worker = state_.FindWorker(enrolled.worker);
-    if (worker != nullptr) worker->enrolling = false;
+    if (worker == nullptr) continue;
+    worker->enrolling = false;
+    state_.UpdateTableWork(*worker);
   }
 }
 
--- a/src/dispatch/job_manager.cc
+++ b/src/dispatch/job_manager.cc
@@ -196,11 +196,8 @@
       for (const TrackedTask& task : step.tasks) {
         for (const std::uint64_t id : task.runs) {
           Run* const run = state_.runs.Find(id);
-          if (run == nullptr || run->stop_requested) continue;
+          if (run == nullptr || !state_.runs.RequestStop(*run)) continue;
           if (!run->acknowledged) ++state_.counts.unconfirmed_runs_stopped;
-          run->stop_requested = true;
-          run->next_stop = TimePoint{};
-          state_.runs.SetCommandPending(id, true);
         }
       }
     }
@@ -229,10 +226,9 @@
       if (running == 0 || running == steps[s].tasks.size()) continue;
       for (const TrackedTask& task : steps[s].tasks) {
         for (const std::uint64_t id : task.runs) {
-          Run* const run = state_.runs.Find(id);
-          if (run == nullptr) continue;
-          run->stop_requested = true;
-          state_.runs.SetCommandPending(id, true);
+          if (Run* const run = state_.runs.Find(id)) {
+            state_.runs.RequestStop(*run);
+          }
         }
       }
     }
--- a/src/dispatch/run_manager.cc
+++ b/src/dispatch/run_manager.cc
@@ -53,9 +53,10 @@
 }
 
 void RunManager::SendStart(TimePoint now, Run& run, DispatchEffects& out) {
+  run.next_send = now + state_.options.start_retry_delay;
+  state_.runs.UpdateCommand(run);
   TrackedWorker* const worker = state_.FindWorker(run.worker);
   if (worker == nullptr) return;
-  run.next_send = now + state_.options.start_retry_delay;
   const std::chrono::milliseconds length = state_.GrantableLease(now);
   if (length.count() <= 0) return;
   const auto lease = worker->GrantLease(now, length);
@@ -76,7 +77,7 @@
   run.start_in_flight = true;
   ++run.unanswered_sends;
   if (run.send_count > 1) ++state_.counts.start_retries;
-  state_.runs.SetCommandPending(run.id, true);
+  state_.runs.UpdateCommand(run);
   out.emplace_back(std::move(command));
 }
 
@@ -110,7 +111,7 @@
       " fence=" + std::to_string(state_.fence) +
       " attempt=" + std::to_string(run.send_count));
   if (run.unanswered_sends > 0) {
-    RequestStop(run);
+    state_.runs.RequestStop(run);
     return;
   }
   End(now, run.id, RunEndReason::kLost, "");
@@ -159,7 +160,7 @@
             "stopping an adopted run that is not needed task=" +
                 Describe(run.key) + " worker=" + run.worker.value());
     ++state_.counts.adopted_runs_stopped;
-    RequestStop(run);
+    state_.runs.RequestStop(run);
   }
   if (task == nullptr) return;
   task->runs.push_back(run.id);
@@ -175,7 +176,7 @@
     if (run.stop_requested || now < run.acknowledged_at + kOrphanTimeout)
       continue;
     ++state_.counts.orphans_stopped;
-    RequestStop(run);
+    state_.runs.RequestStop(run);
   }
 }
 
@@ -184,7 +185,7 @@
   run.acknowledged = true;
   run.acknowledged_at = now;
   run.last_progress_at = now;
-  state_.runs.SetCommandPending(run.id, run.stop_requested);
+  state_.runs.UpdateCommand(run);
   TrackedJob* const job = state_.FindJob(run.key.task.job);
   if (job == nullptr) return;
   if (job->state == JobPhase::kQueued) {
@@ -198,6 +199,7 @@
   Run* const run = state_.runs.Find(run_id);
   if (run == nullptr) return;
   run->start_in_flight = false;
+  state_.runs.UpdateCommand(*run);
   if (response.outcome != CommandOutcome::kNoResponse &&
       run->unanswered_sends > 0) {
     --run->unanswered_sends;
@@ -243,19 +245,13 @@
   End(now, run.id, RunEndReason::kLost, "");
 }
 
-void RunManager::RequestStop(Run& run) {
-  if (run.stop_requested) return;
-  run.stop_requested = true;
-  run.next_stop = TimePoint{};
-  state_.runs.SetCommandPending(run.id, true);
-}
-
 void RunManager::SendStop(TimePoint now, Run& run, DispatchEffects& out) {
-  TrackedWorker* const worker = state_.FindWorker(run.worker);
-  if (worker == nullptr) return;
   if (run.next_stop != TimePoint{}) ++state_.counts.stop_retries;
-  run.stop_in_flight = true;
   run.next_stop = now + kStopRetryDelay;
+  TrackedWorker* const worker = state_.FindWorker(run.worker);
+  run.stop_in_flight = worker != nullptr;
+  state_.runs.UpdateCommand(run);
+  if (worker == nullptr) return;
   out.emplace_back(StopRun{run.id, run.worker, worker->registration().address,
                            run.key, state_.fence});
 }
@@ -265,45 +261,26 @@
   Run* const run = state_.runs.Find(run_id);
   if (run == nullptr) return;
   run->stop_in_flight = false;
+  if (response.outcome == CommandOutcome::kDone) {
+    run->stop_confirmed = true;
+    run->stop_confirmed_at = now;
+  }
+  state_.runs.UpdateCommand(*run);
   if (response.outcome == CommandOutcome::kFenced) {
     state_.OnFencedResponse(response.fence);
-    return;
   }
-  if (response.outcome != CommandOutcome::kDone) return;
-  run->stop_confirmed = true;
-  run->stop_confirmed_at = now;
-  state_.runs.SetCommandPending(run_id, false);
 }
 
 void RunManager::SendDue(TimePoint now, DispatchEffects& out) {
-  const std::set<std::uint64_t> pending = state_.runs.pending_commands();
-  for (const std::uint64_t id : pending) {
-    Run& run = *state_.runs.Find(id);
-    if (run.stop_requested) {
-      if (!run.stop_confirmed && !run.stop_in_flight && now >= run.next_stop) {
-        SendStop(now, run, out);
-      }
-      continue;
-    }
-    if (!run.acknowledged && !run.start_in_flight && now >= run.next_send) {
-      SendStart(now, run, out);
-    }
-  }
-}
-
-TimePoint RunManager::next_send() const {
-  TimePoint next = TimePoint::max();
-  for (const std::uint64_t id : state_.runs.pending_commands()) {
-    const Run& run = state_.runs.all().at(id);
-    if (run.stop_requested) {
-      if (!run.stop_confirmed && !run.stop_in_flight) {
-        next = std::min(next, run.next_stop);
-      }
-    } else if (!run.acknowledged && !run.start_in_flight) {
-      next = std::min(next, run.next_send);
+  for (const std::uint64_t id : state_.runs.DueCommands(now)) {
+    Run* const run = state_.runs.Find(id);
+    if (run == nullptr) continue;  // a withheld start has ended it
+    if (run->stop_requested) {
+      SendStop(now, *run, out);
+    } else {
+      SendStart(now, *run, out);
     }
   }
-  return next;
 }
 
 void RunManager::End(TimePoint /*now*/, std::uint64_t run_id,
@@ -383,7 +360,7 @@
   for (const TrackedTask& task : step.tasks) {
     for (const std::uint64_t id : task.runs) {
       Run* const run = state_.runs.Find(id);
-      if (run != nullptr && !run->acknowledged) RequestStop(*run);
+      if (run != nullptr && !run->acknowledged) state_.runs.RequestStop(*run);
     }
   }
 }
@@ -394,7 +371,7 @@
   for (std::size_t i = 0; i < step.tasks.size(); ++i) {
     if (!whole_step && i != key.index) continue;
     for (const std::uint64_t id : step.tasks[i].runs) {
-      if (Run* const run = state_.runs.Find(id)) RequestStop(*run);
+      if (Run* const run = state_.runs.Find(id)) state_.runs.RequestStop(*run);
     }
   }
 }
--- a/src/dispatch/run_manager.h
+++ b/src/dispatch/run_manager.h
@@ -37,7 +37,6 @@
                       const CommandResponse& response);
   // Sends the start commands whose retry is due and the requested stops.
   void SendDue(TimePoint now, DispatchEffects& out);
-  TimePoint next_send() const;
 
   // The run has ended with this reason; kLost also covers runs that have gone
   // without a report, or never started. `saved` is its last checkpoint, or
@@ -46,7 +45,6 @@
            const std::string& saved);
   // A worker has reported the end of a run that is not in the run table.
   void OnUntrackedRunEnd(TrackedJob& job, const EndedRunReport& end);
-  void RequestStop(Run& run);
   // Stops runs whose job is still unknown after a while.
   void StopOrphans(TimePoint now);
 
--- a/src/dispatch/run_table.cc
+++ b/src/dispatch/run_table.cc
@@ -1,6 +1,25 @@
 #include "dispatch/run_table.h"
 
 namespace chivewing {
+namespace {
+
+// True while the worker has not confirmed the run's stop or, if none is wanted,
+// its start.
+bool IsCommandPending(const Run& run) {
+  return run.stop_requested ? !run.stop_confirmed : !run.acknowledged;
+}
+
+// When the pending command is to be sent; nullopt while a response is awaited.
+std::optional<TimePoint> CommandDue(const Run& run) {
+  if (run.stop_requested) {
+    if (run.stop_in_flight) return std::nullopt;
+    return run.next_stop;
+  }
+  if (run.start_in_flight) return std::nullopt;
+  return run.next_send;
+}
+
+}  // namespace
 
 Run& RunTable::Add(Run run) {
   run.id = ++last_id_;
@@ -62,17 +81,44 @@
   const auto worker = by_worker_.find(run.worker);
   worker->second.erase(id);
   if (worker->second.empty()) by_worker_.erase(worker);
-  pending_commands_.erase(id);
+  EraseCommand(run);
   EraseOrphan(run);
   runs_.erase(found);
 }
 
-void RunTable::SetCommandPending(std::uint64_t id, bool pending) {
-  if (pending) {
-    pending_commands_.insert(id);
-  } else {
-    pending_commands_.erase(id);
+void RunTable::EraseCommand(const Run& run) {
+  if (run.command_pending) --pending_commands_;
+  if (run.command_due) due_commands_.erase({*run.command_due, run.id});
+}
+
+void RunTable::UpdateCommand(Run& run) {
+  EraseCommand(run);
+  run.command_pending = IsCommandPending(run);
+  run.command_due = run.command_pending ? CommandDue(run) : std::nullopt;
+  if (run.command_pending) ++pending_commands_;
+  if (run.command_due) due_commands_.insert({*run.command_due, run.id});
+}
+
+bool RunTable::RequestStop(Run& run) {
+  if (run.stop_requested) return false;
+  run.stop_requested = true;
+  run.next_stop = TimePoint{};
+  UpdateCommand(run);
+  return true;
+}
+
+std::vector<std::uint64_t> RunTable::DueCommands(TimePoint now) const {
+  std::vector<std::uint64_t> due;
+  for (const auto& [at, id] : due_commands_) {
+    if (at > now) break;
+    due.push_back(id);
   }
+  return due;
+}
+
+TimePoint RunTable::next_command() const {
+  if (due_commands_.empty()) return TimePoint::max();
+  return due_commands_.begin()->first;
 }
 
 }  // namespace chivewing
--- a/src/dispatch/run_table.h
+++ b/src/dispatch/run_table.h
@@ -3,6 +3,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -41,6 +42,10 @@
   bool stop_in_flight = false;
   TimePoint next_stop{};
 
+  // As the run table has indexed it; see RunTable::UpdateCommand.
+  bool command_pending = false;
+  std::optional<TimePoint> command_due{};
+
   // As last listed by the worker; see ActiveRunReport.
   int percent = 0;
   double load = 0;
@@ -66,19 +71,27 @@
   void Remove(std::uint64_t id);
   const std::map<std::uint64_t, Run>& all() const { return runs_; }
 
-  // Runs whose start or stop command is not confirmed yet.
-  const std::set<std::uint64_t>& pending_commands() const {
-    return pending_commands_;
-  }
-  void SetCommandPending(std::uint64_t id, bool pending);
+  // To be called after each change of a run's start or stop.
+  void UpdateCommand(Run& run);
+  // The run is to be stopped, at once. Returns false if it was already.
+  bool RequestStop(Run& run);
+  // Runs whose start or stop command is due at `now`, in the order in which
+  // they became due.
+  std::vector<std::uint64_t> DueCommands(TimePoint now) const;
+  // When the next command is due that no response is awaited for.
+  TimePoint next_command() const;
+  // The number of runs whose start or stop command is not confirmed yet.
+  std::size_t pending_commands() const { return pending_commands_; }
 
  private:
   void EraseOrphan(const Run& run);
+  void EraseCommand(const Run& run);
 
   std::map<std::uint64_t, Run> runs_;
   std::map<std::pair<WorkerId, TaskRunKey>, std::uint64_t> by_key_;
   std::map<WorkerId, std::set<std::uint64_t>> by_worker_;
-  std::set<std::uint64_t> pending_commands_;
+  std::set<std::pair<TimePoint, std::uint64_t>> due_commands_;
+  std::size_t pending_commands_ = 0;
   std::set<std::uint64_t> orphans_;
   std::map<WorkerId, std::size_t> orphans_by_worker_;
   std::uint64_t last_id_ = 0;
--- a/src/dispatch/tracked_worker.h
+++ b/src/dispatch/tracked_worker.h
@@ -74,9 +74,15 @@
   TimePoint unresponsive_since{};  // first failed poll since the last good one
   TimePoint backoff_until{};       // gets no new tasks until then
   int failures_in_row = 0;         // failed runs since the last successful one
+  // When the worker needs attention next, as WorkerManager has indexed it.
+  TimePoint attention_at = TimePoint::max();
   std::chrono::milliseconds incarnation_start{0};  // 0: not known
 
   bool IsUnresponsive() const { return unresponsive_since != TimePoint{}; }
+  // True if ends have been processed whose effects may not be in the table.
+  bool HasUnpersistedEnds() const { return persisted_end != processed_end; }
+  // True if the worker may get tasks once it has a row in the table.
+  bool NeedsRow() const { return registered_ && !enrolled && !enrolling; }
 
  private:
   WorkerRegistration registration_;
--- a/src/dispatch/worker_manager.cc
+++ b/src/dispatch/worker_manager.cc
@@ -14,6 +14,11 @@
 // the backoff.
 constexpr int kFailuresBeforeBackoff = 3;
 constexpr std::chrono::seconds kFailureBackoff{4};
+// A lease has expired once its expiry lies in the past.
+constexpr Duration kExpiryStep{1};
+// How often a worker is looked at whose lease has expired but whose runs may
+// not be given up yet, or which is still registered.
+constexpr std::chrono::milliseconds kExpiredCheckInterval{100};
 
 }  // namespace
 
@@ -21,21 +26,27 @@
                              const WorkerRegistration& registration) {
   TrackedWorker* const known = state_.FindWorker(registration.worker);
   if (known == nullptr) {
-    TrackedWorker worker(registration);
+    TrackedWorker& worker =
+        state_.workers.emplace(registration.worker, TrackedWorker(registration))
+            .first->second;
     worker.next_poll = now;
-    state_.workers.emplace(registration.worker, std::move(worker));
+    state_.UpdateTableWork(worker);
+    UpdateAttention(now, worker);
     return;
   }
   const bool moved = known->registration().address != registration.address;
   known->set_registration(registration);
   state_.UpdateWorker(*known);
+  state_.UpdateTableWork(*known);
   if (moved) known->next_poll = now;
+  UpdateAttention(now, *known);
 }
 
 void WorkerManager::Unregister(const WorkerId& id) {
   if (TrackedWorker* const worker = state_.FindWorker(id)) {
     worker->set_registered(false);
     state_.UpdateWorker(*worker);
+    state_.UpdateTableWork(*worker);
   }
 }
 
@@ -53,6 +64,8 @@
   worker.set_foreign_lease_expiry(
       now + state_.options.LongestOnSlowClock(state_.options.lease));
   state_.unsynced_workers.insert(registration.worker);
+  state_.UpdateTableWork(worker);
+  UpdateAttention(now, worker);
 }
 
 void WorkerManager::Poll(TimePoint now, TrackedWorker& worker,
@@ -73,8 +86,7 @@
   if (!worker.IsUnresponsive() && lease.count() > 0) {
     poll.deadline = worker.GrantLease(now, lease);
   }
-  const bool may_wait =
-      same_incarnation && worker.persisted_end == worker.processed_end;
+  const bool may_wait = same_incarnation && !worker.HasUnpersistedEnds();
   poll.wait =
       may_wait ? state_.options.poll_wait : std::chrono::milliseconds(0);
   poll.fresh_connection = worker.IsUnresponsive();
@@ -85,35 +97,55 @@
 }
 
 void WorkerManager::SendDue(TimePoint now, DispatchEffects& out) {
-  std::vector<WorkerId> removed;
-  for (auto& [id, worker] : state_.workers) {
+  while (!attention_.empty() && attention_.begin()->first <= now) {
+    TrackedWorker& worker = *state_.FindWorker(attention_.begin()->second);
+    ++state_.counts.workers_attended;
     EndRunsAfterLeaseExpiry(now, worker);
     if (worker.pending_poll == 0 && now >= worker.next_poll) {
       Poll(now, worker, out);
     }
-    if (worker.registered() || !worker.IsUnresponsive() ||
-        now <= worker.LeaseExpiry(state_.options))
-      continue;
-    const bool idle = state_.runs.OnWorker(id).empty() &&
-                      !state_.unsynced_workers.contains(id);
-    if (idle) removed.push_back(id);
+    if (!RemoveIfGone(now, worker)) UpdateAttention(now, worker);
   }
-  for (const WorkerId& id : removed) {
-    if (state_.workers.at(id).enrolled) state_.removed_workers.insert(id);
-    state_.RemoveWorker(id);
+}
+
+bool WorkerManager::RemoveIfGone(TimePoint now, TrackedWorker& worker) {
+  const WorkerId id = worker.registration().worker;
+  if (worker.registered() || !worker.IsUnresponsive() ||
+      now <= worker.LeaseExpiry(state_.options)) {
+    return false;
   }
+  const bool idle =
+      state_.runs.OnWorker(id).empty() && !state_.unsynced_workers.contains(id);
+  if (!idle) return false;
+  if (worker.enrolled) state_.removed_workers.insert(id);
+  attention_.erase({worker.attention_at, id});
+  state_.RemoveWorker(id);
+  return true;
 }
 
-TimePoint WorkerManager::next_due(TimePoint now) const {
+TimePoint WorkerManager::AttentionTime(TimePoint now,
+                                       const TrackedWorker& worker) const {
   TimePoint next = TimePoint::max();
-  for (const auto& [id, worker] : state_.workers) {
-    if (worker.pending_poll == 0) next = std::min(next, worker.next_poll);
-    if (!worker.IsUnresponsive()) continue;
-    // Nothing is left to do at an expiry that has passed.
-    const TimePoint expiry = worker.LeaseExpiry(state_.options);
-    if (expiry >= now) next = std::min(next, expiry);
-  }
-  return next;
+  if (worker.pending_poll == 0) next = worker.next_poll;
+  if (!worker.IsUnresponsive()) return next;
+  const TimePoint expiry = worker.LeaseExpiry(state_.options);
+  // What an expiry that has passed leaves to do may wait for another event.
+  return std::min(
+      next, expiry >= now ? expiry + kExpiryStep : now + kExpiredCheckInterval);
+}
+
+void WorkerManager::UpdateAttention(TimePoint now, TrackedWorker& worker) {
+  const WorkerId& id = worker.registration().worker;
+  const TimePoint at = AttentionTime(now, worker);
+  if (at == worker.attention_at) return;
+  if (worker.attention_at != TimePoint::max())
+    attention_.erase({worker.attention_at, id});
+  worker.attention_at = at;
+  if (at != TimePoint::max()) attention_.insert({at, id});
+}
+
+TimePoint WorkerManager::next_due() const {
+  return attention_.empty() ? TimePoint::max() : attention_.begin()->first;
 }
 
 void WorkerManager::OnPollFailure(TimePoint now, TrackedWorker& worker) {
@@ -143,22 +175,28 @@
                                       const CommandResponse& response) {
   TrackedWorker* const worker = state_.FindWorker(id);
   if (worker == nullptr) return;
+  ApplyCommandResponse(now, *worker, response);
+  UpdateAttention(now, *worker);
+}
+
+void WorkerManager::ApplyCommandResponse(TimePoint now, TrackedWorker& worker,
+                                         const CommandResponse& response) {
   if (response.outcome == CommandOutcome::kWrongIncarnation) {
-    OnIncarnationEnded(now, *worker);
+    OnIncarnationEnded(now, worker);
     return;
   }
   if (response.outcome == CommandOutcome::kNotSent) {
-    worker->backoff_until = now + state_.options.refusal_backoff;
+    worker.backoff_until = now + state_.options.refusal_backoff;
     return;
   }
   if (!response.clock) return;
-  if (worker->IsRestarted(now, *response.clock)) {
-    OnRestart(now, *worker);
-    worker->next_poll = now;
+  if (worker.IsRestarted(now, *response.clock)) {
+    OnRestart(now, worker);
+    worker.next_poll = now;
     return;
   }
-  worker->SetClock(now, *response.clock);
-  worker->last_response_at = now;
+  worker.SetClock(now, *response.clock);
+  worker.last_response_at = now;
 }
 
 void WorkerManager::OnIncarnationEnded(TimePoint now, TrackedWorker& worker) {
@@ -171,6 +209,7 @@
   worker.unresponsive_since = now;
   worker.next_poll = now + state_.options.poll_retry_delay;
   state_.UpdateWorker(worker);
+  state_.UpdateTableWork(worker);
   MarkSynced(id);
 }
 
@@ -184,11 +223,12 @@
               id.value());
   worker.ResetForNewIncarnation();
   state_.UpdateWorker(worker);
+  state_.UpdateTableWork(worker);
   worker.set_foreign_lease_expiry(
       now + state_.options.LongestOnSlowClock(state_.options.max_worker_lease));
   for (const std::uint64_t run_id : state_.runs.OnWorker(id)) {
     Run& run = *state_.runs.Find(run_id);
-    if (run.unanswered_sends > 0) runs_.RequestStop(run);
+    if (run.unanswered_sends > 0) state_.runs.RequestStop(run);
   }
   ForgetAdvice(id);
 }
@@ -199,41 +239,47 @@
   TrackedWorker* const worker = state_.FindWorker(id);
   if (worker == nullptr || worker->pending_poll != poll_id) return;
   worker->pending_poll = 0;
+  ApplyPollResponse(now, *worker, response);
+  UpdateAttention(now, *worker);
+}
+
+void WorkerManager::ApplyPollResponse(TimePoint now, TrackedWorker& worker,
+                                      const PollResponse& response) {
   if (response.outcome == CommandOutcome::kFenced) {
     state_.OnFencedResponse(response.fence);
-    worker->next_poll = now;
+    worker.next_poll = now;
     return;
   }
   if (response.outcome == CommandOutcome::kWrongIncarnation) {
-    OnIncarnationEnded(now, *worker);
+    OnIncarnationEnded(now, worker);
     return;
   }
   if (response.outcome != CommandOutcome::kDone || !response.clock) {
-    OnPollFailure(now, *worker);
-    worker->next_poll = now + state_.options.poll_retry_delay;
+    OnPollFailure(now, worker);
+    worker.next_poll = now + state_.options.poll_retry_delay;
     return;
   }
   const bool incarnation_changed =
-      worker->incarnation_start.count() > 0 &&
-      response.incarnation_start != worker->incarnation_start;
-  if (incarnation_changed || worker->IsRestarted(now, *response.clock)) {
-    OnRestart(now, *worker);
+      worker.incarnation_start.count() > 0 &&
+      response.incarnation_start != worker.incarnation_start;
+  if (incarnation_changed || worker.IsRestarted(now, *response.clock)) {
+    OnRestart(now, worker);
   }
-  worker->incarnation_start = response.incarnation_start;
-  worker->SetClock(now, *response.clock);
-  worker->last_response_at = now;
-  worker->unresponsive_since = TimePoint{};
-  ProcessEnds(now, *worker, response);
-  ProcessRunning(now, *worker, response);
-  EndUnlistedRuns(now, *worker, response);
-  const bool first_response = !worker->synced;
-  worker->synced = true;
-  state_.UpdateWorker(*worker);
-  MarkSynced(id);
-  const bool ends_pending = worker->persisted_end != worker->processed_end;
-  worker->next_poll = ends_pending && !first_response
-                          ? now + state_.options.end_persist_wait
-                          : now;
+  worker.incarnation_start = response.incarnation_start;
+  worker.SetClock(now, *response.clock);
+  worker.last_response_at = now;
+  worker.unresponsive_since = TimePoint{};
+  ProcessEnds(now, worker, response);
+  ProcessRunning(now, worker, response);
+  EndUnlistedRuns(now, worker, response);
+  const bool first_response = !worker.synced;
+  worker.synced = true;
+  state_.UpdateWorker(worker);
+  state_.UpdateTableWork(worker);
+  MarkSynced(worker.registration().worker);
+  const bool wait_for_table = worker.HasUnpersistedEnds() && !first_response;
+  worker.next_poll =
+      wait_for_table ? now + state_.options.end_persist_wait : now;
 }
 
 void WorkerManager::OnEndsPersisted(TimePoint now, const WorkerId& id,
@@ -244,10 +290,11 @@
   std::erase_if(worker->unpersisted_ends, [end](const UnpersistedEnd& each) {
     return each.number <= end;
   });
-  if (worker->persisted_end == worker->processed_end &&
-      !worker->IsUnresponsive()) {
+  if (!worker->HasUnpersistedEnds() && !worker->IsUnresponsive()) {
     worker->next_poll = std::min(worker->next_poll, now);
   }
+  state_.UpdateTableWork(*worker);
+  UpdateAttention(now, *worker);
 }
 
 void WorkerManager::ProcessEnds(TimePoint now, TrackedWorker& worker,
--- a/src/dispatch/worker_manager.h
+++ b/src/dispatch/worker_manager.h
@@ -1,7 +1,8 @@
 #pragma once
 
 #include <cstdint>
-#include <string>
+#include <set>
+#include <utility>
 
 #include "dispatch/dispatch_effect.h"
 #include "dispatch/dispatch_state.h"
@@ -34,12 +35,20 @@
   void OnEndsPersisted(TimePoint now, const WorkerId& id, std::uint64_t end);
 
   void SendDue(TimePoint now, DispatchEffects& out);
-  // The next time at which SendDue has something to do, after it has been
-  // called at `now`.
-  TimePoint next_due(TimePoint now) const;
+  // The next time at which SendDue has something to do.
+  TimePoint next_due() const;
 
  private:
+  // To be called after each change of what AttentionTime depends on.
+  void UpdateAttention(TimePoint now, TrackedWorker& worker);
+  TimePoint AttentionTime(TimePoint now, const TrackedWorker& worker) const;
+  // Removes the worker if it has certainly gone. Returns true if it has.
+  bool RemoveIfGone(TimePoint now, TrackedWorker& worker);
   void Poll(TimePoint now, TrackedWorker& worker, DispatchEffects& out);
+  void ApplyPollResponse(TimePoint now, TrackedWorker& worker,
+                         const PollResponse& response);
+  void ApplyCommandResponse(TimePoint now, TrackedWorker& worker,
+                            const CommandResponse& response);
   void OnPollFailure(TimePoint now, TrackedWorker& worker);
   void OnIncarnationEnded(TimePoint now, TrackedWorker& worker);
   void OnRestart(TimePoint now, TrackedWorker& worker);
@@ -60,6 +69,9 @@
   DispatchState& state_;
   JobManager& jobs_;
   RunManager& runs_;
+  // Workers by the time at which they need attention, so that a turn of the
+  // loop costs nothing for those that do not.
+  std::set<std::pair<TimePoint, WorkerId>> attention_;
 };
 
 }  // namespace chivewing
--- a/tests/dispatch/deciding_cost_test.cc
+++ b/tests/dispatch/deciding_cost_test.cc
@@ -13,6 +13,8 @@
 // As many workers as one advice request may name.
 constexpr std::uint64_t kWorkersPerDecision = 100;
 
+// A poll is sent, answered, and its ends are written in one or two batches.
+constexpr std::uint64_t kLooksPerPollAndEnd = 4;
 LoadOptions Burst() {
   LoadOptions options;
   options.queues = DayQueues();
@@ -32,5 +34,19 @@
             kWorkersPerDecision * (counts.starts + counts.asks));
 }
 
+// All workers were looked at in each turn of the loop: for a due poll, for the
+// next one, and for ends to write.
+TEST(DecidingCostTest, ATurnCostsNothingForWorkersThatNeedNoAttention) {
+  LoadOptions options = Burst();
+  options.workers = 540;
+  options.advice_hosts = 97;
+  LoadModel model(options);
+  model.Run();
+  const DispatchCounters& counts = model.dispatcher().state().counts;
+  ASSERT_GT(model.turns(), 5000U);
+  EXPECT_LT(counts.workers_attended,
+            kLooksPerPollAndEnd * (counts.polls + model.ends()));
+}
+
 }  // namespace
 }  // namespace chivewing
