Advice is asked about the workers that are needed, and not by all steps about the same

Under a burst, steps wait for advice whose answer is of no use any more: the workers that it approves are full when it arrives, and the step asks again.

Cause: each request looked at all workers with room, sorted them by room and named the first; steps that asked within the time of an answer named the same ones. Choosing the host that asks walked all 97 hosts, the next timeout all open requests.

Ruled out: asking about more workers at once (a request costs the service 0.4 to 8 ms for each); best fit first names more workers for the same room.

Change: workers whose approval has only run out come first, then those with room from a point on that depends on the step; looking stops once enough are named. Hosts are kept by their open requests, requests by their timeout, workers that accept tasks by a hash.

Test: AdviceIsAskedAboutTheWorkersThatAreNeeded.

--- a/src/dispatch/advice_request_manager.cc
+++ b/src/dispatch/advice_request_manager.cc
@@ -26,10 +26,13 @@
 }
 
 void AdviceRequestManager::set_advice_hosts(std::set<HostId> hosts) {
+  if (hosts == advice_hosts_) return;
   advice_hosts_ = std::move(hosts);
   std::erase_if(backoff_until_, [this](const auto& entry) {
     return !advice_hosts_.contains(entry.first);
   });
+  without_slow_.clear();
+  for (const HostId& host : advice_hosts_) Index(host);
 }
 
 AdviceRequestManager::PendingCounts AdviceRequestManager::CountPending(
@@ -38,34 +41,51 @@
   return found == pending_by_host_.end() ? PendingCounts{} : found->second;
 }
 
-std::optional<HostId> AdviceRequestManager::FindHost(TimePoint now,
-                                                     bool slow) const {
-  std::size_t without_slow = 0;
-  std::optional<HostId> best;
-  std::size_t best_pending = kMaxQuickRequestsPerHost;
-  for (const HostId& advice_host : advice_hosts_) {
-    const PendingCounts counts = CountPending(advice_host);
-    if (counts.slow > 0) continue;
-    const auto backoff = backoff_until_.find(advice_host);
-    if (backoff != backoff_until_.end() && now < backoff->second) continue;
-    ++without_slow;
-    if (counts.quick >= best_pending) continue;
-    best = advice_host;
-    best_pending = counts.quick;
+void AdviceRequestManager::Unindex(const HostId& advice_host) {
+  without_slow_.erase({CountPending(advice_host).quick, advice_host});
+}
+
+void AdviceRequestManager::Index(const HostId& advice_host) {
+  const PendingCounts counts = CountPending(advice_host);
+  const bool usable = advice_hosts_.contains(advice_host) && counts.slow == 0 &&
+                      !backoff_until_.contains(advice_host);
+  if (usable) without_slow_.insert({counts.quick, advice_host});
+}
+
+void AdviceRequestManager::EndBackoffs(TimePoint now) {
+  std::vector<HostId> ended;
+  for (const auto& [host, until] : backoff_until_) {
+    if (now >= until) ended.push_back(host);
   }
+  for (const HostId& host : ended) {
+    backoff_until_.erase(host);
+    Index(host);
+  }
+}
+
+std::optional<HostId> AdviceRequestManager::FindHost(TimePoint now, bool slow) {
+  EndBackoffs(now);
+  if (without_slow_.empty()) return std::nullopt;
+  const auto& [quick, best] = *without_slow_.begin();
+  if (quick >= kMaxQuickRequestsPerHost) return std::nullopt;
   if (!slow) return best;
   const std::size_t reserved =
       advice_hosts_.size() < 2
           ? 0
           : std::max<std::size_t>(1,
                                   advice_hosts_.size() / kHostsPerReservedHost);
-  return without_slow > reserved ? best : std::nullopt;
+  if (without_slow_.size() <= reserved) return std::nullopt;
+  return best;
 }
 
 std::uint64_t AdviceRequestManager::AddRequest(PendingAdviceRequest request) {
-  PendingCounts& counts = pending_by_host_[request.advice_host];
+  const HostId host = request.advice_host;
+  Unindex(host);
+  PendingCounts& counts = pending_by_host_[host];
   ++(request.slow ? counts.slow : counts.quick);
-  pending_.emplace(++last_request_id_, std::move(request));
+  Index(host);
+  timeouts_.insert({request.timeout_at, ++last_request_id_});
+  pending_.emplace(last_request_id_, std::move(request));
   return last_request_id_;
 }
 
@@ -74,33 +94,35 @@
   auto node = pending_.extract(request);
   if (node.empty()) return std::nullopt;
   PendingAdviceRequest& taken = node.mapped();
+  timeouts_.erase({taken.timeout_at, request});
+  Unindex(taken.advice_host);
   const auto counts = pending_by_host_.find(taken.advice_host);
   --(taken.slow ? counts->second.slow : counts->second.quick);
   if (counts->second.slow + counts->second.quick == 0) {
     pending_by_host_.erase(counts);
   }
+  Index(taken.advice_host);
   return std::move(taken);
 }
 
 void AdviceRequestManager::OnFailure(TimePoint now, const HostId& advice_host) {
+  Unindex(advice_host);
   backoff_until_[advice_host] = now + kFailureBackoff;
 }
 
 std::vector<std::uint64_t> AdviceRequestManager::TimedOutRequests(
     TimePoint now) const {
   std::vector<std::uint64_t> out;
-  for (const auto& [id, request] : pending_) {
-    if (now >= request.timeout_at) out.push_back(id);
+  for (const auto& [at, id] : timeouts_) {
+    if (at > now) break;
+    out.push_back(id);
   }
   return out;
 }
 
 std::optional<TimePoint> AdviceRequestManager::next_timeout() const {
-  std::optional<TimePoint> next;
-  for (const auto& [id, request] : pending_) {
-    if (!next || request.timeout_at < *next) next = request.timeout_at;
-  }
-  return next;
+  if (timeouts_.empty()) return std::nullopt;
+  return timeouts_.begin()->first;
 }
 
 double AdviceRequestManager::ApprovalRate(const std::string& queue) const {
--- a/src/dispatch/advice_request_manager.h
+++ b/src/dispatch/advice_request_manager.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "base/id.h"
@@ -41,12 +42,12 @@
 
   // The host to send a request that takes `duration`; nullopt while all hosts
   // are busy or in backoff.
-  std::optional<HostId> FindAdviceHost(
-      TimePoint now, std::chrono::microseconds duration) const {
+  std::optional<HostId> FindAdviceHost(TimePoint now,
+                                       std::chrono::microseconds duration) {
     return FindHost(now, IsSlow(duration));
   }
   // True if some host can send a quick or a slow request now.
-  bool HasFreeHost(TimePoint now, bool slow) const {
+  bool HasFreeHost(TimePoint now, bool slow) {
     return FindHost(now, slow).has_value();
   }
 
@@ -73,13 +74,20 @@
     std::size_t quick = 0;
     std::size_t slow = 0;
   };
-  std::optional<HostId> FindHost(TimePoint now, bool slow) const;
+  std::optional<HostId> FindHost(TimePoint now, bool slow);
   PendingCounts CountPending(const HostId& advice_host) const;
+  void EndBackoffs(TimePoint now);
+  // A host's pending requests or its backoff change between these two.
+  void Unindex(const HostId& advice_host);
+  void Index(const HostId& advice_host);
 
   std::set<HostId> advice_hosts_;
   std::map<HostId, TimePoint> backoff_until_;
   std::map<std::uint64_t, PendingAdviceRequest> pending_;
+  std::set<std::pair<TimePoint, std::uint64_t>> timeouts_;  // of pending_
   std::map<HostId, PendingCounts> pending_by_host_;
+  // Hosts without a slow request and without backoff, by pending quick ones.
+  std::set<std::pair<std::size_t, HostId>> without_slow_;
   std::map<std::string, double> approval_rates_;
   std::uint64_t last_request_id_ = 0;
 };
--- a/src/dispatch/free_worker_index.cc
+++ b/src/dispatch/free_worker_index.cc
@@ -1,5 +1,7 @@
 #include "dispatch/free_worker_index.h"
 
+#include <utility>
+
 namespace chivewing {
 
 bool FreeWorkerIndex::Update(TrackedWorker& worker, bool accepts_tasks) {
@@ -15,12 +17,25 @@
   if (known && found->second.service == service &&
       Fits(free, found->second.free) && Fits(found->second.free, free))
     return false;  // unchanged
-  const bool grown = !known || found->second.service != service ||
-                     !Fits(free, found->second.free);
+  if (known && found->second.service == service) {
+    const bool grown = !Fits(free, found->second.free);
+    Order& order = by_service_[service];
+    auto node =
+        order.extract({found->second.free.processors_milli, id, nullptr});
+    node.value().free_processors_milli = free.processors_milli;
+    order.insert(std::move(node));
+    found->second.free = free;
+    return grown;
+  }
   if (known) Remove(id);
-  known_[id] = {service, free};
+  known_[id] = {service, free, &worker};
   by_service_[service].insert({free.processors_milli, id, &worker});
-  return grown;
+  return true;
+}
+
+TrackedWorker* FreeWorkerIndex::Find(const WorkerId& id) const {
+  const auto found = known_.find(id);
+  return found == known_.end() ? nullptr : found->second.worker;
 }
 
 void FreeWorkerIndex::Remove(const WorkerId& id) {
--- a/src/dispatch/free_worker_index.h
+++ b/src/dispatch/free_worker_index.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <unordered_map>
 
 #include "base/id.h"
 #include "dispatch/tracked_worker.h"
@@ -35,15 +36,17 @@
   void Remove(const WorkerId& id);
 
   const Order& OfService(const std::string& service) const;
-  bool Contains(const WorkerId& id) const { return known_.contains(id); }
+  // The worker if it accepts tasks, otherwise nullptr.
+  TrackedWorker* Find(const WorkerId& id) const;
 
  private:
   struct Known {
     std::string service{};
     Resources free{};
+    TrackedWorker* worker = nullptr;
   };
   std::map<std::string, Order> by_service_;
-  std::map<WorkerId, Known> known_;
+  std::unordered_map<WorkerId, Known> known_;
 };
 
 }  // namespace chivewing
--- a/src/dispatch/step_placement.cc
+++ b/src/dispatch/step_placement.cc
@@ -66,10 +66,10 @@
   const TimePoint margin = now + state_.options.ticket_margin;
   for (const auto& [id, approval] : step_.advice.approved()) {
     ++state_.counts.workers_examined;
-    if (approval.expires <= margin || !state_.free_workers.Contains(id))
-      continue;
-    TrackedWorker& worker = *state_.FindWorker(id);
-    if (MayRun(now, worker) && CountFitting(worker) > 0) AddCandidate(worker);
+    if (approval.expires <= margin) continue;
+    TrackedWorker* const worker = state_.free_workers.Find(id);
+    if (worker == nullptr || !MayRun(now, *worker)) continue;
+    if (CountFitting(*worker) > 0) AddCandidate(*worker);
   }
 }
 
--- a/src/dispatch/step_scheduler.cc
+++ b/src/dispatch/step_scheduler.cc
@@ -1,6 +1,7 @@
 #include "dispatch/step_scheduler.h"
 
 #include <algorithm>
+#include <functional>
 #include <optional>
 #include <set>
 #include <string>
@@ -27,6 +28,16 @@
   return policy.decide + policy.each * static_cast<std::int64_t>(workers);
 }
 
+// Free processors from which a step looks for workers to ask about, between
+// `least` and `most`. Steps that asked about the same workers would find them
+// full when the response arrives.
+std::int64_t SpreadStart(const StepKey& step, std::int64_t least,
+                         std::int64_t most) {
+  const std::size_t hash = std::hash<JobId>{}(step.job) + step.step;
+  return least + static_cast<std::int64_t>(
+                     hash % static_cast<std::size_t>(most - least + 1));
+}
+
 }  // namespace
 
 void StepScheduler::ScheduleReadySteps(TimePoint now, DispatchEffects& out) {
@@ -119,56 +130,66 @@
   return chosen.size();
 }
 
-// Requests advice about as many workers with free resources as the missing
-// tasks are likely to need. Returns what the step waits for after that.
+// Adds workers to ask about until they are likely to hold the missing tasks:
+// first those approved before, whose tickets have expired, then others with
+// room. Only the workers needed are looked at, not all with room.
+std::set<WorkerId> StepScheduler::ChooseWorkersToAsk(
+    TimePoint now, const StepPlacement& placement, std::size_t missing) {
+  const StepAdviceCache& advice = placement.step().advice;
+  const double approval_rate =
+      state_.advice.ApprovalRate(placement.job().record.queue.name);
+  std::set<WorkerId> chosen;
+  double expected = 0;
+  const auto is_enough = [&] {
+    if (chosen.size() >= kMaxWorkersPerRequest) return true;
+    return chosen.size() >= kMinWorkersPerRequest &&
+           expected >= kRequestedCapacityFactor * static_cast<double>(missing);
+  };
+  const auto consider = [&](const TrackedWorker& worker, double rate) {
+    ++state_.counts.workers_examined;
+    const std::size_t fitting = placement.CountFitting(worker);
+    if (fitting == 0 || !placement.MayRun(now, worker)) return;
+    chosen.insert(worker.registration().worker);
+    expected += static_cast<double>(std::min(fitting, missing)) * rate;
+  };
+  const TimePoint margin = now + state_.options.ticket_margin;
+  for (const auto& [id, approval] : advice.approved()) {
+    if (is_enough()) return chosen;
+    const TrackedWorker* const worker = state_.free_workers.Find(id);
+    if (worker != nullptr && approval.expires <= margin) consider(*worker, 1.0);
+  }
+  const FreeWorkerIndex::Order& order =
+      state_.free_workers.OfService(placement.job().record.queue.service);
+  const std::int64_t least = placement.held().processors_milli;
+  const auto first = order.lower_bound({least, {}, nullptr});
+  if (first == order.end()) return chosen;
+  const std::int64_t most = order.rbegin()->free_processors_milli;
+  const auto start = order.lower_bound(
+      {SpreadStart(placement.key(), least, most), {}, nullptr});
+  const auto consider_range = [&](auto from, auto to) {
+    for (auto entry = from; entry != to && !is_enough(); ++entry) {
+      if (advice.IsApproved(entry->id) || advice.IsRejected(entry->id))
+        continue;
+      consider(*entry->worker, approval_rate);
+    }
+  };
+  consider_range(start, order.end());
+  consider_range(first, start);
+  return chosen;
+}
+
+// Requests advice about workers with free resources. Returns what the step
+// waits for after that.
 StepWait StepScheduler::RequestAdvice(TimePoint now,
                                       const StepPlacement& placement,
                                       std::size_t missing,
                                       DispatchEffects& out) {
   if (!placement.advice()) return StepWait::kRoom;
-  if (placement.step().advice.pending_request_id() != 0)
-    return StepWait::kAdvice;
-  struct Candidate {
-    std::size_t fitting;
-    bool approved;
-    WorkerId id;
-  };
-  std::vector<Candidate> candidates;
-  const TimePoint margin = now + state_.options.ticket_margin;
   StepAdviceCache& advice = placement.step().advice;
-  const FreeWorkerIndex::Order& order =
-      state_.free_workers.OfService(placement.job().record.queue.service);
-  for (auto entry = order.lower_bound(
-           {placement.held().processors_milli, WorkerId(), nullptr});
-       entry != order.end(); ++entry) {
-    ++state_.counts.workers_examined;
-    const WorkerId& id = entry->id;
-    if (advice.IsRejected(id) || !placement.MayRun(now, *entry->worker))
-      continue;
-    if (advice.FindTicket(id, margin) != nullptr) continue;
-    const std::size_t fitting = placement.CountFitting(*entry->worker);
-    if (fitting > 0) candidates.push_back({fitting, advice.IsApproved(id), id});
-  }
-  if (candidates.empty()) return StepWait::kRoom;
-  std::sort(candidates.begin(), candidates.end(),
-            [](const Candidate& a, const Candidate& b) {
-              if (a.approved != b.approved) return a.approved;
-              return a.fitting > b.fitting;
-            });
-  const std::string& queue = placement.job().record.queue.name;
-  const double approval_rate = state_.advice.ApprovalRate(queue);
-  double expected = 0;
+  if (advice.pending_request_id() != 0) return StepWait::kAdvice;
   PendingAdviceRequest request;
-  for (const Candidate& candidate : candidates) {
-    const bool sufficient =
-        expected >= kRequestedCapacityFactor * static_cast<double>(missing);
-    if (request.workers.size() >= kMaxWorkersPerRequest) break;
-    if (sufficient && request.workers.size() >= kMinWorkersPerRequest) break;
-    request.workers.insert(candidate.id);
-    const auto fitting =
-        static_cast<double>(std::min(candidate.fitting, missing));
-    expected += candidate.approved ? fitting : fitting * approval_rate;
-  }
+  request.workers = ChooseWorkersToAsk(now, placement, missing);
+  if (request.workers.empty()) return StepWait::kRoom;
   const auto duration =
       ExpectedDuration(*placement.advice(), request.workers.size());
   const auto advice_host = state_.advice.FindAdviceHost(now, duration);
@@ -186,7 +207,7 @@
   effect.timeout = timeout;
   request.advice_host = *advice_host;
   request.step = placement.key();
-  request.queue = queue;
+  request.queue = placement.job().record.queue.name;
   request.sent = now;
   request.timeout_at = now + timeout;
   request.slow = slow;
--- a/tests/dispatch/deciding_cost_test.cc
+++ b/tests/dispatch/deciding_cost_test.cc
@@ -15,6 +15,9 @@
 
 // A poll is sent, answered, and its ends are written in one or two batches.
 constexpr std::uint64_t kLooksPerPollAndEnd = 4;
+// Workers asked about by one advice request, those passed over among them.
+constexpr std::uint64_t kWorkersPerAdviceRequest = 40;
+
 LoadOptions Burst() {
   LoadOptions options;
   options.queues = DayQueues();
@@ -48,5 +51,19 @@
             kLooksPerPollAndEnd * (counts.polls + model.ends()));
 }
 
+// A request for advice looked at each worker with room, and steps that asked at
+// the same time asked about the same workers, found them full and asked again.
+TEST(DecidingCostTest, AdviceIsAskedAboutTheWorkersThatAreNeeded) {
+  LoadOptions options = Burst();
+  options.workers = 540;
+  options.advice_hosts = 97;
+  LoadModel model(options);
+  model.Run();
+  const DispatchCounters& counts = model.dispatcher().state().counts;
+  EXPECT_LT(counts.asks, counts.starts / 3);
+  EXPECT_LT(counts.workers_examined,
+            kWorkersPerAdviceRequest * counts.asks + 10 * counts.starts);
+}
+
 }  // namespace
 }  // namespace chivewing
