Runs that a leaving worker would take with it are stopped in time and go on elsewhere

Cause: leaves_after was decoded and never read.

Ruled out: taking the end of the registration as proof that the runs are over (it also ends when the worker only cannot reach the store); stopping everything at once (runs that end in time would be started anew; those with checkpoints would idle if there is no room).

A gang is stopped as a whole. Worker's times come from each report, the earliest counts. runs_moved_total counts them.

--- a/src/cluster/metrics_text.cc
+++ b/src/cluster/metrics_text.cc
@@ -132,6 +132,8 @@
   AddCounter(out, "adopted_runs_stopped_total",
              "runs of an earlier dispatcher that were not needed",
              counts.adopted_runs_stopped);
+  AddCounter(out, "runs_moved_total",
+             "runs stopped because their worker leaves", counts.runs_moved);
   AddCounter(out, "orphans_stopped_total", "runs whose job stayed unknown",
              counts.orphans_stopped);
   AddCounter(out, "stop_retries_total", "orders to stop sent again",
--- a/src/dispatch/dispatch_state.h
+++ b/src/dispatch/dispatch_state.h
@@ -36,6 +36,7 @@
   // before their start was confirmed.
   std::uint64_t unconfirmed_runs_stopped = 0;
   std::uint64_t adopted_runs_stopped = 0;  // of a predecessor, not needed
+  std::uint64_t runs_moved = 0;            // stopped since their worker leaves
   std::uint64_t orphans_stopped = 0;       // their job stayed unknown
   std::uint64_t stop_retries = 0;
   std::uint64_t steps_tried = 0;       // attempts to place a waiting step
--- a/src/dispatch/run_manager.cc
+++ b/src/dispatch/run_manager.cc
@@ -365,6 +365,17 @@
   }
 }
 
+void RunManager::StopToMove(std::uint64_t run_id) {
+  Run* const run = state_.runs.Find(run_id);
+  if (run == nullptr) return;
+  TrackedJob* const job = state_.FindJob(run->key.task.job);
+  if (job != nullptr && job->spec(run->key.task.step).gang) {
+    StopTaskRuns(*job, run->key.task, true);
+  } else {
+    state_.runs.RequestStop(*run);
+  }
+}
+
 void RunManager::StopTaskRuns(TrackedJob& job, const TaskKey& key,
                               bool whole_step) {
   TrackedStep& step = *job.FindStep(key.occurrence, key.step);
--- a/src/dispatch/run_manager.h
+++ b/src/dispatch/run_manager.h
@@ -45,6 +45,8 @@
            const std::string& saved);
   // A worker has reported the end of a run that is not in the run table.
   void OnUntrackedRunEnd(TrackedJob& job, const EndedRunReport& end);
+  // Stops a run, and with it its gang, so that its task starts elsewhere.
+  void StopToMove(std::uint64_t run_id);
   // Stops runs whose job is still unknown after a while.
   void StopOrphans(TimePoint now);
 
--- a/src/dispatch/tracked_worker.cc
+++ b/src/dispatch/tracked_worker.cc
@@ -17,6 +17,16 @@
   registered_ = true;
 }
 
+// Each report gives the time that is left at least, and may be read late.
+void TrackedWorker::UpdateLeaveTime(TimePoint now) {
+  if (!registration_.draining || !registration_.leaves_after) {
+    leaves_at_.reset();
+    return;
+  }
+  const TimePoint reported = now + *registration_.leaves_after;
+  leaves_at_ = std::min(leaves_at_.value_or(reported), reported);
+}
+
 void TrackedWorker::SetClock(TimePoint now, WorkerTimestamp clock) {
   // Responses may overtake each other: the clock reading that is furthest ahead
   // had the least delay.
--- a/src/dispatch/tracked_worker.h
+++ b/src/dispatch/tracked_worker.h
@@ -28,6 +28,10 @@
 
   const WorkerRegistration& registration() const { return registration_; }
   void set_registration(WorkerRegistration registration);
+  // Notes when a draining worker leaves at the earliest, as reported at `now`.
+  void UpdateLeaveTime(TimePoint now);
+  // Nullopt unless the worker is draining and has said when it leaves.
+  const std::optional<TimePoint>& leaves_at() const { return leaves_at_; }
   bool registered() const { return registered_; }
   void set_registered(bool registered) { registered_ = registered; }
 
@@ -87,6 +91,7 @@
  private:
   WorkerRegistration registration_;
   bool registered_ = true;
+  std::optional<TimePoint> leaves_at_;
   Resources used_{};
   WorkerTimestamp clock_{0};
   TimePoint clock_at_{};
--- a/src/dispatch/worker_manager.cc
+++ b/src/dispatch/worker_manager.cc
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "base/log.h"
+#include "dispatch/drain_policy.h"
 
 namespace chivewing {
 namespace {
@@ -14,6 +15,8 @@
 // the backoff.
 constexpr int kFailuresBeforeBackoff = 3;
 constexpr std::chrono::seconds kFailureBackoff{4};
+// How often the runs of a draining worker are looked at.
+constexpr std::chrono::milliseconds kDrainCheckInterval{100};
 // A lease has expired once its expiry lies in the past.
 constexpr Duration kExpiryStep{1};
 // How often a worker is looked at whose lease has expired but whose runs may
@@ -30,12 +33,14 @@
         state_.workers.emplace(registration.worker, TrackedWorker(registration))
             .first->second;
     worker.next_poll = now;
+    worker.UpdateLeaveTime(now);
     state_.UpdateTableWork(worker);
     UpdateAttention(now, worker);
     return;
   }
   const bool moved = known->registration().address != registration.address;
   known->set_registration(registration);
+  known->UpdateLeaveTime(now);
   state_.UpdateWorker(*known);
   state_.UpdateTableWork(*known);
   if (moved) known->next_poll = now;
@@ -101,6 +106,7 @@
     TrackedWorker& worker = *state_.FindWorker(attention_.begin()->second);
     ++state_.counts.workers_attended;
     EndRunsAfterLeaseExpiry(now, worker);
+    StopRunsBeforeLeaving(now, worker);
     if (worker.pending_poll == 0 && now >= worker.next_poll) {
       Poll(now, worker, out);
     }
@@ -108,6 +114,29 @@
   }
 }
 
+void WorkerManager::StopRunsBeforeLeaving(TimePoint now,
+                                          const TrackedWorker& worker) {
+  if (!worker.leaves_at()) return;
+  const WorkerId& id = worker.registration().worker;
+  for (const std::uint64_t run_id : state_.runs.OnWorker(id)) {
+    const Run& run = *state_.runs.Find(run_id);
+    TrackedJob* const job = state_.FindJob(run.key.task.job);
+    if (job == nullptr || run.orphaned || run.stop_requested) continue;
+    if (job->FindTask(run.key.task) == nullptr) continue;
+    const StepSpec& spec = job->spec(run.key.task.step);
+    if (now < DrainStopTime(now, *worker.leaves_at(), spec, run)) continue;
+    ++state_.counts.runs_moved;
+    LogInfo(LogPart::kPlacer,
+            "stopping a run whose worker leaves before its "
+            "end job=" +
+                run.key.task.job.value() +
+                " step=" + std::to_string(run.key.task.step) + " task=" +
+                std::to_string(run.key.task.index) + " worker=" + id.value() +
+                " percent=" + std::to_string(run.percent));
+    runs_.StopToMove(run_id);
+  }
+}
+
 bool WorkerManager::RemoveIfGone(TimePoint now, TrackedWorker& worker) {
   const WorkerId id = worker.registration().worker;
   if (worker.registered() || !worker.IsUnresponsive() ||
@@ -127,6 +156,10 @@
                                        const TrackedWorker& worker) const {
   TimePoint next = TimePoint::max();
   if (worker.pending_poll == 0) next = worker.next_poll;
+  if (worker.leaves_at() &&
+      !state_.runs.OnWorker(worker.registration().worker).empty()) {
+    next = std::min(next, now + kDrainCheckInterval);
+  }
   if (!worker.IsUnresponsive()) return next;
   const TimePoint expiry = worker.LeaseExpiry(state_.options);
   // What an expiry that has passed leaves to do may wait for another event.
--- a/src/dispatch/worker_manager.h
+++ b/src/dispatch/worker_manager.h
@@ -42,6 +42,8 @@
   // To be called after each change of what AttentionTime depends on.
   void UpdateAttention(TimePoint now, TrackedWorker& worker);
   TimePoint AttentionTime(TimePoint now, const TrackedWorker& worker) const;
+  // Stops the runs that a draining worker would otherwise take with it.
+  void StopRunsBeforeLeaving(TimePoint now, const TrackedWorker& worker);
   // Removes the worker if it has certainly gone. Returns true if it has.
   bool RemoveIfGone(TimePoint now, TrackedWorker& worker);
   void Poll(TimePoint now, TrackedWorker& worker, DispatchEffects& out);
--- a/tests/dispatch/cluster_model.cc
+++ b/tests/dispatch/cluster_model.cc
@@ -196,6 +196,7 @@
   next_replace_ = now_ + options_.faults.replace_interval;
   next_cancel_ = now_ + options_.faults.cancel_interval;
   next_stall_ = now_ + options_.faults.stall_interval;
+  next_leave_ = now_ + options_.faults.leave_interval;
   while (now_ < start_ + options_.length) Step();
 }
 
@@ -214,6 +215,7 @@
     auto node = events_.extract(events_.begin());
     node.mapped()();
   }
+  RemoveLeavingWorkers();
   AdvanceWorkers();
   RunDispatchers();
 }
@@ -230,16 +232,11 @@
     victim.unreachable_until = now_ + RandomDuration(seconds(1), seconds(9));
   }
   if (is_due(next_crash_, faults.crash_interval)) {
-    victim.down_until = now_ + RandomDuration(milliseconds(200), seconds(6));
-    victim.running.clear();
-    victim.ended.clear();
-    victim.highest_ended_run.clear();
-    victim.last_end = 0;
-    victim.forgotten = 0;
-    victim.fence = 0;
-    victim.deadline = WorkerTimestamp(0);
-    victim.started_at = victim.down_until;
-    victim.registration.incarnation_start += seconds(1);
+    Restart(victim, RandomDuration(milliseconds(200), seconds(6)));
+  }
+  if (is_due(next_leave_, faults.leave_interval)) {
+    GiveNotice(victim, std::chrono::duration_cast<milliseconds>(
+                           RandomDuration(seconds(1), seconds(6))));
   }
   if (is_due(next_replace_, faults.replace_interval)) ReplaceDispatcher();
   if (is_due(next_stall_, faults.stall_interval)) {
@@ -253,6 +250,49 @@
   }
 }
 
+void ClusterModel::Restart(ModelWorker& worker, Duration down) {
+  worker.down_until = now_ + down;
+  worker.running.clear();
+  worker.ended.clear();
+  worker.highest_ended_run.clear();
+  worker.last_end = 0;
+  worker.forgotten = 0;
+  worker.fence = 0;
+  worker.deadline = WorkerTimestamp(0);
+  worker.started_at = worker.down_until;
+  worker.registration.incarnation_start += seconds(1);
+}
+
+void ClusterModel::GiveNotice(ModelWorker& worker, milliseconds notice) {
+  if (worker.leaves_at != TimePoint::max()) return;
+  worker.leaves_at = now_ + notice;
+  worker.registration.draining = true;
+  worker.registration.leaves_after = notice;
+  Register(worker.registration);
+}
+
+void ClusterModel::RemoveLeavingWorkers() {
+  for (ModelWorker& worker : workers_) {
+    if (now_ < worker.leaves_at) continue;
+    const Duration down = RandomDuration(milliseconds(200), seconds(6));
+    Restart(worker, down);
+    worker.leaves_at = TimePoint::max();
+    worker.registration.draining = false;
+    worker.registration.leaves_after.reset();
+    RunAfter(down, [this, registration = worker.registration] {
+      Register(registration);
+    });
+  }
+}
+
+void ClusterModel::Register(const WorkerRegistration& registration) {
+  for (const ActiveDispatcher& active : dispatchers_) {
+    Notify(active.term, [this, registration](Dispatcher& dispatcher) {
+      dispatcher.RegisterWorker(now_, registration);
+    });
+  }
+}
+
 void ClusterModel::AddRandomJobs() {
   const auto passed = now_ - start_;
   const auto wanted = static_cast<std::size_t>(
@@ -509,6 +549,13 @@
          std::to_string(count);
 }
 
+int ClusterModel::PercentOf(const ModelWorker::Execution& execution) const {
+  constexpr int kWhole = 100;
+  if (execution.ends == TimePoint::max()) return kWhole;
+  return static_cast<int>((now_ - execution.started_at) * kWhole /
+                          (execution.ends - execution.started_at));
+}
+
 // What a start carries must be its job's payload and a checkpoint of its task,
 // the same for all members of a gang.
 void ClusterModel::CheckUnasked(const StartRun& command,
@@ -695,8 +742,8 @@
   response.outcome = CommandOutcome::kDone;
   response.ended = worker.ended;
   for (const auto& [run, execution] : worker.running) {
-    response.running.push_back(
-        ActiveRunReport{run, CheckpointOf(run, execution), 50, 0});
+    response.running.push_back(ActiveRunReport{
+        run, CheckpointOf(run, execution), PercentOf(execution), 0});
   }
   return response;
 }
--- a/tests/dispatch/cluster_model.h
+++ b/tests/dispatch/cluster_model.h
@@ -24,7 +24,9 @@
   double late_command_rate = 0;    // no response, executed 2 to 12 s later
   seconds disconnect_interval{0};  // a worker is unreachable for 1 to 9 s
   seconds crash_interval{0};       // a worker crashes and returns under its id
-  seconds replace_interval{0};     // the dispatcher is replaced
+  // A worker drains for 1 to 6 s, leaves, and returns under its id.
+  seconds leave_interval{0};
+  seconds replace_interval{0};            // the dispatcher is replaced
   bool old_dispatcher_continues = false;  // the replaced one runs for 12 s more
   // While both run, each dispatcher reaches only a part of the workers.
   bool split_workers = false;
@@ -76,6 +78,7 @@
   WorkerTimestamp deadline{0};
   TimePoint unreachable_until{};
   TimePoint down_until{};
+  TimePoint leaves_at = TimePoint::max();
 };
 
 // Simulates a cluster of workers, the table that the dispatchers write to, and
@@ -125,6 +128,12 @@
   void RunDispatchers();
   void RunDispatcher(ActiveDispatcher& active);
   void InjectFaults();
+  // The worker ends with all that runs on it, and returns after `down` as
+  // another incarnation.
+  void Restart(ModelWorker& worker, Duration down);
+  void GiveNotice(ModelWorker& worker, milliseconds notice);
+  void RemoveLeavingWorkers();
+  void Register(const WorkerRegistration& registration);
   void AddRandomJobs();
   void AdvanceWorkers();
   void End(ModelWorker& worker, const TaskRunKey& run, RunEndReason how);
@@ -156,6 +165,7 @@
   std::string CheckpointName(const TaskKey& task) const;
   std::string CheckpointOf(const TaskRunKey& run,
                            const ModelWorker::Execution& execution) const;
+  int PercentOf(const ModelWorker::Execution& execution) const;
   bool IsDonePersisted(const TaskKey& task) const;
   void Report(const std::string& rule, const std::string& what);
   double RandomFraction();
@@ -185,6 +195,7 @@
   TimePoint split_until_{};
   TimePoint next_disconnect_{};
   TimePoint next_crash_{};
+  TimePoint next_leave_{};
   TimePoint next_replace_{};
   TimePoint next_cancel_{};
   TimePoint next_stall_{};
--- a/tests/dispatch/schedule_test.cc
+++ b/tests/dispatch/schedule_test.cc
@@ -60,6 +60,13 @@
         ScheduleCase{"LateOrders", {.late_command_rate = 0.1}},
         ScheduleCase{"CutWorkers", {.disconnect_interval = seconds(2)}},
         ScheduleCase{"CrashedWorkers", {.crash_interval = seconds(2)}},
+        ScheduleCase{"LeavingWorkers", {.leave_interval = seconds(1)}},
+        ScheduleCase{"LeavingCrashedReplacedActing",
+                     {.crash_interval = seconds(3),
+                      .leave_interval = seconds(1),
+                      .replace_interval = seconds(4),
+                      .old_dispatcher_continues = true,
+                      .run_failure_rate = 0.1}},
         ScheduleCase{"Cancels", {.cancel_interval = seconds(1)}},
         ScheduleCase{"Replaced", {.replace_interval = seconds(4)}},
         ScheduleCase{
