--- a/src/cluster/caller_request_handler.cc
+++ b/src/cluster/caller_request_handler.cc
@@ -152,6 +152,7 @@
   record.queue = queue;
   record.spec = std::move(spec.value());
   record.accepted_at = callbacks_.wall_clock();
+  record.accepted_at_table = callbacks_.table_clock(now);
   StartWrite(now, call_id, request, JobRecordKey(job), EncodeJobRecord(record),
              CallerResponseKind::kAccepted);
 }
--- a/src/cluster/caller_request_handler.h
+++ b/src/cluster/caller_request_handler.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -44,6 +45,9 @@
     // Wall-clock time since the Unix epoch.
     std::function<std::chrono::milliseconds()> wall_clock{};
     std::function<Result<JobDescription>(const std::string&)> decode_job{};
+    // The table's steady clock; nullopt while it is not known.
+    std::function<std::optional<std::chrono::milliseconds>(TimePoint)>
+        table_clock{};
   };
 
   CallerRequestHandler(TableInterface table,
--- a/src/cluster/cluster_host.cc
+++ b/src/cluster/cluster_host.cc
@@ -56,7 +56,11 @@
                  return table_watcher_.IsTableUnreachable(now);
                },
            .wall_clock = [] { return WallClockNow(); },
-           .decode_job = platform.decode_job}),
+           .decode_job = platform.decode_job,
+           .table_clock =
+               [this](TimePoint now) {
+                 return table_watcher_.clock().At(now);
+               }}),
       worker_calls_(platform,
                     {.send =
                          [this](const HostId& to, const PeerMessage& message) {
--- a/src/cluster/dispatcher_runner.cc
+++ b/src/cluster/dispatcher_runner.cc
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "base/log.h"
+#include "cluster/job_age.h"
 #include "cluster/worker_row.h"
 
 namespace chivewing {
@@ -110,8 +111,10 @@
     const Result<JobProgress> decoded = DecodeJobProgress(*saved->value);
     if (decoded) progress = decoded.value();
   }
-  dispatcher_->AddJob(now, callbacks_.wall_clock(), std::move(record.value()),
-                      progress, uncertain);
+  const TimePoint accepted_at = AcceptedAt(
+      now, callbacks_.wall_clock(), table_watcher_.clock(), record.value());
+  dispatcher_->AddJob(now, accepted_at, std::move(record.value()), progress,
+                      uncertain);
   if (table_watcher_.cache().Find(CancelRowKey(id)) != nullptr) {
     dispatcher_->CancelJob(id);
   }
--- a/src/cluster/table_watcher.cc
+++ b/src/cluster/table_watcher.cc
@@ -112,6 +112,7 @@
     available_since_ = now;
   consecutive_errors_ = 0;
   last_response_at_ = now;
+  if (response.clock) clock_.OnReading(now, *response.clock);
   ready_ = true;
   for (const TableRow& row : response.rows) Apply(now, row);
   cache_.set_revision(response.revision);
--- a/src/cluster/table_watcher.h
+++ b/src/cluster/table_watcher.h
@@ -7,6 +7,7 @@
 
 #include "base/time.h"
 #include "store/row_cache.h"
+#include "store/table_clock.h"
 #include "store/table_interface.h"
 
 namespace chivewing {
@@ -46,6 +47,7 @@
   // True once all rows have been read, until the history is lost.
   bool ready() const { return ready_; }
   const RowCache& cache() const { return cache_; }
+  const TableClock& clock() const { return clock_; }
 
  private:
   void ReadAll();
@@ -58,6 +60,7 @@
   Post post_;
   RowCallback on_row_;
   RowCache cache_;
+  TableClock clock_;
   bool ready_ = false;
   bool read_in_flight_ = false;    // a response is awaited
   std::uint64_t read_number_ = 0;  // responses to earlier reads are ignored
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -26,8 +26,7 @@
   state_.advice.set_request_id_base(fence << kRequestIdBitsPerFence);
 }
 
-void Dispatcher::AddJob(TimePoint now, std::chrono::milliseconds wall,
-                        JobRecord record,
+void Dispatcher::AddJob(TimePoint now, TimePoint accepted_at, JobRecord record,
                         const std::optional<JobProgress>& progress,
                         bool uncertain) {
   if (started_at_ == TimePoint{}) started_at_ = now;
@@ -37,7 +36,7 @@
   }
   const JobId id = record.id;
   const bool may_have_runs = uncertain || now < started_at_ + kHandoverWindow;
-  jobs_.Add(now, wall, std::move(record), progress, may_have_runs, until);
+  jobs_.Add(accepted_at, std::move(record), progress, may_have_runs, until);
   runs_.AttachOrphans(id);
 }
 
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -52,9 +52,10 @@
   // True once a worker has seen a higher fence: there is another dispatcher.
   bool fenced_off() const { return state_.fenced; }
 
-  // `wall` is the time of day since 1970. `uncertain` is true if an earlier
-  // dispatcher may have started tasks of the job that are not known yet.
-  void AddJob(TimePoint now, std::chrono::milliseconds wall, JobRecord record,
+  // `accepted_at` is when its caller was told so, on this host's clock.
+  // `uncertain` is true if an earlier dispatcher may have started tasks of the
+  // job that are not known yet.
+  void AddJob(TimePoint now, TimePoint accepted_at, JobRecord record,
               const std::optional<JobProgress>& progress, bool uncertain);
   void CancelJob(const JobId& job);
   void RegisterWorker(TimePoint now, const WorkerRegistration& registration);
--- a/src/dispatch/job_manager.cc
+++ b/src/dispatch/job_manager.cc
@@ -29,16 +29,14 @@
 
 }  // namespace
 
-void JobManager::Add(TimePoint now, milliseconds wall, JobRecord record,
+void JobManager::Add(TimePoint accepted_at, JobRecord record,
                      const std::optional<JobProgress>& progress,
                      bool may_have_runs, TimePoint uncertain_until) {
   const JobId id = record.id;
   if (state_.jobs.contains(id)) return;
   TrackedJob& job = state_.jobs[id];
   job.record = std::move(record);
-  const milliseconds age =
-      std::max(milliseconds(0), wall - job.record.accepted_at);
-  job.accepted_at = now - age;
+  job.accepted_at = accepted_at;
   const milliseconds objective = Objective(job.record);
   job.due = job.accepted_at + objective;
   job.useless_after = job.accepted_at + kUselessAfterFactor * objective;
--- a/src/dispatch/job_manager.h
+++ b/src/dispatch/job_manager.h
@@ -16,9 +16,8 @@
   // Adds a job read from its row, with the progress that an earlier dispatcher
   // has written. `may_have_runs` is true if an earlier dispatcher may have
   // started tasks of it; those may be unknown here until `uncertain_until`.
-  // `wall` is the time of day since 1970. Has no effect on a job that is
-  // already known.
-  void Add(TimePoint now, std::chrono::milliseconds wall, JobRecord record,
+  // Has no effect on a job that is already known.
+  void Add(TimePoint accepted_at, JobRecord record,
            const std::optional<JobProgress>& progress, bool may_have_runs,
            TimePoint uncertain_until);
   void Cancel(const JobId& id);
--- a/src/dispatch/job_record.cc
+++ b/src/dispatch/job_record.cc
@@ -140,6 +140,9 @@
   Json out = {{"queue", ToJson(record.queue)},
               {"payload", record.spec.payload},
               {"accepted_ms", record.accepted_at.count()}};
+  if (record.accepted_at_table) {
+    out["accepted_table_ms"] = record.accepted_at_table->count();
+  }
   Json steps = Json::array();
   for (const StepSpec& step : record.spec.steps) steps.push_back(ToJson(step));
   out["steps"] = std::move(steps);
@@ -159,6 +162,8 @@
   record.id = job;
   record.spec = ReadSpec(reader);
   record.accepted_at = milliseconds(reader.Integer("accepted_ms"));
+  const std::int64_t table_ms = reader.Integer("accepted_table_ms", -1);
+  if (table_ms >= 0) record.accepted_at_table = milliseconds(table_ms);
   if (const JsonNode* node = reader.Object("queue")) {
     JsonObjectReader queue(*node);
     record.queue = ReadQueue(queue);
--- a/src/dispatch/job_record.h
+++ b/src/dispatch/job_record.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -16,7 +17,11 @@
   JobId id{};
   Queue queue{};
   JobDescription spec{};
-  std::chrono::milliseconds accepted_at{0};  // since 1970
+  // Time of day of the accepting host, since 1970. It may be wrong by seconds;
+  // used where there is no other.
+  std::chrono::milliseconds accepted_at{0};
+  // The same on the table's steady clock; absent if it was not known.
+  std::optional<std::chrono::milliseconds> accepted_at_table{};
   // Version of the row that it was read from; 0 if not known. Not encoded.
   std::uint64_t row_version = 0;
 };
--- a/src/store/table.h
+++ b/src/store/table.h
@@ -80,6 +80,8 @@
   bool history_lost = false;
   // In ascending version order, including tombstones.
   std::vector<TableRow> rows{};
+  // The table's steady clock when it responded; absent if it has none.
+  std::optional<std::chrono::milliseconds> clock{};
 };
 
 enum class HostKind { kWorker, kEntry };
--- a/tests/cluster/caller_request_handler_test.cc
+++ b/tests/cluster/caller_request_handler_test.cc
@@ -64,6 +64,7 @@
   const std::string job_ = "5c0e7a21d94b36f8";
   TimePoint now_{std::chrono::hours(1)};
   bool table_unreachable_ = false;
+  std::optional<milliseconds> table_clock_;
   std::uint64_t last_call_id_ = 0;
   std::map<std::uint64_t, CallerResponse> responses_;
   FakeTable table_;
@@ -87,7 +88,8 @@
          JobDescription job;
          job.steps.resize(1);
          return job;
-       }}};
+       },
+       .table_clock = [this](TimePoint) { return table_clock_; }}};
 };
 
 TEST_F(CallerRequestHandlerTest, AcknowledgesAJobOnlyOnceItIsStored) {
@@ -99,6 +101,15 @@
             CallerResponseKind::kState);
 }
 
+TEST_F(CallerRequestHandlerTest, AJobCarriesTheTimeOfTheTablesClock) {
+  table_clock_ = milliseconds(77);
+  Request(CallerRequestKind::kSubmit, "/q/" + job_);
+  const Result<JobRecord> record = DecodeJobRecord(
+      JobId(job_), *table_.commits.front().first.writes.front().value);
+  ASSERT_TRUE(record);
+  EXPECT_EQ(record.value().accepted_at_table, milliseconds(77));
+}
+
 TEST_F(CallerRequestHandlerTest, RepeatedSubmitStoresOneJob) {
   const std::uint64_t first = Request(CallerRequestKind::kSubmit, "/q/" + job_);
   const std::uint64_t second =
--- a/tests/dispatch/cluster_model.cc
+++ b/tests/dispatch/cluster_model.cc
@@ -132,7 +132,7 @@
     // A host without the lease accepts no new jobs.
     if (active.lease_lost) continue;
     Notify(active.term, [this, record](Dispatcher& dispatcher) {
-      dispatcher.AddJob(now_, record.accepted_at, record, std::nullopt, false);
+      dispatcher.AddJob(now_, now_, record, std::nullopt, false);
       if (cancelled_.contains(record.id)) dispatcher.CancelJob(record.id);
     });
   }
@@ -177,13 +177,13 @@
   for (const ModelWorker& worker : workers_) {
     active.dispatcher->RegisterWorker(now_, worker.registration);
   }
-  const milliseconds wall =
-      kWallClockStart + std::chrono::duration_cast<milliseconds>(now_ - start_);
   for (const auto& [id, record] : jobs_) {
+    const TimePoint accepted_at =
+        start_ + (record.accepted_at - kWallClockStart);
     const auto saved = table_.find(id);
     std::optional<JobProgress> progress;
     if (saved != table_.end()) progress = saved->second;
-    active.dispatcher->AddJob(now_, wall, record, progress, true);
+    active.dispatcher->AddJob(now_, accepted_at, record, progress, true);
     if (cancelled_.contains(id)) active.dispatcher->CancelJob(id);
   }
   active.dispatcher->EndTakeOver();
--- a/tests/dispatch/dispatcher_test.cc
+++ b/tests/dispatch/dispatcher_test.cc
@@ -137,7 +137,7 @@
   response.clock = WorkerTimestamp(1000);
   response.running.push_back({{{JobId("late"), 0, 0, 0}, 1}, "", 10, 0});
   dispatcher.OnPollResponse(now, poll.worker, poll.poll_id, response);
-  dispatcher.AddJob(now, milliseconds(0),
+  dispatcher.AddJob(now, now,
                     model_.MakeJob("late", {Step(1, 1000, seconds(1))}),
                     std::nullopt, false);
   effects.clear();
@@ -254,7 +254,7 @@
   JobRecord job = model_.MakeJob("j", {Step(1, 1000, seconds(1))});
   job.queue.advice =
       AdvicePolicy{milliseconds(20), milliseconds(0), seconds(2)};
-  dispatcher.AddJob(now, milliseconds(0), job, std::nullopt, false);
+  dispatcher.AddJob(now, now, job, std::nullopt, false);
   std::map<HostId, int> request_counts;
   for (int i = 0; i < 500; ++i) {
     now += milliseconds(1);
--- a/tests/dispatch/load_model.cc
+++ b/tests/dispatch/load_model.cc
@@ -159,7 +159,7 @@
     record.spec.steps.push_back(step);
   }
   jobs_.emplace(record.id, &queue);
-  dispatcher_.AddJob(now_, wall(), record, std::nullopt, false);
+  dispatcher_.AddJob(now_, now_, record, std::nullopt, false);
 }
 
 void LoadModel::WriteBatch() {
--- a/tests/dispatch/write_order_test.cc
+++ b/tests/dispatch/write_order_test.cc
@@ -33,7 +33,7 @@
     record.spec.steps[0].task_count = 1;
     record.spec.steps[0].size = {1000, 1000, 0};
     record.spec.steps[0].estimate = seconds(1);
-    dispatcher_.AddJob(now_, milliseconds(0), record, std::nullopt, false);
+    dispatcher_.AddJob(now_, now_, record, std::nullopt, false);
   }
 
   void MakeDirty(const std::string& id) {
