Hosts that are not next in line for the lease read the table once a second

It grows with hosts x rows x reads.

Ruled out for now: progress rows in a table of their own, followed by the dispatching host and its successors only.

Change: the first eight hosts by rank, over all zones, go on reading every 0.3 s and are warm; the others read once a second and hear of states from the dispatching host, as before.

--- a/src/cluster/cluster_host.cc
+++ b/src/cluster/cluster_host.cc
@@ -21,7 +21,12 @@
 constexpr milliseconds kHostRowRetryDelay{300};
 // Peers push rows; polling the table finds rows that were not pushed.
 constexpr milliseconds kDispatchingPollInterval{100};
-constexpr milliseconds kStandbyPollInterval{300};
+constexpr milliseconds kSuccessorPollInterval{300};
+// Hosts that are far from taking the lease hear of states from the dispatching
+// host: what they read only grows the volume, by their number times the rows.
+constexpr milliseconds kStandbyPollInterval{1000};
+// Hosts that are next in line for the lease.
+constexpr std::size_t kSuccessors = 8;
 // How long callers are still served after a graceful stop has begun.
 constexpr milliseconds kMaxStopGracePeriod{2500};
 constexpr milliseconds kMaxTickInterval{500};
@@ -204,9 +209,7 @@
   WriteHostRow(now);
   OfferAsGateway(now);
   TimePoint next = now + kMaxTickInterval;
-  table_watcher_.set_min_poll_interval(dispatcher_runner_.dispatching()
-                                           ? kDispatchingPollInterval
-                                           : kStandbyPollInterval);
+  table_watcher_.set_min_poll_interval(TablePollInterval());
   next = std::min(next, table_watcher_.Tick(now));
   next = std::min(next, caller_requests_.Tick(now));
   measured = AccountSince(measured, LoopWork::kTableTimer);
@@ -227,6 +230,12 @@
   return next;
 }
 
+milliseconds ClusterHost::TablePollInterval() const {
+  if (dispatcher_runner_.dispatching()) return kDispatchingPollInterval;
+  return lease_rank_ < kSuccessors ? kSuccessorPollInterval
+                                   : kStandbyPollInterval;
+}
+
 // The load of the dispatching host: without it, a lease that was lost to load
 // cannot be told from one that was lost to the network.
 void ClusterHost::LogLoad(TimePoint now) {
@@ -392,7 +401,8 @@
       peer_incarnations_.erase(host);
     }
   }
-  dispatcher_runner_.set_rank(LeaseRank(OwnHostRow(), other_hosts_));
+  lease_rank_ = LeaseRank(OwnHostRow(), other_hosts_);
+  dispatcher_runner_.set_rank(lease_rank_);
   UpdateAdviceHosts();
 }
 
--- a/src/cluster/cluster_host.h
+++ b/src/cluster/cluster_host.h
@@ -52,6 +52,7 @@
   TimePoint HandleEvents(TimePoint now, std::vector<Event>& events);
   // Returns the time, after adding the time since `from` to the kind of work.
   TimePoint AccountSince(TimePoint from, LoopWork work);
+  std::chrono::milliseconds TablePollInterval() const;
   void LogLoad(TimePoint now);
   Status StartServers();
   Status StartMesh();
--- a/src/dispatch/job_progress.cc
+++ b/src/dispatch/job_progress.cc
@@ -25,7 +25,8 @@
 }
 
 // Done tasks are written as indices, tasks with failures or a checkpoint as
-// objects.
+// objects. Each host of the cluster reads the row, so empty members are left
+// out.
 Json ToJson(const StepProgress& step) {
   Json done = Json::array();
   Json open = Json::array();
@@ -40,7 +41,10 @@
     if (!task.saved.empty()) item["saved"] = task.saved;
     open.push_back(std::move(item));
   }
-  return {{"done", std::move(done)}, {"open", std::move(open)}};
+  Json out = Json::object();
+  if (!done.empty()) out["done"] = std::move(done);
+  if (!open.empty()) out["open"] = std::move(open);
+  return out;
 }
 
 StepProgress ReadStep(JsonObjectReader& reader) {
@@ -143,8 +147,9 @@
   OrderedJson out;
   out["state"] = Name(progress.state);
   out["top_run"] = progress.highest_run;
-  out["finished"] = progress.finished_occurrences;
-  out["occurrences"] = occurrences;
+  if (progress.finished_occurrences > 0)
+    out["finished"] = progress.finished_occurrences;
+  if (!occurrences.empty()) out["occurrences"] = std::move(occurrences);
   return out.dump(-1, ' ', false, OrderedJson::error_handler_t::replace);
 }
 
