A lasting gang on a leaving worker is not stopped as a whole

Cause: a gang is stopped as a whole, so a lasting one with a member on a leaving worker would be ended on workers that stay too, more tasks than its step may miss (AVAIL).

Ruled out: stopping the one member (a gang ends with any of its members).

Change: lasting gangs are left alone; the worker's leave ends the run, as before.

Test: ALastingGangIsNotStoppedOnWorkersThatStay.

--- a/src/dispatch/worker_manager.cc
+++ b/src/dispatch/worker_manager.cc
@@ -124,6 +124,9 @@
     if (job == nullptr || run.orphaned || run.stop_requested) continue;
     if (job->FindTask(run.key.task) == nullptr) continue;
     const StepSpec& spec = job->spec(run.key.task.step);
+    // Its members on workers that stay would be stopped too, more of them than
+    // the step may miss.
+    if (spec.gang && spec.long_running) continue;
     if (now < DrainStopTime(now, *worker.leaves_at(), spec, run)) continue;
     ++state_.counts.runs_moved;
     LogInfo(LogPart::kPlacer,
--- a/tests/dispatch/draining_worker_test.cc
+++ b/tests/dispatch/draining_worker_test.cc
@@ -146,6 +146,16 @@
   EXPECT_EQ(model_.table().at(JobId("j")).state, JobPhase::kCompleted);
 }
 
+TEST_F(DrainingWorkerTest, ALastingGangIsNotStoppedOnWorkersThatStay) {
+  step_.gang = true;
+  step_.long_running = true;
+  step_.max_unavailable = 1;
+  model_.AddJob(model_.MakeJob("j", {step_}));
+  model_.RunFor(seconds(1));
+  LeaveAfterNotice();
+  EXPECT_EQ(model_.dispatcher().state().counts.runs_moved, 0U);
+}
+
 TEST_F(DrainingWorkerTest, AWorkerThatStaysAfterAllKeepsItsRuns) {
   model_.AddJob(model_.MakeJob("j", {step_}));
   model_.RunFor(seconds(1));
