--- a/tests/adapter/store_client_test.cc
+++ b/tests/adapter/store_client_test.cc
@@ -100,6 +100,23 @@
   EXPECT_EQ(changes.rows[0].key, "placer/all");
 }
 
+// A response to a read of changes ends after 500 rows without saying so. A host
+// that read once a second fell ever further behind, and showed old states.
+TEST_F(StoreClientTest, AFullResponseOfChangesIsNotTheLast) {
+  Commit(Write("first", "placer/all", 0));
+  const std::uint64_t since = ReadAll().revision;
+  for (int i = 0; i < 501; ++i) {
+    const std::string key = "job/" + std::to_string(i);
+    store_.Put(std::string(kTableName), PartitionOf(key), key, "w\nvalue");
+  }
+  const ChangesResponse full = Changes(since);
+  EXPECT_EQ(full.rows.size(), 500U);
+  EXPECT_TRUE(full.more);
+  const ChangesResponse rest = Changes(full.revision);
+  EXPECT_EQ(rest.rows.size(), 1U);
+  EXPECT_FALSE(rest.more);
+}
+
 TEST_F(StoreClientTest, ReportsLostHistory) {
   store_.history_lost = true;
   const ChangesResponse changes = Changes(1);
--- a/tests/standins/store_standin.cc
+++ b/tests/standins/store_standin.cc
@@ -10,6 +10,10 @@
 
 using Json = nlohmann::json;
 
+// A response of the change feed ends with the first transaction that brings it
+// to this many rows; nothing in it says that there are more.
+constexpr std::size_t kFeedRows = 500;
+
 HttpServerResponse Reply(int status, const Json& body) {
   HttpServerResponse reply;
   reply.status = status;
@@ -167,8 +171,16 @@
   std::sort(changed.begin(), changed.end(),
             [](const auto& a, const auto& b) { return a.first < b.first; });
   Json rows = Json::array();
-  for (auto& [version, row] : changed) rows.push_back(std::move(row));
-  return Reply(200, {{"rows", rows}, {"ver", version_}, {"nowMs", 1}});
+  std::uint64_t last = version_;
+  for (auto& [version, row] : changed) {
+    const bool full = rows.size() >= kFeedRows;
+    if (full && version != rows.back()["ver"].get<std::uint64_t>()) {
+      last = rows.back()["ver"].get<std::uint64_t>();
+      break;
+    }
+    rows.push_back(std::move(row));
+  }
+  return Reply(200, {{"rows", rows}, {"ver", last}, {"nowMs", 1}});
 }
 
 }  // namespace chivewing
