--- a/src/cluster/cluster_host.cc
+++ b/src/cluster/cluster_host.cc
@@ -15,10 +15,6 @@
 using std::chrono::milliseconds;
 
 constexpr std::size_t kRingCapacity = 16384;
-// Long-poll time of the desired state, and the delay after a failed read.
-constexpr milliseconds kStateWatchWait{1000};
-constexpr milliseconds kStateRetryDelay{150};
-constexpr milliseconds kHostRowRetryDelay{300};
 // Peers push rows; polling the table finds rows that were not pushed.
 constexpr milliseconds kDispatchingPollInterval{100};
 constexpr milliseconds kSuccessorPollInterval{300};
@@ -34,6 +30,17 @@
 constexpr milliseconds kGatewayOfferInterval{1000};
 const char* const kMeshKey = "chivewing-cluster";
 
+HostRow MakeHostRow(const ClusterSettings& settings,
+                    std::uint64_t incarnation) {
+  return {settings.host,
+          settings.zone,
+          settings.peer_address,
+          incarnation,
+          ProcessorMilli(settings),
+          /*takes_worker_calls=*/true,
+          /*takes_job_states=*/true};
+}
+
 }  // namespace
 
 ClusterHost::ClusterHost(ClusterSettings settings,
@@ -41,12 +48,19 @@
     : settings_(std::move(settings)),
       platform_(platform),
       incarnation_(static_cast<std::uint64_t>(WallClockNow().count())),
+      own_row_(MakeHostRow(settings_, incarnation_)),
+      desired_state_(
+          platform,
+          [this](auto run) { Post(LoopWork::kTable, std::move(run)); }),
       table_watcher_(
           platform.table,
           [this](auto run) { Post(LoopWork::kTable, std::move(run)); },
           [this](TimePoint now, const TableRow& row) { OnRow(now, row); }),
+      host_row_writer_(
+          platform.table, table_watcher_, own_row_,
+          [this](auto run) { Post(LoopWork::kTable, std::move(run)); }),
       caller_requests_(
-          platform.table, desired_state_, job_status_,
+          platform.table, desired_state_.cache(), job_status_,
           {.post =
                [this](auto run) { Post(LoopWork::kCallers, std::move(run)); },
            .respond_to_caller =
@@ -160,7 +174,7 @@
   ClusterMetrics metrics;
   metrics.ready = ready_;
   metrics.is_table_unreachable = table_watcher_.IsTableUnreachable(now);
-  metrics.desired_state_version = desired_state_.state().version;
+  metrics.desired_state_version = desired_state_.cache().state().version;
   metrics.jobs_known = job_status_.size();
   metrics.peers_up = connected_peers_.size();
   metrics.callers = &caller_requests_.counters();
@@ -205,10 +219,10 @@
     event.run(now);
     measured = AccountSince(measured, event.work);
   }
-  WatchDesiredState(now);
-  WriteHostRow(now);
+  host_row_writer_.Tick(now);
   OfferAsGateway(now);
   TimePoint next = now + kMaxTickInterval;
+  next = std::min(next, desired_state_.Tick(now));
   table_watcher_.set_min_poll_interval(TablePollInterval());
   next = std::min(next, table_watcher_.Tick(now));
   next = std::min(next, caller_requests_.Tick(now));
@@ -223,9 +237,8 @@
   dispatcher_runner_.OnTickMeasured(measured, measured - deciding_from);
   loop_monitor_.AddIteration(measured - now, events.size(),
                              event_loop_.waiting());
-  if (!state_watch_in_flight_) next = std::min(next, next_state_watch_);
-  ready_ = !stopping_ && desired_state_.ready() && table_watcher_.ready() &&
-           !table_watcher_.IsTableUnreachable(now);
+  ready_ = !stopping_ && desired_state_.cache().ready() &&
+           table_watcher_.ready() && !table_watcher_.IsTableUnreachable(now);
   LogLoad(now);
   return next;
 }
@@ -293,78 +306,6 @@
   mesh_->Send(dispatching_host_, PeerMessage(push));
 }
 
-void ClusterHost::WatchDesiredState(TimePoint now) {
-  if (state_watch_in_flight_ || now < next_state_watch_) return;
-  state_watch_in_flight_ = true;
-  platform_.watch_desired_state(
-      state_revision_, kStateWatchWait,
-      [this](const DesiredStateUpdate& update) {
-        Post(LoopWork::kTable,
-             [this, update](TimePoint then) { OnDesiredState(then, update); });
-      });
-}
-
-void ClusterHost::OnDesiredState(TimePoint now,
-                                 const DesiredStateUpdate& update) {
-  state_watch_in_flight_ = false;
-  next_state_watch_ = now;
-  if (update.history_lost) {
-    state_revision_ = 0;
-    return;
-  }
-  if (!update.ok) {
-    next_state_watch_ = now + kStateRetryDelay;
-    return;
-  }
-  state_revision_ = update.revision;
-  if (!update.state) {
-    if (!desired_state_.ready()) next_state_watch_ = now + kStateRetryDelay;
-    return;
-  }
-  const std::uint64_t version = update.state->version;
-  if (desired_state_.Update(*update.state)) {
-    LogInfo(LogPart::kCatalogue,
-            "desired state applied version=" + std::to_string(version));
-  }
-}
-
-HostRow ClusterHost::OwnHostRow() const {
-  return {settings_.host,
-          settings_.zone,
-          settings_.peer_address,
-          incarnation_,
-          ProcessorMilli(settings_),
-          /*takes_worker_calls=*/true,
-          /*takes_job_states=*/true};
-}
-
-// Writes this host's row, in which the other hosts find its address.
-void ClusterHost::WriteHostRow(TimePoint now) {
-  if (host_row_written_ || host_row_in_flight_ || !table_watcher_.ready() ||
-      now < next_host_row_write_) {
-    return;
-  }
-  host_row_in_flight_ = true;
-  const std::string key = HostRowKey(settings_.host);
-  TableTransaction write;
-  write.write_id =
-      "host-" + settings_.host.value() + "-" + std::to_string(incarnation_);
-  write.conditions = {{key, table_watcher_.cache().version(key)}};
-  write.writes = {{key, EncodeHostRow(OwnHostRow())}};
-  platform_.table.commit(write, [this, write](const CommitResponse& response) {
-    Post(LoopWork::kTable, [this, write, response](TimePoint then) {
-      host_row_in_flight_ = false;
-      next_host_row_write_ = then + kHostRowRetryDelay;
-      for (const TableRow& row : response.rows) {
-        table_watcher_.Apply(then, row);
-        host_row_written_ = host_row_written_ || row.write_id == write.write_id;
-      }
-      host_row_written_ =
-          host_row_written_ || response.status == CommitStatus::kCommitted;
-    });
-  });
-}
-
 void ClusterHost::OnHostRow(const TableRow& row) {
   const HostId host(row.key.substr(kHostRowPrefix.size()));
   if (host == settings_.host) return;
@@ -401,7 +342,7 @@
       peer_incarnations_.erase(host);
     }
   }
-  lease_rank_ = LeaseRank(OwnHostRow(), other_hosts_);
+  lease_rank_ = LeaseRank(own_row_, other_hosts_);
   dispatcher_runner_.set_rank(lease_rank_);
   UpdateAdviceHosts();
 }
--- a/src/cluster/cluster_host.h
+++ b/src/cluster/cluster_host.h
@@ -8,9 +8,10 @@
 #include "base/result.h"
 #include "cluster/caller_request_handler.h"
 #include "cluster/cluster_settings.h"
-#include "cluster/desired_state_cache.h"
+#include "cluster/desired_state_watcher.h"
 #include "cluster/dispatcher_runner.h"
 #include "cluster/host_row.h"
+#include "cluster/host_row_writer.h"
 #include "cluster/job_state_outbox.h"
 #include "cluster/job_status_index.h"
 #include "cluster/loop_monitor.h"
@@ -62,10 +63,6 @@
   void OnRow(TimePoint now, const TableRow& row);
   void PushStateChanges(TimePoint now);
   void OnCallerRow(TimePoint now, const TableRow& row);
-  void WatchDesiredState(TimePoint now);
-  void OnDesiredState(TimePoint now, const DesiredStateUpdate& update);
-  HostRow OwnHostRow() const;
-  void WriteHostRow(TimePoint now);
   void OnHostRow(const TableRow& row);
   void ConnectPeers();
   void OnPeerEvent(TimePoint now, TimePoint received_at,
@@ -85,9 +82,11 @@
   const ClusterSettings settings_;
   const PlatformInterface& platform_;
   const std::uint64_t incarnation_;
-  DesiredStateCache desired_state_;
+  const HostRow own_row_;
   JobStatusIndex job_status_;
+  DesiredStateWatcher desired_state_;
   TableWatcher table_watcher_;
+  HostRowWriter host_row_writer_;
   CallerRequestHandler caller_requests_;
   WorkerCallForwarder worker_calls_;
   WorkerGateway worker_gateway_;
@@ -103,12 +102,6 @@
   HostId dispatching_host_;
   std::size_t lease_rank_ = 0;
 
-  bool state_watch_in_flight_ = false;
-  TimePoint next_state_watch_{};
-  std::uint64_t state_revision_ = 0;
-  bool host_row_written_ = false;
-  bool host_row_in_flight_ = false;
-  TimePoint next_host_row_write_{};
   LoopMonitor loop_monitor_;
   std::atomic<bool> ready_{false};
   bool stopping_ = false;
--- /dev/null
+++ b/src/cluster/desired_state_watcher.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+
+#include "base/time.h"
+#include "cluster/desired_state_cache.h"
+#include "cluster/platform_interface.h"
+
+namespace chivewing {
+
+// Follows the desired state: reads it once, then waits for changes, and reads
+// it anew when the platform no longer has the history. Runs on the thread of
+// its owner.
+class DesiredStateWatcher {
+ public:
+  // Runs a function on the owner's thread.
+  using Post = std::function<void(std::function<void(TimePoint)>)>;
+
+  // `platform` must outlive the watcher.
+  DesiredStateWatcher(const PlatformInterface& platform, Post post)
+      : platform_(platform), post_(std::move(post)) {}
+
+  // Sends a read if one is due. Returns when it must be called next.
+  TimePoint Tick(TimePoint now);
+
+  const DesiredStateCache& cache() const { return cache_; }
+
+ private:
+  void OnUpdate(TimePoint now, const DesiredStateUpdate& update);
+
+  const PlatformInterface& platform_;
+  Post post_;
+  DesiredStateCache cache_;
+  bool read_in_flight_ = false;
+  TimePoint next_read_{};
+  std::uint64_t revision_ = 0;  // 0: the next read returns the whole state
+};
+
+}  // namespace chivewing
