A new dispatching host tells its peers where it is, and asks advice only of those that know

Cause: hosts connect back, and offer themselves as gateways, only once they have read the row of the lease; hosts far from the lease read seldom, and a store that turns some hosts away may not show it to them at all. Advice was requested of all connected hosts, also of those that had no connection to send the response over: such requests timed out and their hosts got none for a second.

Ruled out: the mesh (its connections stood at once), the successor's own reads (0.7 s).

Change: when a peer connects, and when its own rows change, the dispatching host pushes the row of the lease and its host row. Advice is requested of hosts that have offered themselves; hosts of earlier builds, which do not, are asked as before.

Test: ThePeersHearFromTheDispatchingHostWhereItIs, which failed before.

--- a/src/cluster/cluster_host.cc
+++ b/src/cluster/cluster_host.cc
@@ -275,6 +275,7 @@
         LogInfo(LogPart::kPeer,
                 "dispatching host changed to " + dispatching_host_.value());
         ConnectPeers();
+        AnnounceDispatching();
       }
     }
   }
@@ -308,7 +309,10 @@
 
 void ClusterHost::OnHostRow(const TableRow& row) {
   const HostId host(row.key.substr(kHostRowPrefix.size()));
-  if (host == settings_.host) return;
+  if (host == settings_.host) {
+    AnnounceDispatching();
+    return;
+  }
   if (!row.value) {
     other_hosts_.erase(host);
     mesh_->RemovePeer(host);
@@ -347,9 +351,31 @@
   UpdateAdviceHosts();
 }
 
+// A host that reads the table seldom, or that it has turned away, learns from
+// the dispatching host itself where to connect to.
+void ClusterHost::AnnounceDispatching() {
+  for (const HostId& peer : connected_peers_) AnnounceDispatchingTo(peer);
+}
+
+void ClusterHost::AnnounceDispatchingTo(const HostId& peer) {
+  if (dispatching_host_ != settings_.host) return;
+  RowsPush push;
+  for (const std::string& key :
+       {HostRowKey(settings_.host),
+        LeaseManager::RowKey(ZoneId(kDispatcherZone))}) {
+    if (const TableRow* const row = table_watcher_.cache().Find(key))
+      push.rows.push_back(*row);
+  }
+  mesh_->Send(peer, PeerMessage(push));
+}
+
+// Responses to advice requests come over the connection that the other host
+// has made: one that has not learned yet where to connect to is not asked.
 void ClusterHost::UpdateAdviceHosts() {
-  std::set<HostId> advice_hosts = connected_peers_;
-  advice_hosts.insert(settings_.host);
+  std::set<HostId> advice_hosts{settings_.host};
+  for (const HostId& peer : connected_peers_) {
+    if (!TakesWorkerCalls(peer) || HasOffered(peer)) advice_hosts.insert(peer);
+  }
   dispatcher_runner_.set_advice_hosts(std::move(advice_hosts));
   UpdateGateways();
 }
@@ -359,9 +385,7 @@
 void ClusterHost::UpdateGateways() {
   std::vector<GatewayOption> options;
   for (const auto& [host, incarnation] : peer_incarnations_) {
-    const auto offered = offered_gateways_.find(host);
-    if (offered == offered_gateways_.end()) continue;
-    if (offered->second != incarnation || !TakesWorkerCalls(host)) continue;
+    if (!HasOffered(host) || !TakesWorkerCalls(host)) continue;
     const HostRow& row = other_hosts_.at(host);
     GatewayOption option{host, row.zone};
     if (row.processor_milli > 0) {
@@ -383,6 +407,13 @@
          row->second.incarnation == peer->second;
 }
 
+bool ClusterHost::HasOffered(const HostId& host) const {
+  const auto offered = offered_gateways_.find(host);
+  const auto peer = peer_incarnations_.find(host);
+  return offered != offered_gateways_.end() &&
+         peer != peer_incarnations_.end() && offered->second == peer->second;
+}
+
 // Offers this host to the dispatching one, again and again because a message
 // may be lost with its connection.
 void ClusterHost::OfferAsGateway(TimePoint now) {
@@ -406,6 +437,7 @@
     connected_peers_.insert(up->host);
     peer_incarnations_[up->host] = up->incarnation;
     if (up->host == dispatching_host_) next_gateway_offer_ = now;
+    AnnounceDispatchingTo(up->host);
     LogInfo(LogPart::kPeer, "peer connected host=" + up->host.value());
     UpdateAdviceHosts();
   } else if (const auto* down = std::get_if<PeerDown>(&event)) {
@@ -445,7 +477,7 @@
                  std::get_if<WorkerCallResponses>(&received.message)) {
     if (std::exchange(offered_gateways_[received.from], received.incarnation) !=
         received.incarnation) {
-      UpdateGateways();
+      UpdateAdviceHosts();
     }
     worker_calls_.OnResponses(now, received.from, *responses);
   }
--- a/src/cluster/cluster_host.h
+++ b/src/cluster/cluster_host.h
@@ -76,7 +76,13 @@
   void UpdateGateways();
   // True if the connected process of the host knows the messages of gateways.
   bool TakesWorkerCalls(const HostId& host) const;
+  // True if the connected process of the host has offered to make calls.
+  bool HasOffered(const HostId& host) const;
   void OfferAsGateway(TimePoint now);
+  // If this host dispatches: sends the connected peers, or one of them, the
+  // rows that say so and where it is.
+  void AnnounceDispatching();
+  void AnnounceDispatchingTo(const HostId& peer);
   ZoneId ZoneOfWorker(const WorkerId& worker) const;
 
   const ClusterSettings settings_;
--- a/src/cluster/dispatcher_runner.cc
+++ b/src/cluster/dispatcher_runner.cc
@@ -14,8 +14,6 @@
 
 using std::chrono::milliseconds;
 
-// One dispatcher serves all zones.
-const char* const kDispatcherZone = "all";
 // Rewritten by each progress batch, so that a copy of a batch that arrives late
 // takes no effect.
 const char* const kBatchRowKey = "placer-batch/all";
--- a/src/cluster/dispatcher_runner.h
+++ b/src/cluster/dispatcher_runner.h
@@ -20,6 +20,9 @@
 
 namespace chivewing {
 
+// Zone of the dispatcher's lease: one dispatcher serves all zones.
+inline constexpr const char* kDispatcherZone = "all";
+
 // Acquires and renews the dispatcher's lease. While the lease is held, runs the
 // dispatcher: executes its effects through the platform and commits its
 // progress to the table. Runs on the thread of its owner.
--- a/tests/cluster/cluster_host_test.cc
+++ b/tests/cluster/cluster_host_test.cc
@@ -7,6 +7,7 @@
 
 #include <memory>
 #include <mutex>
+#include <set>
 #include <thread>
 
 #include "cluster/host_row.h"
@@ -189,6 +190,11 @@
     const std::scoped_lock lock(mutex_);
     return progress_rows_;
   }
+  // Keys of the rows that were pushed to this peer.
+  std::set<std::string> pushed_keys() const {
+    const std::scoped_lock lock(mutex_);
+    return pushed_keys_;
+  }
 
  private:
   void Record(const PeerEvent& event) {
@@ -200,6 +206,7 @@
     }
     if (const auto* push = std::get_if<RowsPush>(&received->message)) {
       for (const TableRow& row : push->rows) {
+        pushed_keys_.insert(row.key);
         if (row.key.starts_with(kProgressRows)) ++progress_rows_;
       }
     }
@@ -208,6 +215,7 @@
   mutable std::mutex mutex_;
   std::vector<JobPhase> states_;
   std::size_t progress_rows_ = 0;
+  std::set<std::string> pushed_keys_;
   std::unique_ptr<PeerMesh> mesh_;  // last: it calls Record until destroyed
 };
 
@@ -235,6 +243,16 @@
   EXPECT_TRUE(older_build.states().empty());
 }
 
+// After a take-over, hosts that read the table seldom went on serving the
+// former dispatching host for seconds, and the new one had no gateways.
+TEST_F(ClusterHostTest, ThePeersHearFromTheDispatchingHostWhereItIs) {
+  const RecordingPeer peer("p1", true, store_);
+  Host host("h1", store_, {ports_[0], ports_[1], ports_[2], ports_[6]});
+  const std::set<std::string> expected = {HostRowKey(HostId("h1")),
+                                          "placer/all"};
+  EXPECT_TRUE(WaitFor([&] { return peer.pushed_keys() == expected; }));
+}
+
 TEST_F(ClusterHostTest, RefusesWhileTheStoreRefuses) {
   Host host("h1", store_, {ports_[0], ports_[1], ports_[2], ports_[6]});
   ASSERT_TRUE(WaitFor([&] { return Get(host.ready_url).status == 200; }));
