Jobs that can still be in time go before jobs of their priority that are late in any case

Cause: steps of one priority were tried in the order of their objectives. Jobs past theirs came first, and each made one more late that could have been in time.

Ruled out: giving late jobs up (their end is still of use for three times the objective); putting them behind lower priorities.

Change: JobUrgency says whether a job can be in time, is late or is useless, by the least time that its steps still take (half their estimates, which may be off). Late jobs go behind those of their priority that can be in time, useless ones last as before. Each step is looked at when its urgency changes, instead of all steps twice a second.

--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -7,7 +7,7 @@
 namespace chivewing {
 namespace {
 
-constexpr std::chrono::milliseconds kReprioritizeInterval{500};
+constexpr std::chrono::milliseconds kWakeInterval{500};
 constexpr std::chrono::seconds kMaxSleep{1};
 // Until it meets the new fence, an earlier dispatcher may start jobs that were
 // accepted after the take-over.
@@ -129,9 +129,9 @@
   runs_.StopOrphans(now);
   runs_.SendDue(now, out);
   const auto next_due = jobs_.OpenDueOccurrences(wall);
-  if (now >= reprioritized_at_ + kReprioritizeInterval) {
-    jobs_.Reprioritize(now);
-    reprioritized_at_ = now;
+  jobs_.Reprioritize(now);
+  if (now >= steps_woken_at_ + kWakeInterval) {
+    steps_woken_at_ = now;
     state_.ready.WakeAll();  // tickets and backoffs may have expired
   }
   scheduler_.ScheduleReadySteps(now, out);
@@ -141,7 +141,7 @@
   next = std::min(next, state_.advice.next_timeout().value_or(next));
   if (next_due) next = std::min(next, now + (*next_due - wall));
   if (!state_.ready.empty())
-    next = std::min(next, reprioritized_at_ + kReprioritizeInterval);
+    next = std::min(next, steps_woken_at_ + kWakeInterval);
   return next;
 }
 
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -98,7 +98,7 @@
   RunManager runs_;
   WorkerManager workers_;
   StepScheduler scheduler_;
-  TimePoint reprioritized_at_{};
+  TimePoint steps_woken_at_{};
   TimePoint started_at_{};
 };
 
--- a/src/dispatch/job_manager.cc
+++ b/src/dispatch/job_manager.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "base/log.h"
+#include "dispatch/job_urgency.h"
 
 namespace chivewing {
 namespace {
@@ -15,16 +16,9 @@
 // started.
 constexpr std::uint64_t kRunNumbersPerFence = 1000;
 
-// A job that ends later than this multiple of its objective is of no use to its
-// caller.
-constexpr int kUselessAfterFactor = 3;
-
-milliseconds Objective(const JobRecord& record) {
-  const auto chain = CriticalPathLength(record.spec);
-  const auto stretched =
-      std::chrono::duration<double, std::milli>(chain) * record.queue.stretch;
-  return std::chrono::duration_cast<milliseconds>(stretched) +
-         record.queue.objective;
+// Repeating jobs and long-running steps keep their place by their acceptance.
+bool HasObjective(const TrackedJob& job, std::size_t step) {
+  return job.record.spec.repeats == 0 && !job.spec(step).long_running;
 }
 
 }  // namespace
@@ -37,9 +31,8 @@
   TrackedJob& job = state_.jobs[id];
   job.record = std::move(record);
   job.accepted_at = accepted_at;
-  const milliseconds objective = Objective(job.record);
-  job.due = job.accepted_at + objective;
-  job.useless_after = job.accepted_at + kUselessAfterFactor * objective;
+  job.due = job.accepted_at + JobObjective(job.record);
+  job.useless_after = job.accepted_at + JobUsefulTime(job.record);
   if (progress) job.set_progress(*progress);
   if (IsFinal(job.state)) return;
   if (job.record.spec.repeats == 0) {
@@ -85,9 +78,14 @@
         state_.ready.Clear(key);
         continue;
       }
-      const ReadyStepKey* const known = state_.ready.Find(key);
-      const int tier = known == nullptr ? 0 : known->tier;
-      state_.ready.Set({tier, job.record.queue.priority, job.due, key}, job);
+      if (const ReadyStepKey* const known = state_.ready.Find(key)) {
+        state_.ready.Set(*known, job);
+        continue;
+      }
+      state_.ready.Set(
+          {.priority = job.record.queue.priority, .due = job.due, .step = key},
+          job);
+      if (HasObjective(job, s)) urgency_checks_.insert({TimePoint{}, key});
     }
   }
 }
@@ -115,18 +113,19 @@
 }
 
 void JobManager::Reprioritize(TimePoint now) {
-  std::vector<ReadyStepKey> moved;
-  for (const ReadyStepKey& key : state_.ready.Keys()) {
-    const TrackedJob& job = state_.jobs.at(key.step.job);
-    const bool repeating = job.record.spec.repeats > 0;
-    const bool long_running = job.spec(key.step.step).long_running;
-    if (repeating || long_running || key.tier > 0 || now < job.useless_after)
-      continue;
-    moved.push_back(key);
-  }
-  for (ReadyStepKey key : moved) {
-    key.tier = 1;
-    state_.ready.Set(key, state_.jobs.at(key.step.job));
+  while (!urgency_checks_.empty() && urgency_checks_.begin()->first <= now) {
+    const StepKey step =
+        urgency_checks_.extract(urgency_checks_.begin()).value().second;
+    const ReadyStepKey* const known = state_.ready.Find(step);
+    if (known == nullptr) continue;
+    TrackedJob& job = *state_.FindJob(step.job);
+    const JobUrgency urgency = UrgencyAt(now, job, step.occurrence);
+    ReadyStepKey key = *known;
+    key.useless = urgency == JobUrgency::kUseless;
+    key.late = urgency != JobUrgency::kInTime;
+    if (key != *known) state_.ready.Set(key, job);
+    const TimePoint next = NextUrgencyChange(now, job, step.occurrence);
+    if (next != TimePoint::max()) urgency_checks_.insert({next, step});
   }
 }
 
--- a/src/dispatch/job_manager.h
+++ b/src/dispatch/job_manager.h
@@ -2,6 +2,8 @@
 
 #include <chrono>
 #include <optional>
+#include <set>
+#include <utility>
 
 #include "dispatch/dispatch_state.h"
 
@@ -29,8 +31,8 @@
   // next one is; nullopt if there is none.
   std::optional<std::chrono::milliseconds> OpenDueOccurrences(
       std::chrono::milliseconds wall);
-  // Moves the steps of jobs that are past `useless_after` behind all others.
-  // Repeating jobs and long-running steps keep their place.
+  // Moves the steps of jobs that have become late behind those of their
+  // priority that can be in time, and useless ones behind all others.
   void Reprioritize(TimePoint now);
 
   // To be called after a task has been marked done, or a failed run counted.
@@ -47,6 +49,9 @@
   void StopPartialGangs(TrackedJob& job);
 
   DispatchState& state_;
+  // When the urgency of a ready step is to be looked at. An entry stays behind
+  // when its step is not ready any more, until its time.
+  std::set<std::pair<TimePoint, StepKey>> urgency_checks_;
 };
 
 }  // namespace chivewing
--- a/src/dispatch/ready_steps.cc
+++ b/src/dispatch/ready_steps.cc
@@ -47,13 +47,6 @@
   return found == keys_.end() ? nullptr : &found->second;
 }
 
-std::vector<ReadyStepKey> ReadySteps::Keys() const {
-  std::vector<ReadyStepKey> out;
-  out.reserve(steps_.size());
-  for (const auto& [key, entry] : steps_) out.push_back(key);
-  return out;
-}
-
 void ReadySteps::Wake(const StepKey& step) {
   if (const ReadyStepKey* const key = Find(step)) due_[*key].always = true;
 }
--- a/src/dispatch/ready_steps.h
+++ b/src/dispatch/ready_steps.h
@@ -15,9 +15,10 @@
 
 // Sort key of a step that has tasks to start: the smallest is scheduled first.
 struct ReadyStepKey {
-  int tier = 0;  // 1 once the job is past `useless_after`, else 0
+  bool useless = false;  // JobUrgency::kUseless, behind all priorities
   int priority = 0;
-  TimePoint due{};  // objective of the job
+  bool late = false;  // JobUrgency::kLate or kUseless
+  TimePoint due{};    // objective of the job
   StepKey step{};
 
   // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 misreads the operator
@@ -44,7 +45,6 @@
   void Clear(const StepKey& step);
   // The step's place; nullptr if it has no tasks to start.
   const ReadyStepKey* Find(const StepKey& step) const;
-  std::vector<ReadyStepKey> Keys() const;
   std::size_t size() const { return steps_.size(); }
   bool empty() const { return steps_.empty(); }
 
--- a/src/dispatch/tracked_job.cc
+++ b/src/dispatch/tracked_job.cc
@@ -103,18 +103,4 @@
   }
 }
 
-std::chrono::milliseconds CriticalPathLength(const JobDescription& spec) {
-  std::vector<std::chrono::milliseconds> ends;
-  std::chrono::milliseconds longest{0};
-  for (const StepSpec& step : spec.steps) {
-    std::chrono::milliseconds start{0};
-    for (const std::size_t earlier : step.after) {
-      if (earlier < ends.size()) start = std::max(start, ends[earlier]);
-    }
-    ends.push_back(start + step.estimate);
-    longest = std::max(longest, ends.back());
-  }
-  return longest;
-}
-
 }  // namespace chivewing
--- a/src/dispatch/tracked_job.h
+++ b/src/dispatch/tracked_job.h
@@ -68,7 +68,4 @@
   void set_progress(const JobProgress& progress);
 };
 
-// The duration of the longest chain of dependent steps, by their estimates.
-std::chrono::milliseconds CriticalPathLength(const JobDescription& spec);
-
 }  // namespace chivewing
--- /dev/null
+++ b/tests/dispatch/heavy_load_test.cc
@@ -0,0 +1,40 @@
+// What callers get when there is more work than room: the load is played, and
+// the jobs that are shown as completed by their objective are counted.
+
+#include <gtest/gtest.h>
+
+#include "dispatch/load_model.h"
+
+namespace chivewing {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Part of the urgent jobs that are to be in time.
+constexpr double kTarget = 0.95;
+
+LoadOptions FullSite() {
+  LoadOptions options;
+  options.workers = 540;
+  options.advice_hosts = 97;
+  options.queues = FullSiteQueues();
+  return options;
+}
+
+// Jobs that were late in any case went first, and made those late that came
+// after the outage.
+TEST(HeavyLoadTest, JobsAfterAnOutageAreInTimeAlthoughABacklogWaits) {
+  LoadOptions options = FullSite();
+  options.burst = 1.5;
+  options.burst_length = seconds(10);
+  options.outage_at = seconds(8);
+  options.outage_length = seconds(4);
+  LoadModel model(options);
+  model.RunUntil(seconds(14), false);
+  model.RunUntil(seconds(30), true);
+  EXPECT_GE(model.FractionInTime("quick", seconds(12), seconds(14)), kTarget);
+}
+
+}  // namespace
+}  // namespace chivewing
--- a/tests/dispatch/load_model.cc
+++ b/tests/dispatch/load_model.cc
@@ -4,6 +4,8 @@
 #include <utility>
 #include <variant>
 
+#include "dispatch/job_urgency.h"
+
 namespace chivewing {
 namespace {
 
@@ -61,6 +63,30 @@
   return {quick, batch, lasting};
 }
 
+std::vector<LoadQueue> FullSiteQueues() {
+  using std::chrono::microseconds;
+  std::vector<LoadQueue> queues = DayQueues();
+  LoadQueue& quick = queues[0];
+  quick.queue.advice = {microseconds(42900), microseconds(611),
+                        kTicketLifetime};
+  quick.queue.stretch = 1.5;
+  quick.queue.objective = milliseconds(300);
+  quick.jobs_per_second = 47;
+  quick.tasks = 9.4;
+  quick.task_time = milliseconds(640);
+  quick.size = {3600, 7300, 0};
+  LoadQueue& batch = queues[1];
+  batch.queue.advice = {microseconds(546000), microseconds(7800),
+                        kTicketLifetime};
+  batch.queue.stretch = 2.2;
+  batch.queue.objective = milliseconds(1200);
+  batch.jobs_per_second = 7.3;
+  batch.tasks = 16;
+  LoadQueue& lasting = queues[2];
+  lasting.jobs_per_second = 0.51;
+  return queues;
+}
+
 LoadModel::LoadModel(LoadOptions options)
     : options_(std::move(options)),
       random_(options_.seed),
@@ -116,7 +142,10 @@
       node.mapped()();
       has_events = true;
     }
-    if (!has_events && now_ < next) continue;
+    if (IsInOutage() || (!has_events && now_ < next)) continue;
+    for (const auto& [accepted_at, record] : std::exchange(held_back_, {})) {
+      dispatcher_.AddJob(now_, accepted_at, record, std::nullopt, false);
+    }
     ++turns_;
     DispatchEffects effects;
     next = dispatcher_.Decide(now_, wall(), effects);
@@ -127,8 +156,15 @@
   }
 }
 
+bool LoadModel::IsInOutage() const {
+  const TimePoint from = start_ + options_.outage_at;
+  return now_ >= from && now_ < from + options_.outage_length;
+}
+
 void LoadModel::AddArrivals() {
-  const bool in_burst = now_ >= start_ + options_.burst_at;
+  const TimePoint burst_from = start_ + options_.burst_at;
+  const bool in_burst =
+      now_ >= burst_from && now_ < burst_from + options_.burst_length;
   const double factor = options_.load * (in_burst ? options_.burst : 1.0);
   const double span = std::chrono::duration<double>(kTimeStep).count();
   for (std::size_t i = 0; i < options_.queues.size(); ++i) {
@@ -158,8 +194,8 @@
     if (s > 0) step.after = {s - 1};
     record.spec.steps.push_back(step);
   }
-  jobs_.emplace(record.id, &queue);
-  dispatcher_.AddJob(now_, now_, record, std::nullopt, false);
+  jobs_.emplace(record.id, Job{&queue, now_, now_ + JobObjective(record)});
+  held_back_.emplace_back(now_, std::move(record));
 }
 
 void LoadModel::WriteBatch() {
@@ -169,9 +205,28 @@
     const ProgressWriteBatch batch = std::move(*batch_);
     batch_.reset();
     dispatcher_.OnSaved(now_, batch);
+    for (const auto& [id, progress] : batch.jobs) {
+      if (progress.state == JobPhase::kCompleted)
+        jobs_.at(id).completed_at = now_;
+    }
   });
 }
 
+double LoadModel::FractionInTime(const std::string& queue, Duration from,
+                                 Duration to) const {
+  std::size_t accepted = 0;
+  std::size_t in_time = 0;
+  for (const auto& [id, job] : jobs_) {
+    if (job.queue->queue.name != queue || job.accepted_at < start_ + from ||
+        job.accepted_at >= start_ + to) {
+      continue;
+    }
+    ++accepted;
+    if (job.completed_at <= job.due) ++in_time;
+  }
+  return static_cast<double>(in_time) / static_cast<double>(accepted);
+}
+
 void LoadModel::CarryOut(const StartRun& command) {
   After(kResponseDelay, [this, command] {
     Worker& worker = workers_.at(command.worker);
@@ -248,7 +303,7 @@
 }
 
 void LoadModel::CarryOut(const AdviceRequest& request) {
-  const LoadQueue& queue = *jobs_.at(request.step.job);
+  const LoadQueue& queue = *jobs_.at(request.step.job).queue;
   AdviceResponse response;
   response.ok = true;
   response.valid_for = queue.queue.advice->valid_for;
--- a/tests/dispatch/load_model.h
+++ b/tests/dispatch/load_model.h
@@ -31,14 +31,21 @@
   std::uint64_t seed = 1;
   std::chrono::milliseconds length{6000};
   double load = 1.0;  // factor of all arrivals
-  // From then on arrivals are multiplied by `burst`.
+  // For `burst_length` from then on, arrivals are multiplied by `burst`.
   std::chrono::milliseconds burst_at{3000};
+  std::chrono::milliseconds burst_length{60'000};
   double burst = 1.0;
+  // From then on no decision is made for `outage_length`, and the jobs that
+  // are accepted meanwhile are dispatched afterwards.
+  std::chrono::milliseconds outage_at{3000};
+  std::chrono::milliseconds outage_length{0};
   std::vector<LoadQueue> queues{};
 };
 
 // The queues of a large site on an ordinary day.
 std::vector<LoadQueue> DayQueues();
+// The same on a site of 540 workers that are all in use, with short objectives.
+std::vector<LoadQueue> FullSiteQueues();
 
 // A fault-free cluster of many workers on a fake clock, to measure what the
 // decisions of one dispatcher cost. Workers hold polls and answer them as soon
@@ -54,8 +61,18 @@
   const Dispatcher& dispatcher() const { return dispatcher_; }
   std::uint64_t turns() const { return turns_; }
   std::uint64_t ends() const { return ends_; }
+  // Of the jobs of a queue that were accepted in [from, to) after the start,
+  // the fraction that callers were shown as completed by their objective.
+  double FractionInTime(const std::string& queue, Duration from,
+                        Duration to) const;
 
  private:
+  struct Job {
+    const LoadQueue* queue = nullptr;
+    TimePoint accepted_at{};
+    TimePoint due{};
+    TimePoint completed_at = TimePoint::max();
+  };
   struct Worker {
     WorkerRegistration registration{};
     std::map<TaskRunKey, TimePoint> running{};
@@ -67,6 +84,7 @@
   void After(Duration delay, std::function<void()> run);
   void AddArrivals();
   void AddJob(const LoadQueue& queue);
+  bool IsInOutage() const;
   void WriteBatch();
   void CarryOut(const StartRun& command);
   void CarryOut(const StopRun& command);
@@ -85,7 +103,8 @@
   const TimePoint start_ = now_;
   Dispatcher dispatcher_;
   std::map<WorkerId, Worker> workers_;
-  std::map<JobId, const LoadQueue*> jobs_;
+  std::map<JobId, Job> jobs_;
+  std::vector<std::pair<TimePoint, JobRecord>> held_back_;  // by the outage
   std::multimap<TimePoint, std::function<void()>> events_;
   std::map<HostId, TimePoint> advice_busy_until_;
   std::vector<double> due_jobs_;  // fractions of a job that have arrived
