If room is short, advice is asked about full workers too

Callers of quick jobs wait in bursts although their priority is the highest.

Cause: a step asked only about workers with room, and only for the room that it needed. On a full cluster steps of low priority, which have their tickets, had taken that room when the response came; the step asked again, and again (12 tasks of one job: six requests).

Change: AdviceSelection is code of its own. It asks about at least 12 workers, and if the room on those that it finds is short, or if the step has asked before, about full ones too, until 40 tickets are valid: the step takes its turn as soon as one of them has room.

--- a/src/dispatch/step_scheduler.cc
+++ b/src/dispatch/step_scheduler.cc
@@ -1,21 +1,16 @@
 #include "dispatch/step_scheduler.h"
 
 #include <algorithm>
-#include <functional>
 #include <optional>
 #include <set>
 #include <string>
 #include <utility>
 
+#include "dispatch/advice_selection.h"
+
 namespace chivewing {
 namespace {
 
-// Capacity to request advice for, as a multiple of what is needed: the approval
-// rate is only an average, and other steps take resources meanwhile.
-constexpr double kRequestedCapacityFactor = 1.5;
-constexpr std::size_t kMinWorkersPerRequest = 6;
-constexpr std::size_t kMaxWorkersPerRequest =
-    100;  // limit of the advice service
 // A request times out after its expected duration times the factor, plus the
 // slack.
 constexpr int kTimeoutFactor = 3;
@@ -28,16 +23,6 @@
   return policy.decide + policy.each * static_cast<std::int64_t>(workers);
 }
 
-// Free processors from which a step looks for workers to ask about, between
-// `least` and `most`. Steps that asked about the same workers would find them
-// full when the response arrives.
-std::int64_t SpreadStart(const StepKey& step, std::int64_t least,
-                         std::int64_t most) {
-  const std::size_t hash = std::hash<JobId>{}(step.job) + step.step;
-  return least + static_cast<std::int64_t>(
-                     hash % static_cast<std::size_t>(most - least + 1));
-}
-
 }  // namespace
 
 void StepScheduler::ScheduleReadySteps(TimePoint now, DispatchEffects& out) {
@@ -130,56 +115,8 @@
   return chosen.size();
 }
 
-// Adds workers to ask about until they are likely to hold the missing tasks:
-// first those approved before, whose tickets have expired, then others with
-// room. Only the workers needed are looked at, not all with room.
-std::set<WorkerId> StepScheduler::ChooseWorkersToAsk(
-    TimePoint now, const StepPlacement& placement, std::size_t missing) {
-  const StepAdviceCache& advice = placement.step().advice;
-  const double approval_rate =
-      state_.advice.ApprovalRate(placement.job().record.queue.name);
-  std::set<WorkerId> chosen;
-  double expected = 0;
-  const auto is_enough = [&] {
-    if (chosen.size() >= kMaxWorkersPerRequest) return true;
-    return chosen.size() >= kMinWorkersPerRequest &&
-           expected >= kRequestedCapacityFactor * static_cast<double>(missing);
-  };
-  const auto consider = [&](const TrackedWorker& worker, double rate) {
-    ++state_.counts.workers_examined;
-    const std::size_t fitting = placement.CountFitting(worker);
-    if (fitting == 0 || !placement.MayRun(now, worker)) return;
-    chosen.insert(worker.registration().worker);
-    expected += static_cast<double>(std::min(fitting, missing)) * rate;
-  };
-  const TimePoint margin = now + state_.options.ticket_margin;
-  for (const auto& [id, approval] : advice.approved()) {
-    if (is_enough()) return chosen;
-    const TrackedWorker* const worker = state_.free_workers.Find(id);
-    if (worker != nullptr && approval.expires <= margin) consider(*worker, 1.0);
-  }
-  const FreeWorkerIndex::Order& order =
-      state_.free_workers.OfService(placement.job().record.queue.service);
-  const std::int64_t least = placement.held().processors_milli;
-  const auto first = order.lower_bound({least, {}, nullptr});
-  if (first == order.end()) return chosen;
-  const std::int64_t most = order.rbegin()->free_processors_milli;
-  const auto start = order.lower_bound(
-      {SpreadStart(placement.key(), least, most), {}, nullptr});
-  const auto consider_range = [&](auto from, auto to) {
-    for (auto entry = from; entry != to && !is_enough(); ++entry) {
-      if (advice.IsApproved(entry->id) || advice.IsRejected(entry->id))
-        continue;
-      consider(*entry->worker, approval_rate);
-    }
-  };
-  consider_range(start, order.end());
-  consider_range(first, start);
-  return chosen;
-}
-
-// Requests advice about workers with free resources. Returns what the step
-// waits for after that.
+// Requests advice about workers that the step could use. Returns what it waits
+// for after that.
 StepWait StepScheduler::RequestAdvice(TimePoint now,
                                       const StepPlacement& placement,
                                       std::size_t missing,
@@ -188,7 +125,9 @@
   StepAdviceCache& advice = placement.step().advice;
   if (advice.pending_request_id() != 0) return StepWait::kAdvice;
   PendingAdviceRequest request;
-  request.workers = ChooseWorkersToAsk(now, placement, missing);
+  request.workers = AdviceSelection(now, state_, placement, missing,
+                                    state_.options.ticket_margin)
+                        .workers();
   if (request.workers.empty()) return StepWait::kRoom;
   const auto duration =
       ExpectedDuration(*placement.advice(), request.workers.size());
--- a/src/dispatch/step_scheduler.h
+++ b/src/dispatch/step_scheduler.h
@@ -2,7 +2,6 @@
 
 #include <chrono>
 #include <cstddef>
-#include <set>
 
 #include "dispatch/dispatch_effect.h"
 #include "dispatch/dispatch_state.h"
@@ -29,9 +28,6 @@
                          DispatchEffects& out);
   std::size_t PlaceGang(TimePoint now, StepPlacement& placement,
                         DispatchEffects& out);
-  std::set<WorkerId> ChooseWorkersToAsk(TimePoint now,
-                                        const StepPlacement& placement,
-                                        std::size_t missing);
   StepWait RequestAdvice(TimePoint now, const StepPlacement& placement,
                          std::size_t missing, DispatchEffects& out);
 
--- a/tests/dispatch/heavy_load_test.cc
+++ b/tests/dispatch/heavy_load_test.cc
@@ -36,5 +36,17 @@
   EXPECT_GE(model.FractionInTime("quick", seconds(12), seconds(14)), kTarget);
 }
 
+// Steps asked only about workers that had room, which steps of low priority
+// with tickets had taken when the response arrived.
+TEST(HeavyLoadTest, UrgentJobsAreInTimeOnFullWorkers) {
+  LoadOptions options = FullSite();
+  options.burst = 2.6;
+  options.burst_length = seconds(5);
+  LoadModel model(options);
+  model.RunUntil(seconds(10), false);
+  model.RunUntil(seconds(25), true);
+  EXPECT_GE(model.FractionInTime("quick", seconds(6), seconds(10)), kTarget);
+}
+
 }  // namespace
 }  // namespace chivewing
