A job that could take a host down, or that no host could read back, is refused

Looked for after reports from other systems of single messages that took a process down.

Shown: a job of a few bytes with a billion repeats that are all due, or with a hundred steps of ten thousand tasks each, is accepted, and fills the memory of the dispatching host and of each successor. A job with a negative number of tasks per worker is acknowledged, but its row cannot be read back by any host: it is lost. Times of 1e300 ms and sums of such times overflow.

Cause: limits stood at some members of the caller's job only, none at the row of the table.

Objectives are limited to a year.

--- a/src/dispatch/job_manager.cc
+++ b/src/dispatch/job_manager.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "base/log.h"
+#include "dispatch/job_limits.h"
 #include "dispatch/job_urgency.h"
 
 namespace chivewing {
@@ -104,6 +105,7 @@
         next = std::min(next.value_or(due), due);
         break;
       }
+      if (job.occurrences.size() >= kMaxOpenOccurrences) break;
       job.OpenOccurrence(k);
       opened = true;
     }
--- a/src/dispatch/job_record.cc
+++ b/src/dispatch/job_record.cc
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "dispatch/job_limits.h"
 #include "schema/json_object_reader.h"
 #include "schema/json_parser.h"
 
@@ -115,6 +116,8 @@
   spec.repeats = static_cast<std::size_t>(reader.Integer("repeats", 0));
   spec.first_at = milliseconds(reader.Integer("first_ms", 0));
   spec.interval = milliseconds(reader.Integer("interval_ms", 0));
+  const std::string fault = FindJobFault(spec);
+  if (!fault.empty()) reader.Fail("job", fault);
   return spec;
 }
 
--- a/src/dispatch/job_urgency.cc
+++ b/src/dispatch/job_urgency.cc
@@ -10,6 +10,7 @@
 using std::chrono::milliseconds;
 
 constexpr int kUsefulObjectives = 3;
+constexpr std::chrono::hours kMaxObjective{24 * 366};
 // An objective allows for one advice request of this many workers a step.
 constexpr std::int64_t kWorkersPerAdvisedStep = 30;
 // Part of its estimate that a step takes at least.
@@ -46,10 +47,11 @@
   const milliseconds chain = LongestChain(record.spec, [&](std::size_t step) {
     return record.spec.steps[step].estimate + advice;
   });
-  const std::chrono::duration<double, std::milli> exact = chain;
-  return std::chrono::duration_cast<milliseconds>(exact *
-                                                  record.queue.stretch) +
-         record.queue.objective;
+  const std::chrono::duration<double, std::milli> exact =
+      chain * record.queue.stretch + record.queue.objective;
+  return std::chrono::duration_cast<milliseconds>(
+      std::clamp<std::chrono::duration<double, std::milli>>(
+          exact, milliseconds(0), kMaxObjective));
 }
 
 milliseconds JobUsefulTime(const JobRecord& record) {
