--- a/tests/dispatch/dispatcher_test.cc
+++ b/tests/dispatch/dispatcher_test.cc
@@ -6,6 +6,7 @@
 #include <gtest/gtest.h>
 
 #include "dispatch/cluster_model.h"
+#include "dispatch/job_limits.h"
 
 namespace chivewing {
 namespace {
@@ -64,6 +65,23 @@
   EXPECT_TRUE(model_.violations().empty());
 }
 
+// Every occurrence that was due was opened, with all its tasks.
+TEST_F(DispatcherTest, AJobWithManyDueOccurrencesDoesNotFillTheMemory) {
+  JobRecord record = model_.MakeJob("j", {Step(1, 1000, milliseconds(10))});
+  record.spec.repeats = 1000;
+  record.spec.first_at = milliseconds(1);
+  record.spec.interval = milliseconds(1);
+  model_.AddJob(record);
+  const TrackedJob* job = nullptr;
+  for (int i = 0; i < 400; ++i) {
+    model_.RunFor(milliseconds(50));
+    job = &model_.dispatcher().state().jobs.at(JobId("j"));
+    ASSERT_LE(job->occurrences.size(), kMaxOpenOccurrences);
+  }
+  EXPECT_EQ(PhaseOf("j"), JobPhase::kCompleted);
+  EXPECT_TRUE(model_.violations().empty());
+}
+
 TEST_F(DispatcherTest, ACancelledJobIsStopped) {
   StepSpec long_running = Step(4, 1000, seconds(1));
   long_running.long_running = true;
