--- a/src/dispatch/advice_selection.cc
+++ b/src/dispatch/advice_selection.cc
@@ -63,49 +63,50 @@
 }
 
 void AdviceSelection::AddWithRoom() {
-  for (const auto& [id, approval] : advice_.approved()) {
-    if (HasEnoughRoom()) return;
-    const TrackedWorker* const worker = state_.free_workers.Find(id);
-    if (worker != nullptr && approval.expires <= renew_until_)
-      AddIfRoom(*worker, 1.0);
-  }
-  const FreeWorkerIndex::Order& order =
-      state_.free_workers.OfService(placement_.job().record.queue.service);
+  const Order& order = OrderOfService();
   const std::int64_t least = placement_.held().processors_milli;
   const auto first = order.lower_bound({least, {}, nullptr});
-  if (first == order.end()) return;
-  const std::int64_t most = order.rbegin()->free_processors_milli;
-  const auto start = order.lower_bound(
-      {SpreadStart(placement_.key(), least, most), {}, nullptr});
-  const auto add_range = [&](auto from, auto to) {
-    for (auto entry = from; entry != to && !HasEnoughRoom(); ++entry) {
-      if (!HasVerdict(entry->id)) AddIfRoom(*entry->worker, approval_rate_);
-    }
-  };
-  add_range(start, order.end());
-  add_range(first, start);
+  const std::int64_t most =
+      first == order.end() ? least : order.rbegin()->free_processors_milli;
+  AddUntil(&AdviceSelection::HasEnoughRoom, &AdviceSelection::AddIfRoom, first,
+           StartIn(least, most), order.end());
 }
 
 void AdviceSelection::AddFull() {
+  const Order& order = OrderOfService();
+  const std::int64_t most = placement_.held().processors_milli;
+  AddUntil(&AdviceSelection::HasEnoughTickets, &AdviceSelection::AddIfFull,
+           order.begin(), StartIn(0, most),
+           order.lower_bound({most, {}, nullptr}));
+}
+
+void AdviceSelection::AddUntil(IsEnough is_enough, AddWorker add,
+                               Order::const_iterator first,
+                               Order::const_iterator start,
+                               Order::const_iterator last) {
   for (const auto& [id, approval] : advice_.approved()) {
-    if (HasEnoughTickets()) return;
+    if ((this->*is_enough)()) return;
     const TrackedWorker* const worker = state_.free_workers.Find(id);
     if (worker != nullptr && approval.expires <= renew_until_)
-      AddIfFull(*worker, 1.0);
+      (this->*add)(*worker, 1.0);
   }
-  const FreeWorkerIndex::Order& order =
-      state_.free_workers.OfService(placement_.job().record.queue.service);
-  const std::int64_t most = placement_.held().processors_milli;
-  const auto end = order.lower_bound({most, {}, nullptr});
-  const auto start =
-      order.lower_bound({SpreadStart(placement_.key(), 0, most), {}, nullptr});
   const auto add_range = [&](auto from, auto to) {
-    for (auto entry = from; entry != to && !HasEnoughTickets(); ++entry) {
-      if (!HasVerdict(entry->id)) AddIfFull(*entry->worker, approval_rate_);
+    for (auto entry = from; entry != to && !(this->*is_enough)(); ++entry) {
+      if (!HasVerdict(entry->id)) (this->*add)(*entry->worker, approval_rate_);
     }
   };
-  add_range(start, end);
-  add_range(order.begin(), start);
+  add_range(start, last);
+  add_range(first, start);
+}
+
+const AdviceSelection::Order& AdviceSelection::OrderOfService() const {
+  return state_.free_workers.OfService(placement_.job().record.queue.service);
+}
+
+AdviceSelection::Order::const_iterator AdviceSelection::StartIn(
+    std::int64_t least, std::int64_t most) const {
+  return OrderOfService().lower_bound(
+      {SpreadStart(placement_.key(), least, most), {}, nullptr});
 }
 
 void AdviceSelection::AddIfRoom(const TrackedWorker& worker,
--- a/src/dispatch/advice_selection.h
+++ b/src/dispatch/advice_selection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <set>
 
 #include "base/time.h"
@@ -28,13 +29,22 @@
   const std::set<WorkerId>& workers() const { return workers_; }
 
  private:
+  using Order = FreeWorkerIndex::Order;
+  using IsEnough = bool (AdviceSelection::*)() const;
+  using AddWorker = void (AdviceSelection::*)(const TrackedWorker&, double);
+
   bool HasEnoughRoom() const;
   bool HasEnoughTickets() const;
-  // Workers with room: those approved before whose tickets have expired, then
-  // those without a verdict.
   void AddWithRoom();
-  // Workers without room for a task, in the same order.
   void AddFull();
+  // Adds workers that were approved before and whose tickets have expired, then
+  // those without a verdict: from `start` to `last`, then from `first` on.
+  void AddUntil(IsEnough is_enough, AddWorker add, Order::const_iterator first,
+                Order::const_iterator start, Order::const_iterator last);
+  const Order& OrderOfService() const;
+  // Where this step begins among workers with `least` to `most` free
+  // processors.
+  Order::const_iterator StartIn(std::int64_t least, std::int64_t most) const;
   void AddIfRoom(const TrackedWorker& worker, double approval_rate);
   void AddIfFull(const TrackedWorker& worker, double approval_rate);
   void Add(const TrackedWorker& worker, double approval_rate);
--- a/tests/dispatch/deciding_cost_test.cc
+++ b/tests/dispatch/deciding_cost_test.cc
@@ -26,6 +26,13 @@
   return options;
 }
 
+LoadOptions LargeSiteBurst() {
+  LoadOptions options = Burst();
+  options.workers = 540;
+  options.advice_hosts = 97;
+  return options;
+}
+
 // A waiting step was tried, and every worker looked at, after each end.
 TEST(DecidingCostTest, StepsThatWaitForRoomAreNotAllTriedAfterEachEnd) {
   LoadModel model(Burst());
@@ -40,10 +47,7 @@
 // All workers were looked at in each turn of the loop: for a due poll, for the
 // next one, and for ends to write.
 TEST(DecidingCostTest, ATurnCostsNothingForWorkersThatNeedNoAttention) {
-  LoadOptions options = Burst();
-  options.workers = 540;
-  options.advice_hosts = 97;
-  LoadModel model(options);
+  LoadModel model(LargeSiteBurst());
   model.Run();
   const DispatchCounters& counts = model.dispatcher().state().counts;
   ASSERT_GT(model.turns(), 5000U);
@@ -54,10 +58,7 @@
 // A request for advice looked at each worker with room, and steps that asked at
 // the same time asked about the same workers, found them full and asked again.
 TEST(DecidingCostTest, AdviceIsAskedAboutTheWorkersThatAreNeeded) {
-  LoadOptions options = Burst();
-  options.workers = 540;
-  options.advice_hosts = 97;
-  LoadModel model(options);
+  LoadModel model(LargeSiteBurst());
   model.Run();
   const DispatchCounters& counts = model.dispatcher().state().counts;
   EXPECT_LT(counts.asks, counts.starts / 3);
