Lines about requests are kept or left out together when there are too many

Cause: the limit of 400 lines a second of a part drops what comes after them.

Ruled out: a higher limit (logs cost processor time, and the busiest host has none left).

Change: RequestSampler keeps the lines of some requests and none of the others, by a hash of the id, so that it is the same requests in all seconds and on all hosts. Lines that are not written are not put together either.

Tests: RequestSamplerTest (whole requests, same requests on hosts of different load, limit, count of what is left out).

--- a/src/base/log.cc
+++ b/src/base/log.cc
@@ -5,6 +5,7 @@
 #include <array>
 #include <mutex>
 
+#include "base/request_sampler.h"
 #include "base/time.h"
 
 INITIALIZE_EASYLOGGINGPP
@@ -13,6 +14,7 @@
 namespace {
 
 constexpr int kMaxLinesPerSecond = 400;
+constexpr int kMaxRequestLinesPerSecond = 400;
 constexpr std::size_t kParts = static_cast<std::size_t>(LogPart::kHttp) + 1;
 constexpr std::size_t kLevels = static_cast<std::size_t>(LogLevel::kError) + 1;
 constexpr std::array<std::string_view, kParts> kPrefixes = {
@@ -27,6 +29,7 @@
 
 std::mutex window_mutex;
 std::array<std::array<RateWindow, kLevels>, kParts> windows;
+RequestSampler request_sampler(kMaxRequestLinesPerSecond);
 LogLevel min_level = LogLevel::kWarning;
 
 // Applies the rate limit of a part and level. Returns -1 when the line is over
@@ -47,22 +50,16 @@
   return std::exchange(window.dropped, 0);
 }
 
-}  // namespace
-
-void InitLogging(LogLevel least) {
-  min_level = least;
-  el::Configurations config;
-  config.setToDefault();
-  config.setGlobally(el::ConfigurationType::ToFile, "false");
-  config.setGlobally(el::ConfigurationType::ToStandardOutput, "true");
-  config.setGlobally(el::ConfigurationType::Format, "%datetime %level %msg");
-  el::Loggers::reconfigureAllLoggers(config);
+// The same for a line about a request.
+int AdmitRequestLine(std::string_view id) {
+  const std::lock_guard lock(window_mutex);
+  if (!request_sampler.Admit(BootClock::now(), id)) return -1;
+  return request_sampler.TakeDropped();
 }
 
-void Log(LogPart part, LogLevel level, std::string_view sentence) {
-  if (level < min_level) return;
-  const int dropped = AdmitLine(part, level);
-  if (dropped < 0) return;
+// `dropped` lines before this one have not been written.
+void Write(LogPart part, LogLevel level, std::string_view sentence,
+           int dropped) {
   std::string line(kPrefixes.at(static_cast<std::size_t>(part)));
   line.append(": ").append(sentence);
   if (dropped > 0)
@@ -83,4 +80,29 @@
   }
 }
 
+}  // namespace
+
+void InitLogging(LogLevel least) {
+  min_level = least;
+  el::Configurations config;
+  config.setToDefault();
+  config.setGlobally(el::ConfigurationType::ToFile, "false");
+  config.setGlobally(el::ConfigurationType::ToStandardOutput, "true");
+  config.setGlobally(el::ConfigurationType::Format, "%datetime %level %msg");
+  el::Loggers::reconfigureAllLoggers(config);
+}
+
+void Log(LogPart part, LogLevel level, std::string_view sentence) {
+  if (level < min_level) return;
+  const int dropped = AdmitLine(part, level);
+  if (dropped >= 0) Write(part, level, sentence, dropped);
+}
+
+void LogRequest(LogPart part, std::string_view id,
+                const std::function<std::string()>& sentence) {
+  if (LogLevel::kInfo < min_level) return;
+  const int dropped = AdmitRequestLine(id);
+  if (dropped >= 0) Write(part, LogLevel::kInfo, sentence(), dropped);
+}
+
 }  // namespace chivewing
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <string>
 #include <string_view>
 
@@ -33,6 +34,12 @@
 // written states the count.
 void Log(LogPart part, LogLevel level, std::string_view sentence);
 
+// As LogInfo, for a line about the request or job `id`. If there are more such
+// lines than the limit per second, all lines of some requests are written and
+// none of the others; `sentence` is called only for those written.
+void LogRequest(LogPart part, std::string_view id,
+                const std::function<std::string()>& sentence);
+
 inline void LogInfo(LogPart part, std::string_view sentence) {
   Log(part, LogLevel::kInfo, sentence);
 }
--- a/src/cluster/caller_request_handler.cc
+++ b/src/cluster/caller_request_handler.cc
@@ -277,12 +277,13 @@
     const TableRow row{key, write.transaction.writes.front().value,
                        response.revision, write.transaction.write_id};
     counters_.write_latency.Add(now - write.first_sent);
-    LogInfo(LogPart::kRouter,
-            "stored a row for a caller row=" + key + " ms=" +
-                std::to_string(std::chrono::duration_cast<milliseconds>(
-                                   now - write.first_sent)
-                                   .count()) +
-                " tries=" + std::to_string(write.attempts));
+    LogRequest(LogPart::kRouter, key.substr(key.find('/') + 1), [&] {
+      return "stored a row for a caller row=" + key + " ms=" +
+             std::to_string(std::chrono::duration_cast<milliseconds>(
+                                now - write.first_sent)
+                                .count()) +
+             " tries=" + std::to_string(write.attempts);
+    });
     callbacks_.on_row(now, row);
     FinishWrite(key, MakeResponse(write.success_kind));
     return;
--- a/src/cluster/dispatcher_runner.cc
+++ b/src/cluster/dispatcher_runner.cc
@@ -470,21 +470,22 @@
 // What a start was decided on, so that one that no caller asked for can be
 // traced from the log alone.
 void DispatcherRunner::LogStart(const StartRun& command) const {
-  const TableRow* const cancel =
-      table_watcher_.cache().Find(CancelRowKey(command.run.task.job));
-  LogInfo(LogPart::kPlacer,
-          "start job=" + command.run.task.job.value() +
-              " step=" + std::to_string(command.run.task.step) +
-              " task=" + std::to_string(command.run.task.index) +
-              " run=" + std::to_string(command.run.number) +
-              " worker=" + command.worker.value() +
-              " fence=" + std::to_string(command.fence) +
-              " row_version=" + std::to_string(command.job_row_version) +
-              " row_age_ms=" + std::to_string(command.job_age.count()) +
-              " rows_known_to=" +
-              std::to_string(table_watcher_.cache().revision()) +
-              " cancel_version=" +
-              std::to_string(cancel == nullptr ? 0 : cancel->version));
+  LogRequest(LogPart::kPlacer, command.run.task.job.value(), [&] {
+    const TableRow* const cancel =
+        table_watcher_.cache().Find(CancelRowKey(command.run.task.job));
+    return "start job=" + command.run.task.job.value() +
+           " step=" + std::to_string(command.run.task.step) +
+           " task=" + std::to_string(command.run.task.index) +
+           " run=" + std::to_string(command.run.number) +
+           " worker=" + command.worker.value() +
+           " fence=" + std::to_string(command.fence) +
+           " row_version=" + std::to_string(command.job_row_version) +
+           " row_age_ms=" + std::to_string(command.job_age.count()) +
+           " rows_known_to=" +
+           std::to_string(table_watcher_.cache().revision()) +
+           " cancel_version=" +
+           std::to_string(cancel == nullptr ? 0 : cancel->version);
+  });
 }
 
 void DispatcherRunner::Execute(const StartRun& command) {
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -97,10 +97,11 @@
   } else {
     ++state_.counts.asks_failed;
     state_.advice.OnFailure(now, request->advice_host);
-    LogInfo(LogPart::kPlacer,
-            "advice request failed; its host gets none for a while job=" +
-                request->step.job.value() +
-                " asker=" + request->advice_host.value());
+    LogRequest(LogPart::kPlacer, request->step.job.value(), [&] {
+      return "advice request failed; its host gets none for a while job=" +
+             request->step.job.value() +
+             " asker=" + request->advice_host.value();
+    });
   }
   TrackedJob* const job = state_.FindJob(request->step.job);
   if (job == nullptr) return;
--- a/src/dispatch/job_manager.cc
+++ b/src/dispatch/job_manager.cc
@@ -183,8 +183,10 @@
   job.state = state;
   state_.dirty.Mark(job.record.id);
   state_.repeating_jobs.erase(job.record.id);
-  LogInfo(LogPart::kPlacer, "job=" + job.record.id.value() +
-                                " ended state=" + std::string(Name(state)));
+  LogRequest(LogPart::kPlacer, job.record.id.value(), [&] {
+    return "job=" + job.record.id.value() +
+           " ended state=" + std::string(Name(state));
+  });
   RefreshReadySteps(job);
   StopRuns(job);
 }
--- a/src/dispatch/run_manager.cc
+++ b/src/dispatch/run_manager.cc
@@ -156,9 +156,10 @@
                       !task->progress.done && task->runs.empty() &&
                       !run.stop_requested;
   if (!needed) {
-    LogInfo(LogPart::kPlacer,
-            "stopping an adopted run that is not needed task=" +
-                Describe(run.key) + " worker=" + run.worker.value());
+    LogRequest(LogPart::kPlacer, key.job.value(), [&] {
+      return "stopping an adopted run that is not needed task=" +
+             Describe(run.key) + " worker=" + run.worker.value();
+    });
     ++state_.counts.adopted_runs_stopped;
     state_.runs.RequestStop(run);
   }
@@ -222,11 +223,12 @@
 
 void RunManager::OnRefusal(TimePoint now, Run& run, CommandOutcome outcome) {
   ++state_.counts.start_refusals;
-  LogInfo(LogPart::kPlacer,
-          "start command refused by worker task=" + Describe(run.key) +
-              " worker=" + run.worker.value() +
-              " reason=" + std::to_string(static_cast<int>(outcome)) +
-              " unanswered=" + std::to_string(run.unanswered_sends));
+  LogRequest(LogPart::kPlacer, run.key.task.job.value(), [&] {
+    return "start command refused by worker task=" + Describe(run.key) +
+           " worker=" + run.worker.value() +
+           " reason=" + std::to_string(static_cast<int>(outcome)) +
+           " unanswered=" + std::to_string(run.unanswered_sends);
+  });
   TrackedWorker* const worker = state_.FindWorker(run.worker);
   TrackedJob* const job = state_.FindJob(run.key.task.job);
   const TaskKey& key = run.key.task;
--- a/src/dispatch/worker_manager.cc
+++ b/src/dispatch/worker_manager.cc
@@ -129,13 +129,15 @@
     if (spec.gang && spec.long_running) continue;
     if (now < DrainStopTime(now, *worker.leaves_at(), spec, run)) continue;
     ++state_.counts.runs_moved;
-    LogInfo(LogPart::kPlacer,
-            "stopping a run whose worker leaves before its "
-            "end job=" +
-                run.key.task.job.value() +
-                " step=" + std::to_string(run.key.task.step) + " task=" +
-                std::to_string(run.key.task.index) + " worker=" + id.value() +
-                " percent=" + std::to_string(run.percent));
+    LogRequest(LogPart::kPlacer, run.key.task.job.value(), [&] {
+      return "stopping a run whose worker leaves before its "
+             "end job=" +
+             run.key.task.job.value() +
+             " step=" + std::to_string(run.key.task.step) +
+             " task=" + std::to_string(run.key.task.index) +
+             " worker=" + id.value() +
+             " percent=" + std::to_string(run.percent);
+    });
     runs_.StopToMove(run_id);
   }
 }
@@ -339,13 +341,14 @@
     if (end.number <= worker.processed_end) continue;
     worker.processed_end = end.number;
     Run* const run = state_.runs.Find(worker.registration().worker, end.run);
-    LogInfo(LogPart::kPlacer,
-            "run ended job=" + end.run.task.job.value() +
-                " step=" + std::to_string(end.run.task.step) +
-                " task=" + std::to_string(end.run.task.index) +
-                " run=" + std::to_string(end.run.number) +
-                " how=" + std::to_string(static_cast<int>(end.how)) +
-                " worker=" + worker.registration().worker.value());
+    LogRequest(LogPart::kPlacer, end.run.task.job.value(), [&] {
+      return "run ended job=" + end.run.task.job.value() +
+             " step=" + std::to_string(end.run.task.step) +
+             " task=" + std::to_string(end.run.task.index) +
+             " run=" + std::to_string(end.run.number) +
+             " how=" + std::to_string(static_cast<int>(end.how)) +
+             " worker=" + worker.registration().worker.value();
+    });
     if (run != nullptr) {
       runs_.End(now, run->id, end.how, end.saved);
     } else if (TrackedJob* const job = state_.FindJob(end.run.task.job)) {
@@ -410,13 +413,15 @@
   }
   for (const std::uint64_t run_id : absent) {
     const Run& run = *state_.runs.Find(run_id);
-    LogInfo(LogPart::kPlacer,
-            "run is no longer listed by its worker; counting it as lost job=" +
-                run.key.task.job.value() +
-                " step=" + std::to_string(run.key.task.step) + " task=" +
-                std::to_string(run.key.task.index) + " worker=" + id.value() +
-                " acknowledged=" + std::to_string(run.acknowledged ? 1 : 0) +
-                " stopped=" + std::to_string(run.stop_confirmed ? 1 : 0));
+    LogRequest(LogPart::kPlacer, run.key.task.job.value(), [&] {
+      return "run is no longer listed by its worker; counting it as lost job=" +
+             run.key.task.job.value() +
+             " step=" + std::to_string(run.key.task.step) +
+             " task=" + std::to_string(run.key.task.index) +
+             " worker=" + id.value() +
+             " acknowledged=" + std::to_string(run.acknowledged ? 1 : 0) +
+             " stopped=" + std::to_string(run.stop_confirmed ? 1 : 0);
+    });
     runs_.End(now, run_id, RunEndReason::kLost, "");
   }
 }
