The share of requests in the log stays while it fits

Change: the share changes only when lines are over the limit or under half of it, aims at 0.8 of it, and a burst within a second may go up to twice. RequestSamplerTest passes.

--- a/src/base/request_sampler.cc
+++ b/src/base/request_sampler.cc
@@ -10,6 +10,12 @@
 namespace {
 
 constexpr std::chrono::seconds kWindow{1};
+// Part of the limit that a new share aims at. It stays while the lines fill
+// between half of the limit and all of it: each change cuts requests in two.
+constexpr double kAimedPart = 0.8;
+constexpr double kLeastPart = 0.5;
+// Within a window, a burst may go over the limit by this factor.
+constexpr int kBurstFactor = 2;
 
 // A number in [0, 1) that depends on the id alone.
 double Position(std::string_view id) {
@@ -29,19 +35,19 @@
     ++dropped_;
     return false;
   }
-  // A burst within the window: fewer requests from here on.
-  if (++admitted_ > max_lines_) {
-    share_ /= 2;
-    admitted_ = 0;
-  }
+  if (++admitted_ < kBurstFactor * max_lines_) return true;
+  share_ = 0;  // until the next window
   return true;
 }
 
 int RequestSampler::TakeDropped() { return std::exchange(dropped_, 0); }
 
 void RequestSampler::StartWindow(TimePoint now) {
-  share_ =
-      offered_ <= max_lines_ ? 1.0 : static_cast<double>(max_lines_) / offered_;
+  const double wanted = share_ * offered_;
+  if (share_ == 0 || wanted > max_lines_ || wanted < kLeastPart * max_lines_) {
+    const double lines = std::max(offered_, 1);
+    share_ = std::min(1.0, kAimedPart * max_lines_ / lines);
+  }
   window_start_ = now;
   offered_ = 0;
   admitted_ = 0;
--- a/src/base/request_sampler.h
+++ b/src/base/request_sampler.h
@@ -7,7 +7,8 @@
 namespace chivewing {
 
 // Chooses the requests whose log lines are written when there are more lines
-// than a limit allows. It keeps all lines of a request or none, so that what is
+// than a limit allows, which is exceeded for a second at most, and at most by
+// twice. It keeps all lines of a request or none, so that what is
 // written tells the whole story of a request, and prefers the same requests on
 // all hosts and in all seconds. Reads no clock; not thread-safe.
 class RequestSampler {
