After a take-over only jobs that the holder before may know wait for its workers

Cause: a job counted as possibly started by the holder before if its row was read with the take-over's catching up, and for 1.5 s after it. But a holder takes no job once its lease is over: its loop looks at the time after it has taken a row in, and rows that come later are put aside.

Ruled out: a shorter lease of workers (a zone is cut for 5.5 s, tasks there would be lost); asking the gateways what they have sent (those of the cut zone are cut too); letting old jobs go as well (their tasks may run in that zone).

Change: LeaseManager says by when the holder before had lost the lease: a lease after its last renewal was seen, when its release was seen, or now if it was this host. Jobs whose row is newer than the acquisition, or that were accepted half a second after that time on the table's clock, start at once. New jobs do not wait at all; they keep clear of the run numbers of the holder before for 1.5 s, as they did.

Tests: PredecessorTest, ThisHostItselfMayHaveHeldItUntilNow, OnlyJobsThatTheHolderBeforeMayKnowWaitForItsWorkers and JobsAcceptedAfterATakeOverDoNotWaitForWorkersOutOfReach (the last two failed before); all schedules of the dispatcher and the lease pass.

--- a/src/cluster/dispatcher_runner.cc
+++ b/src/cluster/dispatcher_runner.cc
@@ -21,6 +21,9 @@
 // lease's row among them.
 constexpr std::size_t kMaxRowsPerTransaction = 60;
 constexpr milliseconds kBatchRetryDelay{50};
+// By how much the time of acceptance of a job may be read as too late: the
+// table's clock is known by responses, which may be delayed.
+constexpr milliseconds kAcceptedAtMargin{500};
 // Worker registrations: long-poll time of one read, and the minimum interval
 // between two.
 constexpr milliseconds kWorkersWatchWait{1000};
@@ -87,7 +90,7 @@
   if (!dispatcher_) return;
   if (row.key.starts_with(kJobRows)) {
     if (lease_.IsHeld(now)) {
-      AddJobRow(now, row, false);
+      AddJobRow(now, row, {});
     } else {
       deferred_job_rows_.push_back(row);
     }
@@ -98,7 +101,7 @@
 }
 
 void DispatcherRunner::AddJobRow(TimePoint now, const TableRow& row,
-                                 bool uncertain) {
+                                 const CertainFrom& certain_from) {
   if (!row.value) return;
   const JobId id = JobOfRowKey(row.key, kJobRows);
   Result<JobRecord> record = DecodeJobRecord(id, *row.value);
@@ -111,8 +114,12 @@
   }
   const TimePoint accepted_at = AcceptedAt(
       now, callbacks_.wall_clock(), table_watcher_.clock(), record.value());
+  const bool is_certain =
+      row.version > certain_from.version ||
+      AcceptedByTableClock(now, table_watcher_.clock(), record.value()) >=
+          certain_from.accepted_at;
   dispatcher_->AddJob(now, accepted_at, std::move(record.value()), progress,
-                      uncertain);
+                      !is_certain);
   if (table_watcher_.cache().Find(CancelRowKey(id)) != nullptr) {
     dispatcher_->CancelJob(id);
   }
@@ -130,29 +137,34 @@
   const LeaseKeeper::State lease = lease_.state();
   if (!lease.held || lease.epoch == acquired_epoch_) return;
   acquired_epoch_ = lease.epoch;
-  OnLeaseAcquired(now, lease.epoch);
+  OnLeaseAcquired(now, lease);
 }
 
 // An expired lease does not stop the dispatcher by itself: once another host
 // has taken over, the workers reject this host's fence.
-void DispatcherRunner::OnLeaseAcquired(TimePoint now, std::uint64_t epoch) {
-  const bool uninterrupted = dispatcher_ && epoch == dispatcher_->fence() + 1;
+void DispatcherRunner::OnLeaseAcquired(TimePoint now,
+                                       const LeaseKeeper::State& lease) {
+  const bool uninterrupted =
+      dispatcher_ && lease.epoch == dispatcher_->fence() + 1;
   if (!uninterrupted) {
-    BeginTakeOver(now, epoch);
+    BeginTakeOver(now, lease);
     return;
   }
-  dispatcher_->set_fence(epoch);
+  dispatcher_->set_fence(lease.epoch);
   AddDeferredJobs(now);
 }
 
-void DispatcherRunner::BeginTakeOver(TimePoint now, std::uint64_t epoch) {
+void DispatcherRunner::BeginTakeOver(TimePoint now,
+                                     const LeaseKeeper::State& lease) {
   DropDispatcher(now, "the lease was acquired anew");
+  const std::uint64_t epoch = lease.epoch;
   take_over_ = TakeOver{};
   take_over_->epoch = epoch;
+  take_over_->certain_from = {lease.fence.version,
+                              lease.predecessor_ended_by + kAcceptedAtMargin};
   table_watcher_.CatchUp(now, [this, epoch](TimePoint then) {
     if (!take_over_ || take_over_->epoch != epoch) return;
     take_over_->rows_read = true;
-    take_over_->first_new_version = table_watcher_.cache().revision() + 1;
     ContinueTakeOver(then);
   });
   workers_revision_ = 0;
@@ -247,7 +259,7 @@
     }
   });
   ApplyWorkerUpdate(now, take_over.workers);
-  AddKnownJobs(now, take_over.first_new_version);
+  AddKnownJobs(now, take_over.certain_from);
   dispatcher_->EndTakeOver();
   LogInfo(
       LogPart::kPlacer,
@@ -264,17 +276,19 @@
   take_over_.reset();
 }
 
+// A holder takes no jobs once its lease is over, so the one before may have
+// started tasks only of jobs that were accepted earlier.
 void DispatcherRunner::AddKnownJobs(TimePoint now,
-                                    std::uint64_t first_new_version) {
+                                    const CertainFrom& certain_from) {
   table_watcher_.cache().ForEach(kJobRows, [&](const TableRow& row) {
-    AddJobRow(now, row, row.version < first_new_version);
+    AddJobRow(now, row, certain_from);
   });
 }
 
 void DispatcherRunner::AddDeferredJobs(TimePoint now) {
   const std::vector<TableRow> waiting = std::move(deferred_job_rows_);
   deferred_job_rows_.clear();
-  for (const TableRow& row : waiting) AddJobRow(now, row, false);
+  for (const TableRow& row : waiting) AddJobRow(now, row, {});
 }
 
 void DispatcherRunner::DropDispatcher(TimePoint /*now*/,
--- a/src/cluster/dispatcher_runner.h
+++ b/src/cluster/dispatcher_runner.h
@@ -75,23 +75,30 @@
   std::string LoadSummary(TimePoint now) const;
 
  private:
+  // No earlier dispatcher knows a job whose row is newer than this version of
+  // the table, or that was accepted at this time or later.
+  struct CertainFrom {
+    std::uint64_t version = 0;
+    TimePoint accepted_at = TimePoint::max();
+  };
   // A take-over in progress: what must be read before the dispatcher starts.
   struct TakeOver {
     std::uint64_t epoch = 0;
     bool rows_read = false;
     bool workers_read = false;
-    std::uint64_t first_new_version = 0;
+    CertainFrom certain_from{};
     WorkerListUpdate workers{};
   };
 
   void TickLease(TimePoint now);
-  void OnLeaseAcquired(TimePoint now, std::uint64_t epoch);
-  void BeginTakeOver(TimePoint now, std::uint64_t epoch);
+  void OnLeaseAcquired(TimePoint now, const LeaseKeeper::State& lease);
+  void BeginTakeOver(TimePoint now, const LeaseKeeper::State& lease);
   void ReadWorkers(TimePoint now);
   void ContinueTakeOver(TimePoint now);
   void AbandonTakeOver();
-  void AddKnownJobs(TimePoint now, std::uint64_t first_new_version);
-  void AddJobRow(TimePoint now, const TableRow& row, bool uncertain);
+  void AddKnownJobs(TimePoint now, const CertainFrom& certain_from);
+  void AddJobRow(TimePoint now, const TableRow& row,
+                 const CertainFrom& certain_from);
   void AddDeferredJobs(TimePoint now);
   void DropDispatcher(TimePoint now, const std::string& why);
 
--- a/src/cluster/lease_keeper.cc
+++ b/src/cluster/lease_keeper.cc
@@ -79,6 +79,7 @@
   state.epoch = lease_.epoch();
   state.valid_until = lease_.valid_until();
   state.stopped = lease_.IsStopped();
+  state.predecessor_ended_by = lease_.predecessor_ended_by();
   if (const auto fence = lease_.FenceCondition(now)) state.fence = *fence;
   bool changed = false;
   {
--- a/src/cluster/lease_keeper.h
+++ b/src/cluster/lease_keeper.h
@@ -33,7 +33,8 @@
     TimePoint valid_until{};
     // Condition that fences the holder's transactions.
     TableCondition fence{};
-    bool stopped = false;  // after Release with `for_good`
+    TimePoint predecessor_ended_by{};  // see LeaseManager
+    bool stopped = false;              // after Release with `for_good`
   };
 
   LeaseKeeper(TimePoint now, LeaseSettings settings, Commit commit,
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -9,8 +9,8 @@
 
 constexpr std::chrono::milliseconds kWakeInterval{500};
 constexpr std::chrono::seconds kMaxSleep{1};
-// Until it meets the new fence, an earlier dispatcher may start jobs that were
-// accepted after the take-over.
+// Until it meets the new fence, an earlier dispatcher may be starting tasks:
+// jobs that are added meanwhile keep clear of its run numbers.
 constexpr std::chrono::milliseconds kHandoverWindow{1500};
 constexpr int kRequestIdBitsPerFence = 32;
 
@@ -30,13 +30,11 @@
                         const std::optional<JobProgress>& progress,
                         bool uncertain) {
   if (started_at_ == TimePoint{}) started_at_ = now;
-  TimePoint until{};
-  if (!state_.unsynced_workers.empty()) {
-    until = uncertain ? TimePoint::max() : started_at_ + kHandoverWindow;
-  }
+  const bool wait_for_workers = uncertain && !state_.unsynced_workers.empty();
   const JobId id = record.id;
   const bool may_have_runs = uncertain || now < started_at_ + kHandoverWindow;
-  jobs_.Add(accepted_at, std::move(record), progress, may_have_runs, until);
+  jobs_.Add(accepted_at, std::move(record), progress, may_have_runs,
+            wait_for_workers);
   runs_.AttachOrphans(id);
 }
 
--- a/src/dispatch/job_manager.cc
+++ b/src/dispatch/job_manager.cc
@@ -26,7 +26,7 @@
 
 void JobManager::Add(TimePoint accepted_at, JobRecord record,
                      const std::optional<JobProgress>& progress,
-                     bool may_have_runs, TimePoint uncertain_until) {
+                     bool may_have_runs, bool uncertain) {
   const JobId id = record.id;
   if (state_.jobs.contains(id)) return;
   TrackedJob& job = state_.jobs[id];
@@ -41,7 +41,7 @@
   } else {
     state_.repeating_jobs.insert(id);
   }
-  job.uncertain_until = uncertain_until;
+  job.uncertain = uncertain;
   if (may_have_runs)
     job.run_number_floor = kRunNumbersPerFence * (state_.fence - 1);
   RefreshReadySteps(job);
@@ -207,8 +207,8 @@
 
 void JobManager::ClearUncertainty() {
   for (auto& [id, job] : state_.jobs) {
-    if (job.uncertain_until == TimePoint{}) continue;
-    job.uncertain_until = TimePoint{};
+    if (!job.uncertain) continue;
+    job.uncertain = false;
     StopPartialGangs(job);
     RefreshReadySteps(job);
   }
--- a/src/dispatch/job_manager.h
+++ b/src/dispatch/job_manager.h
@@ -16,12 +16,13 @@
   explicit JobManager(DispatchState& state) : state_(state) {}
 
   // Adds a job read from its row, with the progress that an earlier dispatcher
-  // has written. `may_have_runs` is true if an earlier dispatcher may have
-  // started tasks of it; those may be unknown here until `uncertain_until`.
-  // Has no effect on a job that is already known.
+  // has written. `may_have_runs` is true if an earlier dispatcher may have used
+  // run numbers of it, `uncertain` if it may have started tasks that are
+  // unknown here until ClearUncertainty. Has no effect on a job that is already
+  // known.
   void Add(TimePoint accepted_at, JobRecord record,
            const std::optional<JobProgress>& progress, bool may_have_runs,
-           TimePoint uncertain_until);
+           bool uncertain);
   void Cancel(const JobId& id);
   void Remove(const JobId& id);
 
--- a/src/dispatch/step_scheduler.cc
+++ b/src/dispatch/step_scheduler.cc
@@ -44,7 +44,7 @@
                             DispatchEffects& out) {
   const TrackedJob& job = *state_.FindJob(key.step.job);
   const StepSpec& spec = job.spec(key.step.step);
-  if (now < job.uncertain_until && !spec.copies_allowed) return;
+  if (job.uncertain && !spec.copies_allowed) return;
   ++state_.counts.steps_tried;
   StepPlacement placement(state_, key.step);
   const std::size_t wanted = placement.waiting().size();
--- a/src/dispatch/tracked_job.h
+++ b/src/dispatch/tracked_job.h
@@ -34,9 +34,9 @@
   JobRecord record{};
   JobPhase state = JobPhase::kQueued;
   bool cancelled = false;
-  // Until then an earlier dispatcher may have started tasks of the job that are
-  // not known here.
-  TimePoint uncertain_until{};
+  // An earlier dispatcher may have started tasks of the job that are not known
+  // here: tasks without a run wait.
+  bool uncertain = false;
   TimePoint accepted_at{};
   TimePoint due{};            // objective for its end
   TimePoint useless_after{};  // an end after this is of no use to its caller
--- a/src/lease/lease_manager.cc
+++ b/src/lease/lease_manager.cc
@@ -109,6 +109,14 @@
   return from + WrittenLease() + settings_.clock_drift_margin + delay;
 }
 
+// The row shows the last renewal that took effect. A holder that has released
+// the lease had stopped before.
+TimePoint LeaseManager::HolderEndsBy(TimePoint now) const {
+  if (row_.host == settings_.host) return now;
+  if (row_.host.empty()) return row_seen_at_;
+  return row_seen_at_ + WrittenLease();
+}
+
 void LeaseManager::Tick(TimePoint now, Effects& out) {
   CheckExpiry(now, out);
   if (in_flight_) {
@@ -125,6 +133,7 @@
     // The commit duration is not known yet, and a shorter lease may expire
     // before the commit's response arrives. The first renewal shortens it.
     row.lease = std::max(row.lease, settings_.max_lease_duration);
+    predecessor_ended_by_ = HolderEndsBy(now);
     StartCommit(now, CommitKind::kAcquire, row, out);
   }
 }
--- a/src/lease/lease_manager.h
+++ b/src/lease/lease_manager.h
@@ -108,6 +108,9 @@
   bool IsHeld(TimePoint now) const;
   std::uint64_t epoch() const { return epoch_; }
   TimePoint valid_until() const { return valid_until_; }
+  // Of the last acquisition that this host began: by when, at the latest and on
+  // this host's clock, the holder before had lost the lease.
+  TimePoint predecessor_ended_by() const { return predecessor_ended_by_; }
 
   // Starts a transaction of the placer, sent at `now` under `write_id`, that is
   // fenced by the lease. Empty when the lease is not held or another
@@ -153,6 +156,7 @@
   // Time from which this host may acquire the lease; TimePoint::max() while the
   // table does not respond.
   TimePoint AcquireDueAt() const;
+  TimePoint HolderEndsBy(TimePoint now) const;
   // Length of the lease that the present holder has last written.
   Duration WrittenLease() const;
   void SendAgainOrAbandon(TimePoint now, Effects& out);
@@ -182,6 +186,7 @@
   bool stopping_ = false;
   std::uint64_t epoch_ = 0;
   TimePoint valid_until_;
+  TimePoint predecessor_ended_by_;
   TimePoint renewed_at_;
   std::size_t rank_ = 0;
   std::optional<TimePoint> table_available_since_ = TimePoint{};
--- a/tests/cluster/dispatcher_runner_test.cc
+++ b/tests/cluster/dispatcher_runner_test.cc
@@ -7,6 +7,7 @@
 #include <thread>
 #include <vector>
 
+#include "cluster/worker_row.h"
 #include "lease/lease_row.h"
 
 namespace chivewing {
@@ -82,6 +83,36 @@
   EXPECT_TRUE(runner_.dispatching());
 }
 
+// Jobs accepted since the lease before was over waited, like older ones, for
+// each worker that could not be reached.
+TEST_F(TakeOverTest, OnlyJobsThatTheHolderBeforeMayKnowWaitForItsWorkers) {
+  std::this_thread::sleep_for(milliseconds(700));
+  const milliseconds clock = seconds(100);
+  WorkerRegistration worker;
+  worker.worker = WorkerId("i-1");
+  worker.service = "pool";
+  JobRecord record;
+  record.queue.service = "pool";
+  record.queue.max_attempts = 1;
+  record.spec.steps.emplace_back();
+  ChangesResponse rows{.ok = true, .revision = 9};
+  rows.clock = clock;
+  rows.rows.push_back(
+      {WorkerRowKey(worker.worker), EncodeWorkerRow(worker), 5, "w"});
+  const auto add = [&](const std::string& id, milliseconds accepted_at) {
+    record.accepted_at_table = accepted_at;
+    rows.rows.push_back(
+        {JobRecordKey(JobId(id)), EncodeJobRecord(record), 6, "w"});
+  };
+  add("old", clock - seconds(10));
+  add("new", clock);
+  catch_up_(rows);
+  ASSERT_TRUE(runner_.dispatching());
+  const auto& jobs = runner_.dispatcher()->state().jobs;
+  EXPECT_TRUE(jobs.at(JobId("old")).uncertain);
+  EXPECT_FALSE(jobs.at(JobId("new")).uncertain);
+}
+
 TEST_F(TakeOverTest, DoesNotBeginToDispatchAfterAnotherHostTookTheLease) {
   const LeaseRow other{HostId("h2"), 7, 99, seconds(1), 1};
   runner_.OnRow(BootClock::now(), {LeaseManager::RowKey(ZoneId("all")),
--- a/tests/dispatch/dispatcher_test.cc
+++ b/tests/dispatch/dispatcher_test.cc
@@ -65,6 +65,20 @@
   EXPECT_TRUE(model_.violations().empty());
 }
 
+// New jobs waited for 1.5 s after a take-over if one worker was out of reach.
+TEST_F(DispatcherTest,
+       JobsAcceptedAfterATakeOverDoNotWaitForWorkersOutOfReach) {
+  model_.AddJob(model_.MakeJob("old", {Step(4, 1000, seconds(30))}));
+  model_.RunFor(milliseconds(300));
+  model_.worker(0).unreachable_until = model_.now() + seconds(5);
+  model_.ReplaceDispatcher();
+  model_.RunFor(milliseconds(100));
+  model_.AddJob(model_.MakeJob("new", {Step(4, 1000, seconds(30))}));
+  model_.RunFor(milliseconds(200));
+  EXPECT_EQ(model_.CountRunning(JobId("new")), 4U);
+  EXPECT_TRUE(model_.violations().empty());
+}
+
 // Every occurrence that was due was opened, with all its tasks.
 TEST_F(DispatcherTest, AJobWithManyDueOccurrencesDoesNotFillTheMemory) {
   JobRecord record = model_.MakeJob("j", {Step(1, 1000, milliseconds(10))});
--- a/tests/lease/lease_manager_test.cc
+++ b/tests/lease/lease_manager_test.cc
@@ -521,5 +521,65 @@
   EXPECT_EQ(b.epoch(), 2U);
 }
 
+// The times by which a successor takes the lease of a host before it for over.
+struct PredecessorCase {
+  const char* name;
+  bool released;
+  Duration expected;  // after the start
+};
+
+class PredecessorTest : public testing::TestWithParam<PredecessorCase> {};
+
+TEST_P(PredecessorTest, HasEndedByThen) {
+  InMemoryTable table;
+  LeaseSettings settings;
+  settings.host = HostId("a");
+  settings.zone = kZone;
+  LeaseManager a(kStart, settings);
+  settings.host = HostId("b");
+  LeaseManager b(kStart, settings);
+  LeaseManager::Effects out;
+  const auto commit = [&](TimePoint now, LeaseManager& manager) {
+    const TableTransaction sent = std::get<CommitLease>(out.back()).transaction;
+    out.clear();
+    manager.OnCommit(now, sent.write_id, table.Commit(sent), out);
+  };
+  a.Tick(kStart, out);
+  commit(kStart, a);
+  if (GetParam().released) {
+    a.Stop(kStart, out);
+    commit(kStart, a);
+  }
+  b.OnRow(kStart + seconds(1), table.Row(LeaseManager::RowKey(kZone)), out);
+  out.clear();
+  const TimePoint later = kStart + seconds(60);
+  b.Tick(later, out);
+  commit(later, b);
+  ASSERT_TRUE(b.IsHeld(later));
+  EXPECT_EQ(b.predecessor_ended_by(), kStart + GetParam().expected);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Cases, PredecessorTest,
+    testing::Values(PredecessorCase{"Expired", false, seconds(4)},
+                    PredecessorCase{"Released", true, seconds(1)}),
+    [](const auto& each) { return each.param.name; });
+
+TEST(LeaseManagerPredecessor, ThisHostItselfMayHaveHeldItUntilNow) {
+  LeaseSettings settings;
+  settings.host = HostId("a");
+  settings.zone = kZone;
+  LeaseManager manager(kStart, settings);
+  LeaseManager::Effects out;
+  manager.Tick(kStart, out);
+  const auto sent = std::get<CommitLease>(out.back()).transaction;
+  manager.OnCommit(kStart, sent.write_id,
+                   {.status = CommitStatus::kCommitted, .revision = 1}, out);
+  const TimePoint later = kStart + seconds(2);
+  manager.Relinquish(out);
+  manager.Tick(later, out);
+  EXPECT_EQ(manager.predecessor_ended_by(), later);
+}
+
 }  // namespace
 }  // namespace chivewing
