--- a/src/base/request_sampler.cc
+++ b/src/base/request_sampler.cc
@@ -17,10 +17,12 @@
 // Within a window, a burst may go over the limit by this factor.
 constexpr int kBurstFactor = 2;
 
+// Number of values that a hash of 32 bits has.
+constexpr double kRange =
+    static_cast<double>(std::numeric_limits<std::uint32_t>::max()) + 1;
+
 // A number in [0, 1) that depends on the id alone.
 double Position(std::string_view id) {
-  constexpr double kRange =
-      static_cast<double>(std::numeric_limits<std::uint32_t>::max()) + 1;
   const auto hash =
       static_cast<std::uint32_t>(std::hash<std::string_view>{}(id));
   return static_cast<double>(hash) / kRange;
