--- a/src/dispatch/job_progress.cc
+++ b/src/dispatch/job_progress.cc
@@ -149,7 +149,7 @@
   out["top_run"] = progress.highest_run;
   if (progress.finished_occurrences > 0)
     out["finished"] = progress.finished_occurrences;
-  if (!occurrences.empty()) out["occurrences"] = std::move(occurrences);
+  if (!occurrences.empty()) out["occurrences"] = occurrences;
   return out.dump(-1, ' ', false, OrderedJson::error_handler_t::replace);
 }
 
