--- a/src/cluster/cluster_host.cc
+++ b/src/cluster/cluster_host.cc
@@ -351,7 +351,7 @@
   UpdateAdviceHosts();
 }
 
-// A host that reads the table seldom, or that it has turned away, learns from
+// A host that reads the table seldom, or that the table turns away, learns from
 // the dispatching host itself where to connect to.
 void ClusterHost::AnnounceDispatching() {
   for (const HostId& peer : connected_peers_) AnnounceDispatchingTo(peer);
