--- a/tests/fuzz/decoder_fuzz_test.cc
+++ b/tests/fuzz/decoder_fuzz_test.cc
@@ -91,9 +91,9 @@
   void Run() {
     for (int turn = 0; turn < 4; ++turn) {
       DispatchEffects effects;
-      dispatcher_.Decide(
-          now_, kWall + (now_ - kStart) / milliseconds(1) * milliseconds(1),
-          effects);
+      const auto passed =
+          std::chrono::duration_cast<milliseconds>(now_ - kStart);
+      dispatcher_.Decide(now_, kWall + passed, effects);
       dispatcher_.OnSaved(now_, dispatcher_.TakeBatch(60));
       now_ += milliseconds(300);
     }
