Rows of new workers are written before those of jobs

Callers waited while fresh, empty workers stood idle: a worker gets tasks once its row is in the table, and a batch took up to 60 rows of jobs first. On busy hosts there are always more of those, so new workers were enrolled only when the jobs had a quiet moment.

Ruled out: a batch of its own for workers (one transaction at a time is under way, so it would wait as long). A worker has one row, once, so it can't starve the jobs.

Change: TakeBatch takes enrolled and removed workers first; the counting of rows stands once, in ProgressWriteBatch::row_count.

Test: WriteOrderTest.NewWorkersAreEnrolledBeforeTheRowsOfManyJobs, 200 dirty jobs and one new worker. Not built against the code before, which has no row_count; by reading, that code puts 60 jobs and no worker into the batch.

--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -152,31 +152,13 @@
 
 ProgressWriteBatch Dispatcher::TakeBatch(std::size_t max_rows) {
   ProgressWriteBatch batch;
-  while (!state_.dirty.empty() && batch.jobs.size() < max_rows) {
+  TakeWorkerRows(max_rows, batch);
+  while (!state_.dirty.empty() && batch.row_count() < max_rows) {
     const JobId id = *state_.dirty.TakeOldest();
     if (const TrackedJob* const job = state_.FindJob(id)) {
       batch.jobs.emplace_back(id, job->progress());
     }
   }
-  std::erase_if(state_.removed_workers, [this](const WorkerId& id) {
-    return state_.workers.contains(id);
-  });
-  while (!state_.removed_workers.empty() &&
-         batch.jobs.size() + batch.removed_workers.size() < max_rows) {
-    batch.removed_workers.insert(
-        state_.removed_workers.extract(state_.removed_workers.begin()));
-  }
-  const std::set<WorkerId> without_row = state_.workers_without_row;
-  for (const WorkerId& id : without_row) {
-    if (batch.jobs.size() + batch.removed_workers.size() +
-            batch.enrolled.size() >=
-        max_rows)
-      break;
-    TrackedWorker& worker = *state_.FindWorker(id);
-    worker.enrolling = true;
-    state_.UpdateTableWork(worker);
-    batch.enrolled.push_back(worker.registration());
-  }
   // Ends must not be marked as persisted while a job that was dirty when they
   // were processed is left to write; a later batch does that.
   for (const WorkerId& id : state_.workers_with_ends) {
@@ -189,6 +171,27 @@
   return batch;
 }
 
+// Before the rows of jobs, of which there may always be more: a new worker gets
+// no tasks before its row is written.
+void Dispatcher::TakeWorkerRows(std::size_t max_rows,
+                                ProgressWriteBatch& batch) {
+  const std::set<WorkerId> without_row = state_.workers_without_row;
+  for (const WorkerId& id : without_row) {
+    if (batch.row_count() >= max_rows) return;
+    TrackedWorker& worker = *state_.FindWorker(id);
+    worker.enrolling = true;
+    state_.UpdateTableWork(worker);
+    batch.enrolled.push_back(worker.registration());
+  }
+  std::erase_if(state_.removed_workers, [this](const WorkerId& id) {
+    return state_.workers.contains(id);
+  });
+  while (!state_.removed_workers.empty() && batch.row_count() < max_rows) {
+    batch.removed_workers.insert(
+        state_.removed_workers.extract(state_.removed_workers.begin()));
+  }
+}
+
 void Dispatcher::OnSaved(TimePoint now, const ProgressWriteBatch& batch) {
   for (const WorkerRegistration& enrolled : batch.enrolled) {
     TrackedWorker* const worker = state_.FindWorker(enrolled.worker);
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -28,10 +28,11 @@
   // Highest processed end by worker: persisted once the batch is written.
   std::map<WorkerId, std::uint64_t> ends{};
 
-  // True if there is nothing to write: the ends count as persisted at once.
-  bool empty() const {
-    return jobs.empty() && enrolled.empty() && removed_workers.empty();
+  std::size_t row_count() const {
+    return jobs.size() + enrolled.size() + removed_workers.size();
   }
+  // True if there is nothing to write: the ends count as persisted at once.
+  bool empty() const { return row_count() == 0; }
 };
 
 // Schedules the tasks of all jobs on all workers. Inputs are jobs,
@@ -92,6 +93,7 @@
 
  private:
   void TimeOutAdviceRequests(TimePoint now);
+  void TakeWorkerRows(std::size_t max_rows, ProgressWriteBatch& batch);
 
   DispatchState state_;
   JobManager jobs_;
--- a/tests/dispatch/write_order_test.cc
+++ b/tests/dispatch/write_order_test.cc
@@ -82,6 +82,19 @@
   EXPECT_EQ(JobsOf(dispatcher_.TakeBatch(2)), "aa ");
 }
 
+// Guards against new workers that stay empty while the rows of jobs keep the
+// table busy.
+TEST_F(WriteOrderTest, NewWorkersAreEnrolledBeforeTheRowsOfManyJobs) {
+  for (int i = 0; i < 200; ++i) MakeDirty("job-" + std::to_string(i));
+  WorkerRegistration worker;
+  worker.worker = WorkerId("new");
+  dispatcher_.RegisterWorker(now_, worker);
+  const ProgressWriteBatch batch = dispatcher_.TakeBatch(60);
+  ASSERT_EQ(batch.enrolled.size(), 1U);
+  EXPECT_EQ(batch.enrolled.front().worker, WorkerId("new"));
+  EXPECT_EQ(batch.row_count(), 60U);
+}
+
 // Guards against rows of a failed batch that fall behind the others for good.
 TEST_F(WriteOrderTest, ManyRemovedWorkersDoNotOverfillABatch) {
   for (std::size_t i = 0; i < kRemovedWorkers; ++i) {
