Runs that workers report of occurrences or jobs not open here count

A dispatcher whose time of day is ahead opens an occurrence early. Its successor has not opened it: an end that a worker listed for it was noted as read and dropped, so the task ran again once the occurrence fell due; a run that was listed was stopped as one that no task needs. The same for a job whose row the successor had not read.

Ruled out: asking the table for the job before an end is noted (a row on its way is not there either).

Change: a reported occurrence is opened, but its other tasks are started only once it is due here (TrackedJob::due_occurrences). An end of an unknown job is kept, and neither it nor ends behind it are noted at the worker, for 3 s, the time after which a listed run of an unknown job is stopped too.

--- a/src/dispatch/job_manager.cc
+++ b/src/dispatch/job_manager.cc
@@ -71,7 +71,7 @@
   for (const auto& [number, steps] : job.occurrences) {
     for (std::size_t s = 0; s < steps.size(); ++s) {
       const StepKey key{job.record.id, number, s};
-      const bool wanted = job.IsActive() &&
+      const bool wanted = job.IsActive() && job.IsDue(number) &&
                           job.ArePredecessorsDone(number, s) &&
                           (!job.WaitingTasks(number, s).empty() ||
                            !state_.TasksToCopy(key).empty());
@@ -99,13 +99,16 @@
     bool opened = false;
     for (std::size_t k = job.finished_occurrences; k < job.OccurrenceCount();
          ++k) {
-      if (job.occurrences.contains(k)) continue;
+      if (job.occurrences.contains(k) && job.IsDue(k)) continue;
       const milliseconds due = job.DueTime(k);
-      if (due > wall) {
+      if (due > wall && !job.IsDue(k)) {
         next = std::min(next.value_or(due), due);
         break;
       }
-      if (job.occurrences.size() >= kMaxOpenOccurrences) break;
+      job.due_occurrences = std::max(job.due_occurrences, k + 1);
+      if (job.occurrences.size() >= kMaxOpenOccurrences &&
+          !job.occurrences.contains(k))
+        break;
       job.OpenOccurrence(k);
       opened = true;
     }
--- a/src/dispatch/run_manager.cc
+++ b/src/dispatch/run_manager.cc
@@ -139,6 +139,13 @@
   for (const std::uint64_t run : state_.runs.OrphansOf(id)) {
     Attach(*state_.runs.Find(run), *job);
   }
+  const auto ends = unknown_ends_.extract(id);
+  if (ends.empty()) return;
+  for (const auto& [run, end] : ends.mapped()) OnUntrackedRunEnd(*job, end);
+}
+
+void RunManager::KeepUnknownEnd(const EndedRunReport& end) {
+  unknown_ends_[end.run.task.job].insert_or_assign(end.run, end);
 }
 
 void RunManager::Attach(Run& run, TrackedJob& job) {
@@ -151,6 +158,7 @@
     worker->Occupy(run.held);
     state_.UpdateWorker(*worker);
   }
+  job.OpenReportedOccurrence(key.occurrence);
   TrackedTask* const task = job.FindTask(key);
   const bool needed = task != nullptr && job.IsActive() &&
                       !task->progress.done && task->runs.empty() &&
@@ -311,6 +319,7 @@
 }
 
 void RunManager::OnUntrackedRunEnd(TrackedJob& job, const EndedRunReport& end) {
+  job.OpenReportedOccurrence(end.run.task.occurrence);
   RecordEnd(job, end.run, end.how, end.saved);
 }
 
--- a/src/dispatch/run_manager.h
+++ b/src/dispatch/run_manager.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <string>
 
 #include "dispatch/dispatch_effect.h"
@@ -28,8 +29,12 @@
   // again.
   void Adopt(TimePoint now, TrackedWorker& worker,
              const ActiveRunReport& listed);
-  // Attaches the runs that were listed before their job was known to that job.
+  // Attaches the runs that were listed before their job was known to that job,
+  // and counts the ends that were kept.
   void AttachOrphans(const JobId& id);
+  // Keeps the end of a run whose job is not known yet.
+  void KeepUnknownEnd(const EndedRunReport& end);
+  void ForgetUnknownEnds(const JobId& job) { unknown_ends_.erase(job); }
 
   void OnStartResponse(TimePoint now, std::uint64_t run_id,
                        const CommandResponse& response);
@@ -67,6 +72,7 @@
 
   DispatchState& state_;
   JobManager& jobs_;
+  std::map<JobId, std::map<TaskRunKey, EndedRunReport>> unknown_ends_;
 };
 
 }  // namespace chivewing
--- a/src/dispatch/tracked_job.cc
+++ b/src/dispatch/tracked_job.cc
@@ -60,6 +60,12 @@
   }
 }
 
+void TrackedJob::OpenReportedOccurrence(std::size_t occurrence) {
+  if (occurrence < finished_occurrences || occurrence >= OccurrenceCount())
+    return;
+  if (!IsFinal(state)) OpenOccurrence(occurrence);
+}
+
 JobProgress TrackedJob::progress() const {
   JobProgress out;
   out.state = cancelled && !IsFinal(state) ? JobPhase::kCancelled : state;
--- a/src/dispatch/tracked_job.h
+++ b/src/dispatch/tracked_job.h
@@ -46,6 +46,9 @@
   std::uint64_t run_number_floor = 0;
   std::map<std::size_t, std::vector<TrackedStep>> occurrences{};
   std::size_t finished_occurrences = 0;
+  // Of a repeating job: the occurrences below this number are due. Tasks of
+  // later ones may be known from workers, but none is started here.
+  std::size_t due_occurrences = 0;
 
   bool IsActive() const { return !IsFinal(state) && !cancelled; }
   TrackedStep* FindStep(std::size_t occurrence, std::size_t step);
@@ -63,7 +66,14 @@
   std::vector<std::size_t> WaitingTasks(std::size_t occurrence,
                                         std::size_t step) const;
   bool IsStepDone(std::size_t occurrence, std::size_t step) const;
+  // True if the occurrence's tasks may be started.
+  bool IsDue(std::size_t occurrence) const {
+    return record.spec.repeats == 0 || occurrence < due_occurrences;
+  }
   void OpenOccurrence(std::size_t occurrence);
+  // A worker has reported a run of the occurrence, which another dispatcher has
+  // started: opens it if it can be one of this job that is not finished.
+  void OpenReportedOccurrence(std::size_t occurrence);
   JobProgress progress() const;
   void set_progress(const JobProgress& progress);
 };
--- a/src/dispatch/tracked_worker.cc
+++ b/src/dispatch/tracked_worker.cc
@@ -72,6 +72,7 @@
   processed_end = 0;
   persisted_end = 0;
   unpersisted_ends.clear();
+  unknown_ends_since = TimePoint::max();
   incarnation_start = std::chrono::milliseconds(0);
   clock_at_ = TimePoint{};
   clock_ = WorkerTimestamp(0);
--- a/src/dispatch/tracked_worker.h
+++ b/src/dispatch/tracked_worker.h
@@ -71,6 +71,9 @@
   std::uint64_t persisted_end = 0;  // newest end written to the table
   // Ends between those two, in their order.
   std::deque<UnpersistedEnd> unpersisted_ends{};
+  // Since when the worker has reported ends of jobs that are not known here;
+  // TimePoint::max() if it reports none.
+  TimePoint unknown_ends_since = TimePoint::max();
   std::uint64_t pending_poll = 0;  // 0: none
   TimePoint poll_sent{};
   TimePoint next_poll{};
--- a/src/dispatch/worker_manager.cc
+++ b/src/dispatch/worker_manager.cc
@@ -22,6 +22,11 @@
 // How often a worker is looked at whose lease has expired but whose runs may
 // not be given up yet, or which is still registered.
 constexpr std::chrono::milliseconds kExpiredCheckInterval{100};
+// Ends of unknown jobs are not taken note of for so long: the row of the job
+// may be on its way.
+constexpr std::chrono::seconds kUnknownJobTimeout{3};
+// How soon a worker that has reported such ends is polled again.
+constexpr std::chrono::milliseconds kUnknownJobPollDelay{100};
 
 }  // namespace
 
@@ -318,6 +323,8 @@
   const bool wait_for_table = worker.HasUnpersistedEnds() && !first_response;
   worker.next_poll =
       wait_for_table ? now + state_.options.end_persist_wait : now;
+  if (worker.unknown_ends_since != TimePoint::max())
+    worker.next_poll = now + kUnknownJobPollDelay;
 }
 
 void WorkerManager::OnEndsPersisted(TimePoint now, const WorkerId& id,
@@ -335,33 +342,62 @@
   UpdateAttention(now, *worker);
 }
 
+// An end of an unknown job is left for a later poll, and so is the note of the
+// ends after it: the worker lists them again, and repeating them is harmless.
 void WorkerManager::ProcessEnds(TimePoint now, TrackedWorker& worker,
                                 const PollResponse& response) {
+  bool all_known = true;
   for (const EndedRunReport& end : response.ended) {
     if (end.number <= worker.processed_end) continue;
-    worker.processed_end = end.number;
-    Run* const run = state_.runs.Find(worker.registration().worker, end.run);
-    LogRequest(LogPart::kPlacer, end.run.task.job.value(), [&] {
-      return "run ended job=" + end.run.task.job.value() +
-             " step=" + std::to_string(end.run.task.step) +
-             " task=" + std::to_string(end.run.task.index) +
-             " run=" + std::to_string(end.run.number) +
-             " how=" + std::to_string(static_cast<int>(end.how)) +
-             " worker=" + worker.registration().worker.value();
-    });
-    if (run != nullptr) {
-      runs_.End(now, run->id, end.how, end.saved);
-    } else if (TrackedJob* const job = state_.FindJob(end.run.task.job)) {
-      runs_.OnUntrackedRunEnd(*job, end);
+    if (IsOfJobOnItsWay(now, worker, end)) {
+      all_known = false;
+      continue;
     }
+    ProcessEnd(now, worker, end);
+    if (!all_known) continue;
+    worker.processed_end = end.number;
     worker.unpersisted_ends.push_back({end.number, state_.dirty.last_change()});
   }
+  if (all_known) worker.unknown_ends_since = TimePoint::max();
   if (worker.failures_in_row >= kFailuresBeforeBackoff) {
     worker.backoff_until = now + kFailureBackoff;
     worker.failures_in_row = kFailuresBeforeBackoff - 1;
   }
 }
 
+bool WorkerManager::IsOfJobOnItsWay(TimePoint now, TrackedWorker& worker,
+                                    const EndedRunReport& end) {
+  if (state_.FindJob(end.run.task.job) != nullptr) return false;
+  worker.unknown_ends_since = std::min(worker.unknown_ends_since, now);
+  if (now < worker.unknown_ends_since + kUnknownJobTimeout) {
+    runs_.KeepUnknownEnd(end);
+    return true;
+  }
+  runs_.ForgetUnknownEnds(end.run.task.job);
+  LogWarning(LogPart::kWorker, "ignoring the end of a run of an unknown job=" +
+                                   end.run.task.job.value() + " worker=" +
+                                   worker.registration().worker.value());
+  return false;
+}
+
+void WorkerManager::ProcessEnd(TimePoint now, const TrackedWorker& worker,
+                               const EndedRunReport& end) {
+  Run* const run = state_.runs.Find(worker.registration().worker, end.run);
+  LogRequest(LogPart::kPlacer, end.run.task.job.value(), [&] {
+    return "run ended job=" + end.run.task.job.value() +
+           " step=" + std::to_string(end.run.task.step) +
+           " task=" + std::to_string(end.run.task.index) +
+           " run=" + std::to_string(end.run.number) +
+           " how=" + std::to_string(static_cast<int>(end.how)) +
+           " worker=" + worker.registration().worker.value();
+  });
+  if (run != nullptr) {
+    runs_.End(now, run->id, end.how, end.saved);
+  } else if (TrackedJob* const job = state_.FindJob(end.run.task.job)) {
+    runs_.OnUntrackedRunEnd(*job, end);
+  }
+}
+
 void WorkerManager::ProcessRunning(TimePoint now, TrackedWorker& worker,
                                    const PollResponse& response) {
   for (const ActiveRunReport& listed : response.running) {
--- a/src/dispatch/worker_manager.h
+++ b/src/dispatch/worker_manager.h
@@ -56,6 +56,10 @@
   void OnRestart(TimePoint now, TrackedWorker& worker);
   void EnableCopies(const WorkerId& id);
   void ForgetAdvice(const WorkerId& id);
+  bool IsOfJobOnItsWay(TimePoint now, TrackedWorker& worker,
+                       const EndedRunReport& end);
+  void ProcessEnd(TimePoint now, const TrackedWorker& worker,
+                  const EndedRunReport& end);
   void ProcessEnds(TimePoint now, TrackedWorker& worker,
                    const PollResponse& response);
   void ProcessRunning(TimePoint now, TrackedWorker& worker,
