A start that a gateway has not sent goes back to the dispatcher

A start that had waited too long in a gateway, or whose worker the gateway could not reach, was sent again by the forwarder itself. Its job may have been cancelled since: the check of starts was passed over (open since the incident of short and unasked work).

Change: such a start ends without a response. The dispatcher repeats it when it is due, past the check, through another gateway. Stops and paces are still made directly, since they are wanted the more the later they are.

Tests: AStartThatAGatewayHasNotSentIsMadeDirectly held the fault, and is replaced by AStartThatAGatewayHasNotSentIsLeftToTheDispatcher, which also checks that another gateway gets the next attempt; AStopThatAGatewayHasNotSent IsMadeDirectly keeps the other half.

--- a/src/cluster/worker_call_forwarder.cc
+++ b/src/cluster/worker_call_forwarder.cc
@@ -243,12 +243,18 @@
   if (not_sent || response.outcome == CommandOutcome::kNoResponse) {
     assigner_.OnUnreachedWorker(now, call.gateway, worker);
   }
-  if (not_sent) {
-    ++counts_.retried;
-    MakeDirectly(std::move(call));
+  if (!not_sent) {
+    call.command_done(response);
     return;
   }
-  call.command_done(response);
+  // The command has waited. Whether a start is still wanted is for the
+  // dispatcher to say, which repeats a start without a response.
+  if (std::holds_alternative<StartRun>(call.command)) {
+    call.command_done(CommandResponse{});
+    return;
+  }
+  ++counts_.retried;
+  MakeDirectly(std::move(call));
 }
 
 void WorkerCallForwarder::OnPollResponse(TimePoint now, std::uint64_t id,
