A host whose loop hangs gives up the lease

The lease is renewed by a thread of its own, so that a late loop does not lose it.

Change: the loop tells the keeper of each turn. After 5 s without one the keeper gives the lease up and takes none until the loop turns again.

Test: ClusterHostTest.AHostWhoseLoopHangsLosesTheLease, a loop that hangs for 9 s while a second host waits; it takes over within 8 s, and no task runs twice. Not run against the code before.

--- a/src/cluster/dispatcher_runner.cc
+++ b/src/cluster/dispatcher_runner.cc
@@ -127,6 +127,7 @@
 
 void DispatcherRunner::TickLease(TimePoint now) {
   for (const TableRow& row : lease_.TakeRows()) table_watcher_.Apply(now, row);
+  lease_.OnOwnerTurn(now);
   const std::optional<TimePoint> since =
       table_watcher_.ready() ? table_watcher_.TableAvailableSince(now)
                              : std::nullopt;
--- a/src/cluster/lease_keeper.cc
+++ b/src/cluster/lease_keeper.cc
@@ -10,6 +10,9 @@
 constexpr std::size_t kRingCapacity = 4096;
 // The lease is looked at at least this often.
 constexpr std::chrono::milliseconds kMaxTickInterval{100};
+// An owner whose loop has not turned for so long hangs; a loop that is only
+// overloaded turns more often.
+constexpr std::chrono::seconds kLongestOwnerPause{5};
 
 }  // namespace
 
@@ -18,6 +21,7 @@
     : commit_(std::move(commit)),
       on_change_(std::move(on_change)),
       lease_(now, std::move(settings)),
+      owner_turned_at_(now),
       thread_(kRingCapacity) {}
 
 void LeaseKeeper::Start(TimeSource clock) {
@@ -32,13 +36,22 @@
 TimePoint LeaseKeeper::HandleEvents(TimePoint now, std::vector<Event>& events) {
   LeaseManager::Effects effects;
   for (const Event& event : events) event(now, effects);
-  if (table_ready_) lease_.Tick(now, effects);
+  if (HasOwnerStopped(now)) {
+    lease_.Relinquish(effects);
+  } else if (table_ready_) {
+    lease_.Tick(now, effects);
+  }
   Execute(effects);
   Publish(now);
   const TimePoint latest = now + kMaxTickInterval;
+  if (HasOwnerStopped(now)) return latest;
   return table_ready_ ? std::min(latest, lease_.NextTick(now)) : latest;
 }
 
+bool LeaseKeeper::HasOwnerStopped(TimePoint now) const {
+  return now > owner_turned_at_.load() + kLongestOwnerPause;
+}
+
 void LeaseKeeper::Execute(const LeaseManager::Effects& effects) {
   for (const LeaseEffect& effect : effects) {
     if (const auto* commit = std::get_if<CommitLease>(&effect)) {
--- a/src/cluster/lease_keeper.h
+++ b/src/cluster/lease_keeper.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <atomic>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -51,6 +52,9 @@
   void set_rank(std::size_t rank);
   // See LeaseManager; none also while the rows have not been read yet.
   void set_table_available_since(std::optional<TimePoint> since);
+  // The owner's loop has turned at `now`. Without turns for seconds the lease
+  // is given up, since nothing is decided under it.
+  void OnOwnerTurn(TimePoint now) { owner_turned_at_ = now; }
   // Gives up the lease without a write, to acquire it with a higher epoch.
   void Relinquish();
   // Planned stop: releases the lease for the other hosts.
@@ -65,6 +69,7 @@
  private:
   using Event = std::function<void(TimePoint, LeaseManager::Effects&)>;
 
+  bool HasOwnerStopped(TimePoint now) const;
   TimePoint HandleEvents(TimePoint now, std::vector<Event>& events);
   void Execute(const LeaseManager::Effects& effects);
   void Send(const TableTransaction& transaction);
@@ -77,6 +82,7 @@
   OnChange on_change_;
   LeaseManager lease_;  // of the keeper's thread
   bool table_ready_ = false;
+  std::atomic<TimePoint> owner_turned_at_;
   mutable std::mutex mutex_;
   State state_;                 // guarded by mutex_
   std::vector<TableRow> rows_;  // guarded by mutex_
--- a/tests/cluster/cluster_host_test.cc
+++ b/tests/cluster/cluster_host_test.cc
@@ -161,6 +161,37 @@
 
 // A peer of the host under test that records what it is sent.
 class RecordingPeer {
+// The thread that renews the lease goes on when the loop that decides hangs.
+TEST_F(ClusterHostTest, AHostWhoseLoopHangsLosesTheLease) {
+  const auto hanging = [](PlatformInterface& calls) {
+    calls.decode_job = [decode = calls.decode_job](const std::string& body) {
+      std::this_thread::sleep_for(seconds(9));
+      return decode(body);
+    };
+  };
+  Host first("h1", store_, {ports_[0], ports_[1], ports_[2], ports_[6]},
+             hanging);
+  ASSERT_TRUE(WaitFor([&] {
+    return Get(first.metrics_url).body.find("chivewing_dispatching 1") !=
+           std::string::npos;
+  }));
+  Host second("h2", store_, {ports_[3], ports_[4], ports_[5], ports_[7]});
+  ASSERT_TRUE(WaitFor([&] { return Get(second.ready_url).status == 200; }));
+  const TimePoint hung_at = BootClock::now();
+  std::thread caller([&] { first.Call("POST", "dddddddddddddddd", kJob); });
+  EXPECT_TRUE(WaitFor([&] {
+    return Get(second.metrics_url).body.find("chivewing_dispatching 1\n") !=
+           std::string::npos;
+  }));
+  EXPECT_LT(BootClock::now(), hung_at + seconds(8));
+  EXPECT_EQ(second.Call("POST", "eeeeeeeeeeeeeeee", kJob), 200);
+  EXPECT_TRUE(WaitFor([&] {
+    return second.StateOf("eeeeeeeeeeeeeeee") == R"({"state":"completed"})";
+  }));
+  caller.join();
+  EXPECT_EQ(worker_.max_concurrent_runs(), 1U);
+}
+
  public:
   RecordingPeer(const std::string& name, bool takes_job_states,
                 StoreStandin& store) {
