Repeats fall due by the time of day on which the hosts agree

An occurrence fell due by the dispatching host's own time of day. When that jumped by seconds, occurrences started early or late by as much, and again otherwise after the next take-over.

Each job row already has the accepting host's time of day beside the table's clock.

Change: SharedTimeOfDay takes the median difference of the newest 63 jobs and carries it on by the table's clock. With fewer than 7 the own time of day counts, as before.

--- a/src/cluster/dispatcher_runner.cc
+++ b/src/cluster/dispatcher_runner.cc
@@ -107,6 +107,7 @@
   Result<JobRecord> record = DecodeJobRecord(id, *row.value);
   if (!record) return;  // logged by JobStatusIndex
   record.value().row_version = row.version;
+  time_of_day_.OnJob(record.value());
   std::optional<JobProgress> progress;
   if (const TableRow* saved = table_watcher_.cache().Find(ProgressRowKey(id))) {
     const Result<JobProgress> decoded = DecodeJobProgress(*saved->value);
@@ -412,8 +413,9 @@
   if (decided_) {
     DispatchEffects effects;
     dispatcher_->set_sole_until(lease_.state().valid_until);
-    next = std::min(next,
-                    dispatcher_->Decide(now, callbacks_.wall_clock(), effects));
+    const milliseconds time_of_day = time_of_day_.At(
+        table_watcher_.clock().At(now), callbacks_.wall_clock());
+    next = std::min(next, dispatcher_->Decide(now, time_of_day, effects));
     Execute(effects);
     if (!workers_read_in_flight_) next = std::min(next, next_workers_read_);
   }
--- a/src/cluster/dispatcher_runner.h
+++ b/src/cluster/dispatcher_runner.h
@@ -15,6 +15,7 @@
 #include "cluster/lease_keeper.h"
 #include "cluster/loop_monitor.h"
 #include "cluster/platform_interface.h"
+#include "cluster/shared_time_of_day.h"
 #include "cluster/table_watcher.h"
 #include "dispatch/dispatcher.h"
 
@@ -126,6 +127,7 @@
   Callbacks callbacks_;
   LeaseKeeper lease_;
   DecisionPacer pacer_;
+  SharedTimeOfDay time_of_day_;
   bool decided_ = false;  // in the last Tick
   std::uint64_t acquired_epoch_ =
       0;  // of the lease that was last taken note of
