Hosts far from the lease are fed by the dispatching host

Change: the dispatching host sends what callers may ask of a job (queue, cancelled, state; some forty bytes) to the hosts that ask for it, with the revision of the table up to which that is complete. Those hosts then read one row a second, for the reach, the clock and the revision of the table. A gap in the numbers, a silent second, a feed behind the table or another dispatching host: they read the changes since the last message and ask again. The eight hosts next in line for the lease read all rows as before; any other reads all rows before it dispatches, and takes no lease while it is fed, since it does not see the renewals.

JobFeed takes the place of JobStatesPush; hosts of older builds neither ask nor are asked (takes_job_feed in their rows).

What is known of the other hosts moves from ClusterHost into PeerDirectory.

--- a/src/cluster/cluster_host.cc
+++ b/src/cluster/cluster_host.cc
@@ -18,15 +18,14 @@
 // Peers push rows; polling the table finds rows that were not pushed.
 constexpr milliseconds kDispatchingPollInterval{100};
 constexpr milliseconds kSuccessorPollInterval{300};
-// Hosts that are far from taking the lease hear of states from the dispatching
-// host: what they read only grows the volume, by their number times the rows.
+// Hosts that are far from taking the lease are fed by the dispatching host:
+// what they read only grows the volume, by their number times the rows.
 constexpr milliseconds kStandbyPollInterval{1000};
 // Hosts that are next in line for the lease.
 constexpr std::size_t kSuccessors = 8;
 // How long callers are still served after a graceful stop has begun.
 constexpr milliseconds kMaxStopGracePeriod{2500};
 constexpr milliseconds kMaxTickInterval{500};
-constexpr double kMilliPerCore = 1000;
 constexpr milliseconds kGatewayOfferInterval{1000};
 const char* const kMeshKey = "chivewing-cluster";
 
@@ -38,7 +37,7 @@
           incarnation,
           ProcessorMilli(settings),
           /*takes_worker_calls=*/true,
-          /*takes_job_states=*/true};
+          /*takes_job_feed=*/true};
 }
 
 }  // namespace
@@ -53,7 +52,7 @@
           platform,
           [this](auto run) { Post(LoopWork::kTable, std::move(run)); }),
       table_watcher_(
-          platform.table,
+          platform.table, HostRowKey(settings_.host),
           [this](auto run) { Post(LoopWork::kTable, std::move(run)); },
           [this](TimePoint now, const TableRow& row) { OnRow(now, row); }),
       host_row_writer_(
@@ -176,7 +175,7 @@
   metrics.is_table_unreachable = table_watcher_.IsTableUnreachable(now);
   metrics.desired_state_version = desired_state_.cache().state().version;
   metrics.jobs_known = job_status_.size();
-  metrics.peers_up = connected_peers_.size();
+  metrics.peers_up = peers_.connected().size();
   metrics.callers = &caller_requests_.counters();
   metrics.dispatcher = dispatcher_runner_.dispatcher();
   return WriteMetrics(metrics);
@@ -221,14 +220,16 @@
   }
   host_row_writer_.Tick(now);
   OfferAsGateway(now);
+  RequestJobFeed(now);
   TimePoint next = now + kMaxTickInterval;
   next = std::min(next, desired_state_.Tick(now));
   table_watcher_.set_min_poll_interval(TablePollInterval());
+  table_watcher_.set_needs_all_rows(NeedsAllRows());
   next = std::min(next, table_watcher_.Tick(now));
   next = std::min(next, caller_requests_.Tick(now));
   measured = AccountSince(measured, LoopWork::kTableTimer);
-  PushStateChanges(now);
-  next = std::min(next, state_changes_.due());
+  SendJobFeed(now);
+  next = std::min(next, feed_sender_.due());
   const TimePoint deciding_from = measured;
   next = std::min(next, dispatcher_runner_.Tick(now));
   next = std::min(next, worker_calls_.Flush(now));
@@ -249,6 +250,10 @@
                                    : kStandbyPollInterval;
 }
 
+bool ClusterHost::NeedsAllRows() const {
+  return dispatcher_runner_.dispatching() || lease_rank_ < kSuccessors;
+}
+
 // The load of the dispatching host: without it, a lease that was lost to load
 // cannot be told from one that was lost to the network.
 void ClusterHost::LogLoad(TimePoint now) {
@@ -260,41 +265,67 @@
 }
 
 void ClusterHost::OnRow(TimePoint now, const TableRow& row) {
-  const std::optional<JobPhase> new_state = job_status_.OnRow(row);
-  if (new_state && dispatcher_runner_.dispatching()) {
-    state_changes_.Add(now, {JobOfRowKey(row.key, kProgressRows), *new_state});
-  }
+  const std::optional<JobId> changed_job = job_status_.OnRow(row);
+  if (changed_job) feed_sender_.AddJob(now, *changed_job);
+  if (IsFeedRow(row.key)) feed_sender_.AddRow(now, row);
   if (row.key.starts_with(kHostRowPrefix)) OnHostRow(row);
   // Before the peers are disconnected: a dispatcher that ends here makes no
   // more calls, and its calls through them are not lost but forgotten.
   dispatcher_runner_.OnRow(now, row);
-  if (row.key.starts_with("placer/") && row.value) {
-    if (const auto lease = DecodeLeaseRow(*row.value)) {
-      if (lease->host != dispatching_host_) {
-        dispatching_host_ = lease->host;
-        LogInfo(LogPart::kPeer,
-                "dispatching host changed to " + dispatching_host_.value());
-        ConnectPeers();
-        AnnounceDispatching();
-      }
-    }
+  if (row.key == LeaseManager::RowKey(ZoneId(kDispatcherZone))) OnLeaseRow(row);
+}
+
+void ClusterHost::OnLeaseRow(const TableRow& row) {
+  const auto lease = row.value ? DecodeLeaseRow(*row.value) : std::nullopt;
+  if (!lease || lease->host == dispatching_host_) return;
+  dispatching_host_ = lease->host;
+  LogInfo(LogPart::kPeer,
+          "dispatching host changed to " + dispatching_host_.value());
+  feed_receiver_.set_sender(
+      dispatching_host_ == settings_.host ? HostId() : dispatching_host_);
+  ConnectPeers();
+  AnnounceDispatching();
+}
+
+// Callers may ask any host for a state, and the rows are much larger than what
+// callers ask for.
+void ClusterHost::SendJobFeed(TimePoint now) {
+  if (!dispatcher_runner_.dispatching()) {
+    feed_sender_.Stop();
+    return;
   }
+  const std::optional<JobFeed> feed =
+      feed_sender_.TakeDue(now, table_watcher_.cache().revision(), job_status_);
+  if (!feed) return;
+  const std::set<HostId>& receivers = feed_sender_.receivers();
+  mesh_->SendToEach({receivers.begin(), receivers.end()}, PeerMessage(*feed));
+}
+
+void ClusterHost::RequestJobFeed(TimePoint now) {
+  if (!table_watcher_.ready() || !peers_.TakesJobFeed(dispatching_host_))
+    return;
+  if (!feed_receiver_.TakeRequest(now)) return;
+  mesh_->Send(dispatching_host_,
+              PeerMessage(JobFeedRequest{table_watcher_.cache().revision()}));
+}
+
+void ClusterHost::OnJobFeedRequest(const HostId& from,
+                                   const JobFeedRequest& request) {
+  if (!dispatcher_runner_.dispatching()) return;
+  const std::optional<JobFeed> first = feed_sender_.AddReceiver(
+      from, request.since, table_watcher_.cache(), job_status_);
+  if (first && !mesh_->Send(from, PeerMessage(*first)))
+    feed_sender_.RemoveReceiver(from);
 }
 
-// Callers may ask any host for a state. The other hosts read the rows later,
-// and the rows are much larger than what callers ask for.
-void ClusterHost::PushStateChanges(TimePoint now) {
-  const std::optional<JobStatesPush> push = state_changes_.TakeDue(now);
-  if (!push) return;
-  std::vector<HostId> receivers;
-  for (const auto& [host, incarnation] : peer_incarnations_) {
-    const auto row = other_hosts_.find(host);
-    const bool takes_states = row != other_hosts_.end() &&
-                              row->second.takes_job_states &&
-                              row->second.incarnation == incarnation;
-    if (takes_states) receivers.push_back(host);
+void ClusterHost::OnJobFeed(TimePoint now, const PeerMessageReceived& received,
+                            const JobFeed& feed) {
+  for (const TableRow& row : feed.rows) table_watcher_.Apply(now, row);
+  for (const JobStatusChange& change : feed.changes) {
+    job_status_.OnChange(change);
   }
-  mesh_->SendToEach(receivers, PeerMessage(*push));
+  if (feed_receiver_.OnFeed(now, received.from, received.incarnation, feed))
+    table_watcher_.OnFed(now, feed.through);
 }
 
 // Pushes a row that was committed or read for a caller to the dispatching host,
@@ -314,7 +345,7 @@
     return;
   }
   if (!row.value) {
-    other_hosts_.erase(host);
+    peers_.RemoveRow(host);
     mesh_->RemovePeer(host);
     mesh_peers_.erase(host);
     return;
@@ -325,28 +356,27 @@
                                  row.key + " why=" + decoded.error().detail);
     return;
   }
-  const auto known = other_hosts_.find(host);
-  const bool moved = known != other_hosts_.end() &&
-                     known->second.address != decoded.value().address;
-  other_hosts_[host] = decoded.value();
+  const HostRow* const known = peers_.FindRow(host);
+  const bool moved =
+      known != nullptr && known->address != decoded.value().address;
+  peers_.SetRow(decoded.value());
   if (moved) mesh_peers_.erase(host);
   ConnectPeers();
 }
 
 // The dispatching host connects to all others, and they connect to it.
 void ClusterHost::ConnectPeers() {
-  for (const auto& [host, row] : other_hosts_) {
+  for (const auto& [host, row] : peers_.rows()) {
     const bool wanted =
         dispatching_host_ == settings_.host || dispatching_host_ == host;
     if (wanted && mesh_peers_.insert(host).second) {
       mesh_->AddPeer({host, row.address});
     } else if (!wanted && mesh_peers_.erase(host) > 0) {
       mesh_->RemovePeer(host);
-      connected_peers_.erase(host);
-      peer_incarnations_.erase(host);
+      peers_.OnDisconnected(host);
     }
   }
-  lease_rank_ = LeaseRank(own_row_, other_hosts_);
+  lease_rank_ = LeaseRank(own_row_, peers_.rows());
   dispatcher_runner_.set_rank(lease_rank_);
   UpdateAdviceHosts();
 }
@@ -354,7 +384,8 @@
 // A host that reads the table seldom, or that the table turns away, learns from
 // the dispatching host itself where to connect to.
 void ClusterHost::AnnounceDispatching() {
-  for (const HostId& peer : connected_peers_) AnnounceDispatchingTo(peer);
+  for (const auto& [peer, incarnation] : peers_.connected())
+    AnnounceDispatchingTo(peer);
 }
 
 void ClusterHost::AnnounceDispatchingTo(const HostId& peer) {
@@ -372,53 +403,19 @@
 // Responses to advice requests come over the connection that the other host
 // has made: one that has not learned yet where to connect to is not asked.
 void ClusterHost::UpdateAdviceHosts() {
-  std::set<HostId> advice_hosts{settings_.host};
-  for (const HostId& peer : connected_peers_) {
-    if (!TakesWorkerCalls(peer) || HasOffered(peer)) advice_hosts.insert(peer);
-  }
+  std::set<HostId> advice_hosts = peers_.AdviceHosts();
+  advice_hosts.insert(settings_.host);
   dispatcher_runner_.set_advice_hosts(std::move(advice_hosts));
-  UpdateGateways();
-}
-
-// A host that has offered itself also has a connection to this one, for its
-// responses.
-void ClusterHost::UpdateGateways() {
-  std::vector<GatewayOption> options;
-  for (const auto& [host, incarnation] : peer_incarnations_) {
-    if (!HasOffered(host) || !TakesWorkerCalls(host)) continue;
-    const HostRow& row = other_hosts_.at(host);
-    GatewayOption option{host, row.zone};
-    if (row.processor_milli > 0) {
-      option.processor_share =
-          static_cast<double>(row.processor_milli) / kMilliPerCore;
-    }
-    options.push_back(option);
-  }
-  worker_calls_.SetGateways(options);
-}
-
-// A host whose row is of another process than the connection may run another
-// build, which may not know the messages.
-bool ClusterHost::TakesWorkerCalls(const HostId& host) const {
-  const auto row = other_hosts_.find(host);
-  const auto peer = peer_incarnations_.find(host);
-  return row != other_hosts_.end() && peer != peer_incarnations_.end() &&
-         row->second.takes_worker_calls &&
-         row->second.incarnation == peer->second;
-}
-
-bool ClusterHost::HasOffered(const HostId& host) const {
-  const auto offered = offered_gateways_.find(host);
-  const auto peer = peer_incarnations_.find(host);
-  return offered != offered_gateways_.end() &&
-         peer != peer_incarnations_.end() && offered->second == peer->second;
+  // A host that has offered itself also has a connection to this one, for its
+  // responses.
+  worker_calls_.SetGateways(peers_.Gateways());
 }
 
 // Offers this host to the dispatching one, again and again because a message
 // may be lost with its connection.
 void ClusterHost::OfferAsGateway(TimePoint now) {
   if (now < next_gateway_offer_ || stopping_) return;
-  if (!TakesWorkerCalls(dispatching_host_)) return;
+  if (!peers_.TakesWorkerCalls(dispatching_host_)) return;
   next_gateway_offer_ = now + kGatewayOfferInterval;
   mesh_->Send(dispatching_host_, PeerMessage(WorkerCallResponses{}));
 }
@@ -434,15 +431,14 @@
 void ClusterHost::OnPeerEvent(TimePoint now, TimePoint received_at,
                               const PeerEvent& event) {
   if (const auto* up = std::get_if<PeerUp>(&event)) {
-    connected_peers_.insert(up->host);
-    peer_incarnations_[up->host] = up->incarnation;
+    peers_.OnConnected(up->host, up->incarnation);
     if (up->host == dispatching_host_) next_gateway_offer_ = now;
     AnnounceDispatchingTo(up->host);
     LogInfo(LogPart::kPeer, "peer connected host=" + up->host.value());
     UpdateAdviceHosts();
   } else if (const auto* down = std::get_if<PeerDown>(&event)) {
-    connected_peers_.erase(down->host);
-    peer_incarnations_.erase(down->host);
+    peers_.OnDisconnected(down->host);
+    feed_sender_.RemoveReceiver(down->host);
     UpdateAdviceHosts();
     LogWarning(LogPart::kPeer, "peer disconnected host=" + down->host.value());
   } else if (const auto* received = std::get_if<PeerMessageReceived>(&event)) {
@@ -454,11 +450,11 @@
                                 const PeerMessageReceived& received) {
   if (const auto* push = std::get_if<RowsPush>(&received.message)) {
     for (const TableRow& row : push->rows) table_watcher_.Apply(now, row);
-  } else if (const auto* states =
-                 std::get_if<JobStatesPush>(&received.message)) {
-    for (const JobStateChange& change : states->changes) {
-      job_status_.OnCommittedState(change.job, change.state);
-    }
+  } else if (const auto* feed = std::get_if<JobFeed>(&received.message)) {
+    OnJobFeed(now, received, *feed);
+  } else if (const auto* feed_request =
+                 std::get_if<JobFeedRequest>(&received.message)) {
+    OnJobFeedRequest(received.from, *feed_request);
   } else if (const auto* request =
                  std::get_if<PeerAdviceRequest>(&received.message)) {
     OnPeerAdviceRequest(received.from, *request);
@@ -475,10 +471,8 @@
     worker_gateway_.OnCalls(now, received_at, received.from, *calls);
   } else if (const auto* responses =
                  std::get_if<WorkerCallResponses>(&received.message)) {
-    if (std::exchange(offered_gateways_[received.from], received.incarnation) !=
-        received.incarnation) {
+    if (peers_.OnOffer(received.from, received.incarnation))
       UpdateAdviceHosts();
-    }
     worker_calls_.OnResponses(now, received.from, *responses);
   }
 }
--- a/src/cluster/cluster_host.h
+++ b/src/cluster/cluster_host.h
@@ -3,18 +3,21 @@
 #include <atomic>
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
+#include <vector>
 
 #include "base/result.h"
 #include "cluster/caller_request_handler.h"
 #include "cluster/cluster_settings.h"
 #include "cluster/desired_state_watcher.h"
 #include "cluster/dispatcher_runner.h"
-#include "cluster/host_row.h"
 #include "cluster/host_row_writer.h"
-#include "cluster/job_state_outbox.h"
+#include "cluster/job_feed_receiver.h"
+#include "cluster/job_feed_sender.h"
 #include "cluster/job_status_index.h"
 #include "cluster/loop_monitor.h"
+#include "cluster/peer_directory.h"
 #include "cluster/platform_interface.h"
 #include "cluster/table_watcher.h"
 #include "cluster/worker_call_forwarder.h"
@@ -61,9 +64,16 @@
   Status StartMetrics();
   std::string MetricsText(TimePoint now) const;
   void OnRow(TimePoint now, const TableRow& row);
-  void PushStateChanges(TimePoint now);
+  void SendJobFeed(TimePoint now);
+  void RequestJobFeed(TimePoint now);
+  void OnJobFeedRequest(const HostId& from, const JobFeedRequest& request);
+  void OnJobFeed(TimePoint now, const PeerMessageReceived& received,
+                 const JobFeed& feed);
+  // True if this host may have to dispatch soon, or does.
+  bool NeedsAllRows() const;
   void OnCallerRow(TimePoint now, const TableRow& row);
   void OnHostRow(const TableRow& row);
+  void OnLeaseRow(const TableRow& row);
   void ConnectPeers();
   void OnPeerEvent(TimePoint now, TimePoint received_at,
                    const PeerEvent& event);
@@ -73,11 +83,6 @@
   void OnPeerAdviceRequest(const HostId& from,
                            const PeerAdviceRequest& request);
   void UpdateAdviceHosts();
-  void UpdateGateways();
-  // True if the connected process of the host knows the messages of gateways.
-  bool TakesWorkerCalls(const HostId& host) const;
-  // True if the connected process of the host has offered to make calls.
-  bool HasOffered(const HostId& host) const;
   void OfferAsGateway(TimePoint now);
   // If this host dispatches: sends the connected peers, or one of them, the
   // rows that say so and where it is.
@@ -97,13 +102,10 @@
   WorkerCallForwarder worker_calls_;
   WorkerGateway worker_gateway_;
   DispatcherRunner dispatcher_runner_;
-  std::map<HostId, HostRow> other_hosts_;  // without this host
-  std::set<HostId> connected_peers_;
-  std::map<HostId, std::uint64_t> peer_incarnations_;  // of connected peers
-  // Incarnations of the hosts that have offered to make calls to workers.
-  std::map<HostId, std::uint64_t> offered_gateways_;
+  PeerDirectory peers_;
   TimePoint next_gateway_offer_{};
-  JobStateOutbox state_changes_;  // not yet sent to the other hosts
+  JobFeedSender feed_sender_;
+  JobFeedReceiver feed_receiver_;
   std::set<HostId> mesh_peers_;
   HostId dispatching_host_;
   std::size_t lease_rank_ = 0;
--- a/src/cluster/dispatcher_runner.cc
+++ b/src/cluster/dispatcher_runner.cc
@@ -127,8 +127,8 @@
 }
 
 void DispatcherRunner::TickLease(TimePoint now) {
-  for (const TableRow& row : lease_.TakeRows()) table_watcher_.Apply(now, row);
   lease_.OnOwnerTurn(now);
+  for (const TableRow& row : lease_.TakeRows()) table_watcher_.Apply(now, row);
   const std::optional<TimePoint> since =
       table_watcher_.ready() ? table_watcher_.TableAvailableSince(now)
                              : std::nullopt;
--- a/src/cluster/host_row.cc
+++ b/src/cluster/host_row.cc
@@ -17,7 +17,7 @@
                               {"incarnation", row.incarnation},
                               {"processor_milli", row.processor_milli},
                               {"takes_worker_calls", row.takes_worker_calls},
-                              {"takes_job_states", row.takes_job_states}};
+                              {"takes_job_feed", row.takes_job_feed}};
   return out.dump();
 }
 
@@ -33,7 +33,7 @@
   // Absent from rows that earlier versions have written.
   out.processor_milli = reader.Integer("processor_milli", 0);
   out.takes_worker_calls = reader.Flag("takes_worker_calls", false);
-  out.takes_job_states = reader.Flag("takes_job_states", false);
+  out.takes_job_feed = reader.Flag("takes_job_feed", false);
   if (!reader.good()) return Error{ResultCode::kBadRequest, reader.problem()};
   return out;
 }
--- a/src/cluster/host_row.h
+++ b/src/cluster/host_row.h
@@ -21,8 +21,8 @@
   std::int64_t processor_milli = 0;
   // True if the host takes WorkerCalls; older builds do not know them.
   bool takes_worker_calls = false;
-  // True if the host takes JobStatesPush; older builds do not know it.
-  bool takes_job_states = false;
+  // True if the host takes JobFeed and JobFeedRequest; older builds do not.
+  bool takes_job_feed = false;
 };
 
 std::string HostRowKey(const HostId& host);
--- a/src/cluster/job_status_index.cc
+++ b/src/cluster/job_status_index.cc
@@ -7,10 +7,10 @@
 
 namespace chivewing {
 
-std::optional<JobPhase> JobStatusIndex::OnRow(const TableRow& row) {
+std::optional<JobId> JobStatusIndex::OnRow(const TableRow& row) {
   const std::string_view key = row.key;
   if (key.starts_with(kJobRows)) {
-    const JobId job = JobOfRowKey(key, kJobRows);
+    JobId job = JobOfRowKey(key, kJobRows);
     if (!row.value) {
       entries_.erase(job);
       return std::nullopt;
@@ -24,22 +24,43 @@
     Entry& entry = entries_[job];
     entry.accepted = true;
     entry.queue = record.value().queue.name;
-  } else if (key.starts_with(kCancelRows) && row.value) {
-    entries_[JobOfRowKey(key, kCancelRows)].cancelled = true;
-  } else if (key.starts_with(kProgressRows) && row.value) {
+    return job;
+  }
+  if (key.starts_with(kCancelRows) && row.value) {
+    JobId job = JobOfRowKey(key, kCancelRows);
+    entries_[job].cancelled = true;
+    return job;
+  }
+  if (key.starts_with(kProgressRows) && row.value) {
     const Result<JobPhase> state = DecodeJobPhase(*row.value);
     if (!state) {
       LogError(LogPart::kPlacer, "row cannot be decoded; ignoring it key=" +
                                      row.key + " why=" + state.error().detail);
       return std::nullopt;
     }
-    if (OnCommittedState(JobOfRowKey(key, kProgressRows), state.value()))
-      return state.value();
+    JobId job = JobOfRowKey(key, kProgressRows);
+    if (Advance(job, state.value())) return job;
   }
   return std::nullopt;
 }
 
-bool JobStatusIndex::OnCommittedState(const JobId& job, JobPhase state) {
+void JobStatusIndex::OnChange(const JobStatusChange& change) {
+  Entry& entry = entries_[change.job];
+  if (!change.queue.empty()) {
+    entry.accepted = true;
+    entry.queue = change.queue;
+  }
+  entry.cancelled |= change.cancelled;
+  Advance(change.job, change.state);
+}
+
+JobStatusChange JobStatusIndex::StatusOf(const JobId& job) const {
+  const auto found = entries_.find(job);
+  const Entry entry = found == entries_.end() ? Entry{} : found->second;
+  return {job, entry.queue, entry.cancelled, entry.phase};
+}
+
+bool JobStatusIndex::Advance(const JobId& job, JobPhase state) {
   JobPhase& phase = entries_[job].phase;
   if (IsFinal(phase) || state <= phase) return false;
   phase = state;
--- a/src/cluster/job_status_index.h
+++ b/src/cluster/job_status_index.h
@@ -7,6 +7,7 @@
 
 #include "dispatch/job_progress.h"
 #include "dispatch/job_record.h"
+#include "peer/messages.h"
 #include "store/table.h"
 
 namespace chivewing {
@@ -15,14 +16,15 @@
 // responses to callers at any host. No I/O.
 class JobStatusIndex {
  public:
-  // Applies a job, cancel or progress row; ignores other rows. Returns the
-  // job's new state if the row is a progress row that changes it.
-  std::optional<JobPhase> OnRow(const TableRow& row);
-  // Applies a state that has been committed, ahead of its row. States only
-  // move forward, so the rows before it have no effect. Returns whether the
-  // state has changed.
-  bool OnCommittedState(const JobId& job, JobPhase state);
-
+  // Applies a job, cancel or progress row; ignores other rows. Returns the job
+  // if the row changes what callers are told of it.
+  std::optional<JobId> OnRow(const TableRow& row);
+  // Applies what another host has read, possibly ahead of the rows. States only
+  // move forward, so rows from before it have no effect.
+  void OnChange(const JobStatusChange& change);
+
+  // All that is known of a job, for OnChange of another host.
+  JobStatusChange StatusOf(const JobId& job) const;
   // The state of a job, or none if its job row is not known.
   std::optional<JobPhase> PhaseOf(const JobId& job) const;
   // Number of jobs of a queue of which no task has started.
@@ -37,6 +39,8 @@
     std::string queue{};
   };
   bool IsWaiting(const Entry& entry) const;
+  // Returns whether the state has changed.
+  bool Advance(const JobId& job, JobPhase state);
 
   std::map<JobId, Entry> entries_;
 };
--- a/src/cluster/table_watcher.cc
+++ b/src/cluster/table_watcher.cc
@@ -17,21 +17,44 @@
 constexpr std::chrono::milliseconds kInitialRetryDelay{100};
 constexpr int kMaxRetryDoublings =
     1;  // kept short: callers are rejected meanwhile
+// A feed that has been silent for so long does not count any more.
+constexpr std::chrono::milliseconds kFeedSilenceLimit{1000};
 
 }  // namespace
 
 TimePoint TableWatcher::Tick(TimePoint now) {
   if (read_in_flight_) return TimePoint::max();
   if (now < next_read_) return next_read_;
-  if (ready_) {
-    ReadChanges();
-  } else {
+  if (MustReadAll()) {
     ReadAll();
+  } else if (IsFed(now)) {
+    Probe();
+  } else {
+    ReadChanges();
   }
   read_sent_at_ = now;
   return TimePoint::max();
 }
 
+bool TableWatcher::MustReadAll() const {
+  if (!ready_) return true;
+  return !has_all_rows_ && (needs_all_rows_ || !catch_up_waiters_.empty());
+}
+
+void TableWatcher::set_needs_all_rows(bool needed) {
+  needs_all_rows_ = needed;
+  if (needed) fed_until_ = TimePoint{};
+}
+
+void TableWatcher::OnFed(TimePoint now, std::uint64_t revision) {
+  if (!ready_ || needs_all_rows_ || !catch_up_waiters_.empty()) return;
+  if (revision < least_fed_revision_) return;
+  has_all_rows_ = false;
+  available_since_ = TimePoint{};
+  cache_.set_revision(revision);
+  fed_until_ = now + kFeedSilenceLimit;
+}
+
 bool TableWatcher::IsTableUnreachable(TimePoint now) const {
   if (last_response_at_ == TimePoint{}) return false;
   const bool read_overdue =
@@ -44,7 +67,8 @@
 
 std::optional<TimePoint> TableWatcher::TableAvailableSince(
     TimePoint now) const {
-  if (IsTableUnreachable(now)) return std::nullopt;
+  const bool reads_changes = !IsFed(now) && available_since_ != TimePoint{};
+  if (IsTableUnreachable(now) || !reads_changes) return std::nullopt;
   return available_since_;
 }
 
@@ -54,6 +78,7 @@
 
 void TableWatcher::CatchUp(TimePoint now, std::function<void(TimePoint)> done) {
   catch_up_waiters_.emplace_back(now, std::move(done));
+  fed_until_ = TimePoint{};
   // Drops the read in flight: it may wait for a change that never comes.
   if (ready_) {
     read_in_flight_ = false;
@@ -67,7 +92,9 @@
   const std::uint64_t read_number = ++read_number_;
   table_.read_all([this, read_number](const ChangesResponse& response) {
     post_([this, read_number, response](TimePoint now) {
-      if (read_number == read_number_) OnReadResponse(now, response, true);
+      if (read_number != read_number_) return;
+      has_all_rows_ |= response.ok;
+      OnReadResponse(now, response, true);
     });
   });
 }
@@ -88,6 +115,50 @@
                  });
 }
 
+void TableWatcher::Probe() {
+  read_in_flight_ = true;
+  const std::uint64_t read_number = ++read_number_;
+  table_.read(probe_key_, [this, read_number](const ReadResponse& response) {
+    post_([this, read_number, response](TimePoint now) {
+      if (read_number == read_number_) OnProbeResponse(now, response);
+    });
+  });
+}
+
+void TableWatcher::OnProbeResponse(TimePoint now,
+                                   const ReadResponse& response) {
+  read_in_flight_ = false;
+  if (!response.ok) {
+    OnReadError(now);
+    return;
+  }
+  OnReached(now, response.clock);
+  next_read_ = std::max(now, read_sent_at_ + min_poll_interval_);
+  // From one probe to the next, a feed reaches what the first one has seen.
+  least_fed_revision_ = probed_revision_;
+  probed_revision_ = response.revision;
+  if (cache_.revision() >= least_fed_revision_) return;
+  LogWarning(LogPart::kPlatform,
+             "the feed of job states is behind the table; reading the table "
+             "revision=" +
+                 std::to_string(cache_.revision()) +
+                 " table=" + std::to_string(least_fed_revision_));
+  fed_until_ = TimePoint{};
+  next_read_ = now;
+}
+
+void TableWatcher::OnReached(
+    TimePoint now, const std::optional<std::chrono::milliseconds>& clock) {
+  if (consecutive_errors_ > 0) {
+    LogInfo(LogPart::kPlatform, "table responds again after faults=" +
+                                    std::to_string(consecutive_errors_));
+  }
+  consecutive_errors_ = 0;
+  last_response_at_ = now;
+  cache_.set_last_response_time(now);
+  if (clock) clock_.OnReading(now, *clock);
+}
+
 void TableWatcher::OnReadResponse(TimePoint now,
                                   const ChangesResponse& response,
                                   bool complete) {
@@ -104,19 +175,12 @@
     OnReadError(now);
     return;
   }
-  if (consecutive_errors_ > 0) {
-    LogInfo(LogPart::kPlatform, "table responds again after faults=" +
-                                    std::to_string(consecutive_errors_));
-  }
-  if (consecutive_errors_ > 0 || last_response_at_ == TimePoint{})
-    available_since_ = now;
-  consecutive_errors_ = 0;
-  last_response_at_ = now;
-  if (response.clock) clock_.OnReading(now, *response.clock);
+  const bool was_away = consecutive_errors_ > 0;
+  OnReached(now, response.clock);
+  if (was_away || available_since_ == TimePoint{}) available_since_ = now;
   ready_ = true;
   for (const TableRow& row : response.rows) Apply(now, row);
   cache_.set_revision(response.revision);
-  cache_.set_last_response_time(now);
   if (!complete) {
     next_read_ = now;
     return;
--- a/src/cluster/table_watcher.h
+++ b/src/cluster/table_watcher.h
@@ -4,6 +4,9 @@
 #include <cstdint>
 #include <functional>
 #include <optional>
+#include <string>
+#include <utility>
+#include <vector>
 
 #include "base/time.h"
 #include "store/row_cache.h"
@@ -12,18 +15,23 @@
 
 namespace chivewing {
 
-// Caches all rows of the table: reads them once, then polls for changes, and
-// reads all again when the table no longer has the history since its revision.
-// Rows pushed by peers are applied too. Calls the table and runs on the thread
-// of its owner.
+// Caches rows of the table: reads all once, then polls for changes, and reads
+// all again when the table no longer has the history since its revision. Rows
+// pushed by peers are applied too. While a peer feeds this host with what it
+// needs of the changes, only a single row is polled, for the table's clock and
+// reach. Calls the table and runs on the thread of its owner.
 class TableWatcher {
  public:
   // Runs a function on the owner's thread.
   using Post = std::function<void(std::function<void(TimePoint)>)>;
   using RowCallback = std::function<void(TimePoint, const TableRow&)>;
 
-  TableWatcher(TableInterface table, Post post, RowCallback on_row)
+  // `probe_key` is the key of the row that is polled while a peer feeds this
+  // host.
+  TableWatcher(TableInterface table, std::string probe_key, Post post,
+               RowCallback on_row)
       : table_(std::move(table)),
+        probe_key_(std::move(probe_key)),
         post_(std::move(post)),
         on_row_(std::move(on_row)) {}
 
@@ -35,35 +43,58 @@
   void set_min_poll_interval(std::chrono::milliseconds interval) {
     min_poll_interval_ = interval;
   }
-  // Calls `done` once all changes committed before `now` have been applied.
+  // While set, feeds do not count: the cache is to hold all rows, as that of a
+  // host that may have to dispatch soon.
+  void set_needs_all_rows(bool needed);
+  // A peer has told this host all that it needs of the changes up to this
+  // revision of the table.
+  void OnFed(TimePoint now, std::uint64_t revision);
+  // Calls `done` once all rows and all changes committed before `now` have been
+  // applied.
   void CatchUp(TimePoint now, std::function<void(TimePoint)> done);
 
   // True if the table has not responded for so long that it counts as
   // unreachable from this host.
   bool IsTableUnreachable(TimePoint now) const;
-  // Since when the table has responded without an error; none while it is
-  // unreachable.
+  // Since when the changes of the table have been read without an error; none
+  // while it is unreachable or a peer feeds this host.
   std::optional<TimePoint> TableAvailableSince(TimePoint now) const;
   // True once all rows have been read, until the history is lost.
   bool ready() const { return ready_; }
+  // True while a peer feeds this host.
+  bool IsFed(TimePoint now) const { return now < fed_until_; }
   const RowCache& cache() const { return cache_; }
   const TableClock& clock() const { return clock_; }
 
  private:
   void ReadAll();
   void ReadChanges();
+  void Probe();
+  void OnProbeResponse(TimePoint now, const ReadResponse& response);
+  // Notes a response without an error.
+  void OnReached(TimePoint now,
+                 const std::optional<std::chrono::milliseconds>& clock);
+  bool MustReadAll() const;
   void OnReadResponse(TimePoint now, const ChangesResponse& response,
                       bool complete);
   void OnReadError(TimePoint now);
 
   TableInterface table_;
+  const std::string probe_key_;
   Post post_;
   RowCallback on_row_;
   RowCache cache_;
   TableClock clock_;
   bool ready_ = false;
-  bool read_in_flight_ = false;    // a response is awaited
-  std::uint64_t read_number_ = 0;  // responses to earlier reads are ignored
+  // False once a feed has taken the place of reading changes.
+  bool has_all_rows_ = false;
+  bool needs_all_rows_ = false;
+  TimePoint fed_until_{};
+  // A feed that has not reached this revision has fallen behind the table.
+  std::uint64_t least_fed_revision_ = 0;
+  std::uint64_t probed_revision_ = 0;  // of the table, at the last probe
+  bool read_in_flight_ = false;        // a response is awaited
+  std::uint64_t read_number_ = 0;      // responses to earlier reads are ignored
   TimePoint read_sent_at_{};
   TimePoint next_read_{};
   std::chrono::milliseconds min_poll_interval_{250};
--- a/src/peer/message_codec.cc
+++ b/src/peer/message_codec.cc
@@ -143,12 +143,16 @@
   visit(m.commands, m.polls);
 }
 template <typename Visitor>
-void Fields(Visitor& visit, JobStateChange& m) {
-  visit(m.job, m.state);
+void Fields(Visitor& visit, JobStatusChange& m) {
+  visit(m.job, m.queue, m.cancelled, m.state);
 }
 template <typename Visitor>
-void Fields(Visitor& visit, JobStatesPush& m) {
-  visit(m.changes);
+void Fields(Visitor& visit, JobFeed& m) {
+  visit(m.number, m.is_first, m.through, m.changes, m.rows);
+}
+template <typename Visitor>
+void Fields(Visitor& visit, JobFeedRequest& m) {
+  visit(m.since);
 }
 
 // Counts the fields of a structure: the size of its msgpack array.
--- a/src/peer/messages.h
+++ b/src/peer/messages.h
@@ -184,22 +184,40 @@
   std::vector<ForwardedPollResponse> polls;
 };
 
-struct JobStateChange {
+// What callers are told of a job, after a change of it.
+struct JobStatusChange {
   JobId job;
+  std::string queue;  // empty if the job's own row is not known
+  bool cancelled = false;
   JobPhase state = JobPhase::kQueued;
 };
 
-// Jobs whose committed state has changed, from the dispatching host to hosts
-// whose row says that they take it. The receiver still reads the rows.
-struct JobStatesPush {
-  std::vector<JobStateChange> changes;
+// Part of the feed by which the dispatching host tells the other hosts what it
+// has read from the table or committed, so that they need not read it too.
+struct JobFeed {
+  // Rises by one with each message to all receivers.
+  std::uint64_t number = 0;
+  // True for the response to a JobFeedRequest. The receiver gets the messages
+  // with the numbers after this one.
+  bool is_first = false;
+  // Together with the messages before it, this one holds all changes up to this
+  // revision of the table.
+  std::uint64_t through = 0;
+  std::vector<JobStatusChange> changes;
+  std::vector<TableRow> rows;  // of entry hosts and of the dispatcher's lease
+};
+
+// Requests the feed from a host whose row says that it knows the request. The
+// sender knows all changes up to the revision `since` of the table.
+struct JobFeedRequest {
+  std::uint64_t since = 0;
 };
 
 using PeerMessage =
     std::variant<Hello, Heartbeat, HeartbeatEcho, ForwardRequest,
                  ForwardResponse, PeerLoadReport, RowsPush, RowsRequest,
                  ClaimQuery, ClaimQueryResponse, Leaving, PeerAdviceRequest,
-                 PeerAdviceResponse, WorkerCalls, WorkerCallResponses,
-                 JobStatesPush>;
+                 PeerAdviceResponse, WorkerCalls, WorkerCallResponses, JobFeed,
+                 JobFeedRequest>;
 
 }  // namespace chivewing
--- a/src/store/row_cache.cc
+++ b/src/store/row_cache.cc
@@ -1,6 +1,7 @@
 #include "store/row_cache.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace chivewing {
 namespace {
@@ -84,6 +85,19 @@
   return changes;
 }
 
+void RowCache::ForEachChangedSince(std::uint64_t since,
+                                   const Visitor& visit) const {
+  for (auto each = by_version_.lower_bound({since + 1, std::string()});
+       each != by_version_.end(); ++each) {
+    visit(rows_.find(each->second)->second);
+  }
+}
+
+std::size_t RowCache::CountChangedSince(std::uint64_t since) const {
+  return static_cast<std::size_t>(std::distance(
+      by_version_.lower_bound({since + 1, std::string()}), by_version_.end()));
+}
+
 void RowCache::set_revision(std::uint64_t revision) {
   revision_ = std::max(revision_, revision);
 }
--- a/src/store/row_cache.h
+++ b/src/store/row_cache.h
@@ -54,6 +54,12 @@
                           const std::vector<std::string>& prefixes,
                           std::size_t limit) const;
 
+  // Calls `visit` for each row, tombstones included, with a version above
+  // `since`, in ascending version order. `visit` must not change the cache.
+  void ForEachChangedSince(std::uint64_t since, const Visitor& visit) const;
+  // The number of those rows.
+  std::size_t CountChangedSince(std::uint64_t since) const;
+
   // All changes of the table up to this revision are applied.
   std::uint64_t revision() const { return revision_; }
   // Ignored if lower than the current revision.
--- a/src/store/table.h
+++ b/src/store/table.h
@@ -67,6 +67,8 @@
   bool ok = false;
   std::uint64_t revision = 0;
   std::vector<TableRow> rows{};  // one per requested key
+  // The table's steady clock when it responded; absent if it has none.
+  std::optional<std::chrono::milliseconds> clock{};
 };
 
 struct ChangesResponse {
--- a/tests/standins/task_runner_standin.h
+++ b/tests/standins/task_runner_standin.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <atomic>
 #include <cstdint>
 #include <map>
 #include <mutex>
@@ -25,6 +26,8 @@
   // Highest number of simultaneous runs of any one task.
   std::size_t max_concurrent_runs() const;
 
+  std::atomic<bool> runs_go_on{false};  // while set, no run ends by itself
+
  private:
   using RunKey = std::pair<std::string, std::uint64_t>;
 
