The state of a job that a host does not know is read from the table

A host that had not read the rows yet (a fresh process, or one behind the table) found the row of a job that a caller asked about, and said "queued" though the job had ended. With hosts that are fed this would be seen more often.

Change: beside the job's row its progress row is read before the response.

Test: CallerRequestHandlerTest.ReadsTheStateOfAJobThatItDoesNotKnow; the code before responds after the first read, so its first check fails by reading.

--- a/src/cluster/caller_request_handler.cc
+++ b/src/cluster/caller_request_handler.cc
@@ -169,14 +169,17 @@
     respond(*state);
     return;
   }
-  ReadJobRow(
-      now, call_id, job, [this, call_id, job, respond](TimePoint, bool found) {
-        if (!found) {
-          Respond(call_id, MakeResponse(CallerResponseKind::kJobNotFound));
-          return;
-        }
-        respond(job_status_.PhaseOf(job).value_or(JobPhase::kQueued));
-      });
+  const auto on_progress = [this, job, respond](TimePoint, bool /*found*/) {
+    respond(job_status_.PhaseOf(job).value_or(JobPhase::kQueued));
+  };
+  ReadRow(now, call_id, JobRecordKey(job),
+          [this, call_id, job, on_progress](TimePoint then, bool found) {
+            if (!found) {
+              Respond(call_id, MakeResponse(CallerResponseKind::kJobNotFound));
+              return;
+            }
+            ReadRow(then, call_id, ProgressRowKey(job), on_progress);
+          });
 }
 
 void CallerRequestHandler::Cancel(TimePoint now, std::uint64_t call_id,
@@ -198,14 +201,14 @@
   // The write of the job's row may still be on its way: the caller that got no
   // response to it takes "not found" for the end of the job. The cancel row
   // holds for a job row that is committed after it.
-  ReadJobRow(now, call_id, job, [write](TimePoint when, bool found) {
+  ReadRow(now, call_id, JobRecordKey(job), [write](TimePoint when, bool found) {
     write(when, found ? CallerResponseKind::kCancelled
                       : CallerResponseKind::kJobNotFound);
   });
 }
 
-void CallerRequestHandler::ReadJobRow(
-    TimePoint now, std::uint64_t call_id, const JobId& job,
+void CallerRequestHandler::ReadRow(
+    TimePoint now, std::uint64_t call_id, const std::string& key,
     std::function<void(TimePoint, bool)> on_read) {
   if (callbacks_.is_table_unreachable(now)) {
     RespondRetryLater(call_id, kRetryAfterTableUnreachable);
@@ -227,7 +230,7 @@
           then(now, found);
         });
       };
-  table_.read(JobRecordKey(job), on_response);
+  table_.read(key, on_response);
 }
 
 void CallerRequestHandler::StartWrite(TimePoint now, std::uint64_t call_id,
--- a/src/cluster/caller_request_handler.h
+++ b/src/cluster/caller_request_handler.h
@@ -86,10 +86,10 @@
   void RespondWithState(TimePoint now, std::uint64_t call_id, const JobId& job);
   void Cancel(TimePoint now, std::uint64_t call_id,
               const CallerRequest& request, const JobId& job);
-  // Calls `on_read` with whether the table has the job's row. If the table
-  // cannot be read, responds to the request itself.
-  void ReadJobRow(TimePoint now, std::uint64_t call_id, const JobId& job,
-                  std::function<void(TimePoint, bool)> on_read);
+  // Calls `on_read` with whether the table has the row. If the table cannot be
+  // read, responds to the request itself.
+  void ReadRow(TimePoint now, std::uint64_t call_id, const std::string& key,
+               std::function<void(TimePoint, bool)> on_read);
   void StartWrite(TimePoint now, std::uint64_t call_id,
                   const CallerRequest& request, const std::string& key,
                   std::string value, CallerResponseKind success_kind);
--- a/tests/cluster/caller_request_handler_test.cc
+++ b/tests/cluster/caller_request_handler_test.cc
@@ -177,6 +177,25 @@
   EXPECT_EQ(ResponseKind(cancel), CallerResponseKind::kRetryLater);
 }
 
+// It was said to be queued by a host that had not read its states.
+TEST_F(CallerRequestHandlerTest, ReadsTheStateOfAJobThatItDoesNotKnow) {
+  const std::uint64_t call = Request(CallerRequestKind::kState, "/q/" + job_);
+  JobRecord record;
+  record.spec.steps.resize(1);
+  JobProgress progress;
+  progress.state = JobPhase::kCompleted;
+  ASSERT_EQ(table_.reads.size(), 1U);
+  table_.reads.back().second(ReadResponse{
+      .ok = true, .rows = {{"job/" + job_, EncodeJobRecord(record), 1, "w"}}});
+  EXPECT_FALSE(responses_.contains(call));
+  ASSERT_EQ(table_.reads.size(), 2U);
+  EXPECT_EQ(table_.reads.back().first, "progress/" + job_);
+  table_.reads.back().second(ReadResponse{
+      .ok = true,
+      .rows = {{"progress/" + job_, EncodeJobProgress(progress), 2, "w"}}});
+  EXPECT_EQ(responses_.at(call).state, JobPhase::kCompleted);
+}
+
 TEST_F(CallerRequestHandlerTest, ACancelIsStoredBeforeItIsAcknowledged) {
   Request(CallerRequestKind::kSubmit, "/q/" + job_);
   CompleteCommit(CommitStatus::kCommitted);
