A host that starts gets the states from the dispatching host

Hosts with a link of 20 Mbit/s took seconds to become ready.

Change: it reads the rows of hosts and lease first. If it is not among the next eight for the lease, it waits up to 3 s for a feed from the beginning: the statuses of all jobs, some forty bytes each, to three hosts each 50 ms, encoded once. The same after the table has lost its history, where the feed goes on from what the host has read. Without a feed it reads all rows as before.

Weighed: statuses from the successors as well (they lag by 0.3 s, and numbers of two senders would have to be joined); no statuses at all and reads on demand (two reads for each question).

Tests: TableWatcherTest (AStartingHostWaitsForAFeedInsteadOfReadingAllRows, AStartingHostWithoutAFeedReadsAllRowsAfterAWhile, AFeedFillsWhatTheTableHasForgotten), JobFeedSenderTest (HostsThatLackMuchGetAllStatusesAFewAtATime, AHostThatLacksLittleDoesNotWaitForOthers), and StoreClientTest.ReadsTheRowsOfAPrefixPageByPage. DoesNotBuildALongFirstMessage goes, as a long first message is now built for several hosts at once; the test of many hosts bounds it. ReadsAllAgainWhenTheHistoryIsLost now sets that the host needs all rows, which is the case in which it still holds.

--- a/src/cluster/cluster_host.cc
+++ b/src/cluster/cluster_host.cc
@@ -294,30 +294,26 @@
     feed_sender_.Stop();
     return;
   }
+  const RowCache& cache = table_watcher_.cache();
+  for (const JobFeedSender::First& first :
+       feed_sender_.TakeFirsts(now, cache, job_status_)) {
+    mesh_->SendToEach(first.to, PeerMessage(first.feed));
+  }
   const std::optional<JobFeed> feed =
-      feed_sender_.TakeDue(now, table_watcher_.cache().revision(), job_status_);
+      feed_sender_.TakeDue(now, cache.revision(), job_status_);
   if (!feed) return;
   const std::set<HostId>& receivers = feed_sender_.receivers();
   mesh_->SendToEach({receivers.begin(), receivers.end()}, PeerMessage(*feed));
 }
 
 void ClusterHost::RequestJobFeed(TimePoint now) {
-  if (!table_watcher_.ready() || !peers_.TakesJobFeed(dispatching_host_))
+  if (!table_watcher_.TakesFeed() || !peers_.TakesJobFeed(dispatching_host_))
     return;
   if (!feed_receiver_.TakeRequest(now)) return;
   mesh_->Send(dispatching_host_,
               PeerMessage(JobFeedRequest{table_watcher_.cache().revision()}));
 }
 
-void ClusterHost::OnJobFeedRequest(const HostId& from,
-                                   const JobFeedRequest& request) {
-  if (!dispatcher_runner_.dispatching()) return;
-  const std::optional<JobFeed> first = feed_sender_.AddReceiver(
-      from, request.since, table_watcher_.cache(), job_status_);
-  if (first && !mesh_->Send(from, PeerMessage(*first)))
-    feed_sender_.RemoveReceiver(from);
-}
-
 void ClusterHost::OnJobFeed(TimePoint now, const PeerMessageReceived& received,
                             const JobFeed& feed) {
   for (const TableRow& row : feed.rows) table_watcher_.Apply(now, row);
@@ -454,7 +450,7 @@
     OnJobFeed(now, received, *feed);
   } else if (const auto* feed_request =
                  std::get_if<JobFeedRequest>(&received.message)) {
-    OnJobFeedRequest(received.from, *feed_request);
+    feed_sender_.OnRequest(received.from, feed_request->since);
   } else if (const auto* request =
                  std::get_if<PeerAdviceRequest>(&received.message)) {
     OnPeerAdviceRequest(received.from, *request);
--- a/src/cluster/cluster_host.h
+++ b/src/cluster/cluster_host.h
@@ -66,7 +66,6 @@
   void OnRow(TimePoint now, const TableRow& row);
   void SendJobFeed(TimePoint now);
   void RequestJobFeed(TimePoint now);
-  void OnJobFeedRequest(const HostId& from, const JobFeedRequest& request);
   void OnJobFeed(TimePoint now, const PeerMessageReceived& received,
                  const JobFeed& feed);
   // True if this host may have to dispatch soon, or does.
--- a/src/cluster/job_feed_sender.cc
+++ b/src/cluster/job_feed_sender.cc
@@ -15,8 +15,14 @@
 // Longest time between two messages, so that receivers can tell a host without
 // changes from one that is gone.
 constexpr std::chrono::milliseconds kMaxSilence{250};
-// Changes of a first message; building a larger one would delay decisions.
-constexpr std::size_t kMaxFirstChanges = 4000;
+// A host that lacks more rows than this gets the statuses of all jobs.
+constexpr std::size_t kMaxChangedRows = 2000;
+// Hosts that get the statuses of all jobs at a time, and the time between two
+// of these messages: more would fill this host's link.
+constexpr std::size_t kHostsPerSnapshot = 3;
+constexpr std::chrono::milliseconds kSnapshotInterval{50};
+// Jobs whose statuses fit in a message; with more, hosts read the table.
+constexpr std::size_t kMaxSnapshotJobs = 12000;
 
 constexpr std::string_view kLeaseRowPrefix = "placer/";
 
@@ -34,14 +40,17 @@
   return key.starts_with(kHostRowPrefix) || key.starts_with(kLeaseRowPrefix);
 }
 
-std::optional<JobFeed> JobFeedSender::AddReceiver(
-    const HostId& host, std::uint64_t since, const RowCache& cache,
-    const JobStatusIndex& status) {
-  if (cache.CountChangedSince(since) > kMaxFirstChanges) return std::nullopt;
+JobFeed JobFeedSender::MakeFirst(const RowCache& cache) const {
   JobFeed feed;
   feed.number = last_number_;
   feed.is_first = true;
   feed.through = cache.revision();
+  return feed;
+}
+
+JobFeed JobFeedSender::ChangesSince(std::uint64_t since, const RowCache& cache,
+                                    const JobStatusIndex& status) const {
+  JobFeed feed = MakeFirst(cache);
   std::set<JobId> jobs;
   cache.ForEachChangedSince(since, [&](const TableRow& row) {
     if (IsFeedRow(row.key)) {
@@ -51,12 +60,56 @@
     }
   });
   for (const JobId& job : jobs) feed.changes.push_back(status.StatusOf(job));
-  receivers_.insert(host);
   return feed;
 }
 
+JobFeed JobFeedSender::AllStatuses(const RowCache& cache,
+                                   const JobStatusIndex& status) const {
+  JobFeed feed = MakeFirst(cache);
+  for (const std::string_view prefix : {kHostRowPrefix, kLeaseRowPrefix}) {
+    cache.ForEach(prefix,
+                  [&feed](const TableRow& row) { feed.rows.push_back(row); });
+  }
+  feed.changes = status.AllStatuses();
+  return feed;
+}
+
+std::vector<JobFeedSender::First> JobFeedSender::TakeFirsts(
+    TimePoint now, const RowCache& cache, const JobStatusIndex& status) {
+  std::vector<First> firsts;
+  std::vector<HostId> lack_much;
+  for (const auto& [host, since] : requests_) {
+    if (cache.CountChangedSince(since) > kMaxChangedRows) {
+      if (lack_much.size() < kHostsPerSnapshot) lack_much.push_back(host);
+    } else {
+      firsts.push_back({{host}, ChangesSince(since, cache, status)});
+    }
+  }
+  if (!lack_much.empty() && now >= next_snapshot_) {
+    next_snapshot_ = now + kSnapshotInterval;
+    if (status.size() <= kMaxSnapshotJobs) {
+      firsts.push_back({lack_much, AllStatuses(cache, status)});
+    } else {
+      for (const HostId& host : lack_much) requests_.erase(host);
+    }
+  }
+  for (const First& first : firsts) {
+    for (const HostId& host : first.to) {
+      requests_.erase(host);
+      receivers_.insert(host);
+    }
+  }
+  return firsts;
+}
+
+void JobFeedSender::RemoveReceiver(const HostId& host) {
+  receivers_.erase(host);
+  requests_.erase(host);
+}
+
 // A receiver that misses the stop finds a gap in the numbers.
 void JobFeedSender::Stop() {
+  requests_.clear();
   if (receivers_.empty()) return;
   receivers_.clear();
   jobs_.clear();
@@ -82,6 +135,12 @@
 }
 
 TimePoint JobFeedSender::due() const {
+  const TimePoint first_due =
+      requests_.empty() ? TimePoint::max() : next_snapshot_;
+  return std::min(first_due, next_due());
+}
+
+TimePoint JobFeedSender::next_due() const {
   if (receivers_.empty()) return TimePoint::max();
   return std::min(changes_due_, sent_at_ + kMaxSilence);
 }
@@ -89,7 +148,7 @@
 std::optional<JobFeed> JobFeedSender::TakeDue(TimePoint now,
                                               std::uint64_t through,
                                               const JobStatusIndex& status) {
-  if (now < due()) return std::nullopt;
+  if (now < next_due()) return std::nullopt;
   JobFeed feed;
   feed.number = ++last_number_;
   feed.through = through;
--- a/src/cluster/job_feed_sender.h
+++ b/src/cluster/job_feed_sender.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <set>
+#include <string_view>
 #include <vector>
 
 #include "base/time.h"
@@ -20,13 +22,22 @@
 // Does no I/O; has no clock.
 class JobFeedSender {
  public:
-  // The first message for a host that knows all changes up to `since`, which
-  // from then on is a receiver. None if too much has changed since: the host
-  // has to read the table.
-  std::optional<JobFeed> AddReceiver(const HostId& host, std::uint64_t since,
-                                     const RowCache& cache,
-                                     const JobStatusIndex& status);
-  void RemoveReceiver(const HostId& host) { receivers_.erase(host); }
+  // A host that knows all changes up to `since` requests the feed.
+  void OnRequest(const HostId& host, std::uint64_t since) {
+    requests_[host] = since;
+  }
+  // A first message and the hosts that it is for.
+  struct First {
+    std::vector<HostId> to;
+    JobFeed feed;
+  };
+  // Removes and returns the first messages that are due at `now`; their hosts
+  // are receivers from then on. A host that lacks much gets the statuses of all
+  // jobs, a few hosts at a time.
+  std::vector<First> TakeFirsts(TimePoint now, const RowCache& cache,
+                                const JobStatusIndex& status);
+  // A message to the host could not be sent, or its connection is lost.
+  void RemoveReceiver(const HostId& host);
   // This host does not dispatch any more.
   void Stop();
   const std::set<HostId>& receivers() const { return receivers_; }
@@ -35,7 +46,7 @@
   void AddJob(TimePoint now, const JobId& job);
   void AddRow(TimePoint now, const TableRow& row);
 
-  // When a message to all receivers is due; TimePoint::max() if there are none.
+  // When a message is due; TimePoint::max() if there are no receivers.
   TimePoint due() const;
   // Removes and returns the message to all receivers if it is due at `now`.
   // `through` is the revision of the table up to which this host has read.
@@ -44,7 +55,17 @@
 
  private:
   void OnAdded(TimePoint now);
+  // When the next message to all receivers is due.
+  TimePoint next_due() const;
+  // A first message without contents.
+  JobFeed MakeFirst(const RowCache& cache) const;
+  JobFeed ChangesSince(std::uint64_t since, const RowCache& cache,
+                       const JobStatusIndex& status) const;
+  JobFeed AllStatuses(const RowCache& cache,
+                      const JobStatusIndex& status) const;
 
+  std::map<HostId, std::uint64_t> requests_;
+  TimePoint next_snapshot_{};
   std::set<HostId> receivers_;
   std::set<JobId> jobs_;        // changed since the last message
   std::vector<TableRow> rows_;  // the same
--- a/src/cluster/job_status_index.cc
+++ b/src/cluster/job_status_index.cc
@@ -60,6 +60,15 @@
   return {job, entry.queue, entry.cancelled, entry.phase};
 }
 
+std::vector<JobStatusChange> JobStatusIndex::AllStatuses() const {
+  std::vector<JobStatusChange> out;
+  out.reserve(entries_.size());
+  for (const auto& [job, entry] : entries_) {
+    out.push_back({job, entry.queue, entry.cancelled, entry.phase});
+  }
+  return out;
+}
+
 bool JobStatusIndex::Advance(const JobId& job, JobPhase state) {
   JobPhase& phase = entries_[job].phase;
   if (IsFinal(phase) || state <= phase) return false;
--- a/src/cluster/job_status_index.h
+++ b/src/cluster/job_status_index.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "dispatch/job_progress.h"
 #include "dispatch/job_record.h"
@@ -25,6 +26,7 @@
 
   // All that is known of a job, for OnChange of another host.
   JobStatusChange StatusOf(const JobId& job) const;
+  std::vector<JobStatusChange> AllStatuses() const;
   // The state of a job, or none if its job row is not known.
   std::optional<JobPhase> PhaseOf(const JobId& job) const;
   // Number of jobs of a queue of which no task has started.
--- a/src/cluster/table_watcher.cc
+++ b/src/cluster/table_watcher.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "base/log.h"
+#include "cluster/host_row.h"
 
 namespace chivewing {
 namespace {
@@ -19,13 +20,23 @@
     1;  // kept short: callers are rejected meanwhile
 // A feed that has been silent for so long does not count any more.
 constexpr std::chrono::milliseconds kFeedSilenceLimit{1000};
+// How long a host without rows waits for a feed.
+constexpr std::chrono::milliseconds kFeedWait{3000};
+// Prefix of the rows that say which host dispatches.
+constexpr const char* kLeasePrefix = "placer";
 
 }  // namespace
 
 TimePoint TableWatcher::Tick(TimePoint now) {
   if (read_in_flight_) return TimePoint::max();
   if (now < next_read_) return next_read_;
-  if (MustReadAll()) {
+  if (!ready_ && !knows_hosts_) {
+    ReadHosts();
+  } else if (!ready_ && !needs_all_rows_ && now < feed_wait_until_) {
+    waits_for_feed_ = true;
+    return feed_wait_until_;
+  } else if (MustReadAll()) {
+    waits_for_feed_ = false;
     ReadAll();
   } else if (IsFed(now)) {
     Probe();
@@ -47,12 +58,16 @@
 }
 
 void TableWatcher::OnFed(TimePoint now, std::uint64_t revision) {
-  if (!ready_ || needs_all_rows_ || !catch_up_waiters_.empty()) return;
+  if (!TakesFeed() || needs_all_rows_ || !catch_up_waiters_.empty()) return;
   if (revision < least_fed_revision_) return;
   has_all_rows_ = false;
   available_since_ = TimePoint{};
   cache_.set_revision(revision);
   fed_until_ = now + kFeedSilenceLimit;
+  if (ready_) return;
+  ready_ = true;
+  waits_for_feed_ = false;
+  next_read_ = now;
 }
 
 bool TableWatcher::IsTableUnreachable(TimePoint now) const {
@@ -87,6 +102,36 @@
   next_read_ = now;
 }
 
+void TableWatcher::ReadHosts() {
+  read_in_flight_ = true;
+  const std::uint64_t read_number = ++read_number_;
+  table_.read_prefix(
+      std::string(kHostRowPrefix),
+      [this, read_number](const ReadResponse& hosts) {
+        table_.read_prefix(kLeasePrefix, [this, read_number,
+                                          hosts](const ReadResponse& lease) {
+          post_([this, read_number, hosts, lease](TimePoint now) {
+            if (read_number == read_number_) OnHostsResponse(now, hosts, lease);
+          });
+        });
+      });
+}
+
+void TableWatcher::OnHostsResponse(TimePoint now, const ReadResponse& hosts,
+                                   const ReadResponse& lease) {
+  read_in_flight_ = false;
+  next_read_ = now;
+  if (!hosts.ok || !lease.ok) {
+    OnReadError(now);
+    return;
+  }
+  OnReached(now, lease.clock);
+  knows_hosts_ = true;
+  feed_wait_until_ = now + kFeedWait;
+  for (const TableRow& row : hosts.rows) Apply(now, row);
+  for (const TableRow& row : lease.rows) Apply(now, row);
+}
+
 void TableWatcher::ReadAll() {
   read_in_flight_ = true;
   const std::uint64_t read_number = ++read_number_;
@@ -168,6 +213,7 @@
                                        std::to_string(cache_.revision()) +
                                        ", reading all rows");
     ready_ = false;
+    feed_wait_until_ = now + kFeedWait;
     next_read_ = now;
     return;
   }
--- a/src/cluster/table_watcher.h
+++ b/src/cluster/table_watcher.h
@@ -18,8 +18,9 @@
 // Caches rows of the table: reads all once, then polls for changes, and reads
 // all again when the table no longer has the history since its revision. Rows
 // pushed by peers are applied too. While a peer feeds this host with what it
-// needs of the changes, only a single row is polled, for the table's clock and
-// reach. Calls the table and runs on the thread of its owner.
+// needs, only a single row is polled, for the table's clock and reach; before
+// it reads all rows, it waits a while for such a feed, unless it needs them
+// all. Calls the table and runs on the thread of its owner.
 class TableWatcher {
  public:
   // Runs a function on the owner's thread.
@@ -46,6 +47,8 @@
   // While set, feeds do not count: the cache is to hold all rows, as that of a
   // host that may have to dispatch soon.
   void set_needs_all_rows(bool needed);
+  // True if a feed of the changes after the cache's revision may help.
+  bool TakesFeed() const { return ready_ || waits_for_feed_; }
   // A peer has told this host all that it needs of the changes up to this
   // revision of the table.
   void OnFed(TimePoint now, std::uint64_t revision);
@@ -59,7 +62,7 @@
   // Since when the changes of the table have been read without an error; none
   // while it is unreachable or a peer feeds this host.
   std::optional<TimePoint> TableAvailableSince(TimePoint now) const;
-  // True once all rows have been read, until the history is lost.
+  // True once this host knows what it needs, until the history is lost.
   bool ready() const { return ready_; }
   // True while a peer feeds this host.
   bool IsFed(TimePoint now) const { return now < fed_until_; }
@@ -67,6 +70,10 @@
   const TableClock& clock() const { return clock_; }
 
  private:
+  // Reads the rows that say who the other hosts are, and which one dispatches.
+  void ReadHosts();
+  void OnHostsResponse(TimePoint now, const ReadResponse& hosts,
+                       const ReadResponse& lease);
   void ReadAll();
   void ReadChanges();
   void Probe();
@@ -86,6 +93,9 @@
   RowCache cache_;
   TableClock clock_;
   bool ready_ = false;
+  bool knows_hosts_ = false;
+  bool waits_for_feed_ = false;
+  TimePoint feed_wait_until_{};
   // False once a feed has taken the place of reading changes.
   bool has_all_rows_ = false;
   bool needs_all_rows_ = false;
--- a/src/store/table_interface.h
+++ b/src/store/table_interface.h
@@ -21,6 +21,11 @@
   std::function<void(const std::string& key,
                      std::function<void(ReadResponse)> done)>
       read;
+  // Reads the rows whose keys start with `prefix`, which must not be those of
+  // jobs or cancels.
+  std::function<void(const std::string& prefix,
+                     std::function<void(ReadResponse)> done)>
+      read_prefix;
   // Reads all rows. The rows may include changes after the response's revision.
   std::function<void(std::function<void(ChangesResponse)> done)> read_all;
   // Returns the rows changed after `since`, waiting up to `wait` for the first.
--- a/tests/adapter/store_client_test.cc
+++ b/tests/adapter/store_client_test.cc
@@ -87,6 +87,27 @@
 }
 
 // A partition created while all rows are read must not be missed.
+TEST_F(StoreClientTest, ReadsTheRowsOfAPrefixPageByPage) {
+  std::set<std::string> expected;
+  for (int i = 0; i < 5; ++i) {
+    const std::string key = "host/h" + std::to_string(i);
+    expected.insert(key);
+    Commit(Write("w" + std::to_string(i), key, 0));
+  }
+  for (const char* key : {"hosts", "hos", "placer/all", "job/a"}) {
+    Commit(Write(key, key, 0));
+  }
+  std::promise<ReadResponse> answer;
+  client_.ReadPrefix("host/",
+                     [&](const ReadResponse& a) { answer.set_value(a); });
+  const ReadResponse read = answer.get_future().get();
+  EXPECT_TRUE(read.ok);
+  EXPECT_TRUE(read.clock);
+  std::set<std::string> keys;
+  for (const TableRow& row : read.rows) keys.insert(row.key);
+  EXPECT_EQ(keys, expected);
+}
+
 TEST_F(StoreClientTest, ARowWrittenWhileReadingIsFoundAmongTheChanges) {
   Commit(Write("w1", "job/a", 0));
   store_.after_listing = [this] {
--- a/tests/cluster/dispatcher_runner_test.cc
+++ b/tests/cluster/dispatcher_runner_test.cc
@@ -23,6 +23,8 @@
   using ChangesCallback = std::function<void(ChangesResponse)>;
 
   void SetUp() override {
+    watcher_.set_needs_all_rows(true);
+    watcher_.Tick(BootClock::now());
     watcher_.Tick(BootClock::now());
     runner_.StartLease([] { return BootClock::now(); });
     const TimePoint end = BootClock::now() + seconds(10);
@@ -38,6 +40,9 @@
 
   static PlatformInterface MakePlatform(ChangesCallback& catch_up) {
     PlatformInterface out;
+    out.table.read_prefix = [](const auto& /*prefix*/, const auto& done) {
+      done({.ok = true});
+    };
     out.table.read_all = [](const auto& done) {
       done({.ok = true, .revision = 1});
     };
--- a/tests/cluster/fake_table_calls.h
+++ b/tests/cluster/fake_table_calls.h
@@ -21,6 +21,9 @@
     out.read = [this](const std::string& key, auto done) {
       reads.emplace_back(key, done);
     };
+    out.read_prefix = [this](const std::string& prefix, auto done) {
+      prefix_reads.emplace_back(prefix, done);
+    };
     out.read_all = [this](auto done) { full_reads.push_back(done); };
     out.changes = [this](std::uint64_t since, auto wait, auto done) {
       change_read_waits.push_back(wait);
@@ -32,6 +35,8 @@
   std::deque<std::pair<TableTransaction, std::function<void(CommitResponse)>>>
       commits;
   std::deque<std::pair<std::string, std::function<void(ReadResponse)>>> reads;
+  std::deque<std::pair<std::string, std::function<void(ReadResponse)>>>
+      prefix_reads;
   std::deque<std::function<void(ChangesResponse)>> full_reads;
   std::deque<std::pair<std::uint64_t, std::function<void(ChangesResponse)>>>
       change_reads;
--- a/tests/cluster/job_feed_test.cc
+++ b/tests/cluster/job_feed_test.cc
@@ -6,6 +6,8 @@
 
 #include <chrono>
 #include <map>
+#include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -60,8 +62,15 @@
     if (const auto job = status.OnRow(row)) sender.AddJob(now, *job);
     if (IsFeedRow(row.key)) sender.AddRow(now, row);
   }
-  std::optional<JobFeed> Add(const HostId& host, std::uint64_t since) {
-    return sender.AddReceiver(host, since, cache, status);
+  // The first message to a host that requests the feed.
+  std::optional<JobFeed> Add(const HostId& host, std::uint64_t since,
+                             TimePoint now = kStart) {
+    sender.OnRequest(host, since);
+    const auto firsts = sender.TakeFirsts(now, cache, status);
+    if (firsts.empty()) return std::nullopt;
+    EXPECT_EQ(firsts.size(), 1U);
+    EXPECT_EQ(firsts.front().to, std::vector<HostId>{host});
+    return firsts.front().feed;
   }
   std::optional<JobFeed> TakeDue(TimePoint now) {
     return sender.TakeDue(now, cache.revision(), status);
@@ -142,14 +151,46 @@
   EXPECT_EQ(later->changes.front().state, JobPhase::kRunning);
 }
 
-TEST(JobFeedSenderTest, DoesNotBuildALongFirstMessage) {
+// All hosts of a large deployment start at once, late in the day.
+TEST(JobFeedSenderTest, HostsThatLackMuchGetAllStatusesAFewAtATime) {
+  constexpr int kJobs = 5000;
+  constexpr int kHosts = 90;
+  constexpr std::size_t kAtATime = 3;
+  Dispatching host;
+  for (int i = 0; i < kJobs; ++i) {
+    host.Apply(kStart, JobRow(i, static_cast<std::uint64_t>(i) + 1));
+  }
+  host.Apply(kStart, {"host/h2", "{}", kJobs + 1, "w"});
+  for (int i = 0; i < kHosts; ++i) {
+    host.sender.OnRequest(HostId("h" + std::to_string(i)), 0);
+  }
+  std::set<HostId> served;
+  TimePoint now = kStart;
+  for (; now < kStart + milliseconds(2000); now += milliseconds(10)) {
+    const auto firsts = host.sender.TakeFirsts(now, host.cache, host.status);
+    ASSERT_LE(firsts.size(), 1U);
+    if (firsts.empty()) continue;
+    EXPECT_LE(firsts.front().to.size(), kAtATime);
+    EXPECT_EQ(firsts.front().feed.changes.size(),
+              static_cast<std::size_t>(kJobs));
+    EXPECT_EQ(firsts.front().feed.rows.size(), 1U);
+    served.insert(firsts.front().to.begin(), firsts.front().to.end());
+  }
+  EXPECT_EQ(served.size(), static_cast<std::size_t>(kHosts));
+  EXPECT_EQ(host.sender.receivers(), served);
+}
+
+TEST(JobFeedSenderTest, AHostThatLacksLittleDoesNotWaitForOthers) {
   Dispatching host;
   for (int i = 0; i < 5000; ++i) {
     host.Apply(kStart, CancelRow(i, static_cast<std::uint64_t>(i) + 1));
   }
-  EXPECT_FALSE(host.Add(kReceiver, 0));
-  EXPECT_TRUE(host.sender.receivers().empty());
-  EXPECT_TRUE(host.Add(kReceiver, 4000));
+  ASSERT_TRUE(host.Add(HostId("lacks-all"), 0));
+  EXPECT_FALSE(host.Add(HostId("lacks-all-too"), 0));
+  host.sender.RemoveReceiver(HostId("lacks-all-too"));
+  const auto little = host.Add(kReceiver, 4990);
+  ASSERT_TRUE(little);
+  EXPECT_EQ(little->changes.size(), 10U);
 }
 
 JobFeed Next(std::uint64_t number) {
@@ -282,7 +323,7 @@
         break;
       case 6:
         if (!receiver.TakeRequest(now)) break;
-        if (const auto first = host.Add(kReceiver, known_revision)) {
+        if (const auto first = host.Add(kReceiver, known_revision, now)) {
           if (*rc::gen::inRange(0, 4) > 0) receive(*first);
         }
         break;
--- a/tests/cluster/table_watcher_test.cc
+++ b/tests/cluster/table_watcher_test.cc
@@ -21,9 +21,18 @@
     answer.rows.push_back({"job/a", "value", revision, "w"});
     return answer;
   }
+  // The rows of the hosts have been read.
+  void ReadHosts() {
+    watcher_.Tick(now_);
+    table_.prefix_reads.at(0).second(ReadResponse{.ok = true});
+    table_.prefix_reads.at(1).second(ReadResponse{.ok = true});
+  }
   void Start() {
+    watcher_.set_needs_all_rows(true);
+    ReadHosts();
     watcher_.Tick(now_);
     table_.full_reads.front()(Rows(3));
+    watcher_.set_needs_all_rows(false);
   }
   void AdvanceTime(milliseconds time) {
     now_ += time;
@@ -55,6 +64,7 @@
   AdvanceTime(milliseconds(300));
   ChangesResponse lost;
   lost.history_lost = true;
+  watcher_.set_needs_all_rows(true);
   table_.change_reads.front().second(lost);
   EXPECT_FALSE(watcher_.ready());
   AdvanceTime(milliseconds(1));
@@ -199,6 +209,51 @@
   EXPECT_EQ(table_.change_reads.front().first, 9U);
 }
 
+// Each host that starts reads all rows otherwise, which grows with hosts x
+// rows.
+TEST_F(TableWatcherTest, AStartingHostWaitsForAFeedInsteadOfReadingAllRows) {
+  ReadHosts();
+  EXPECT_EQ(table_.prefix_reads.at(0).first, "host/");
+  EXPECT_FALSE(watcher_.TakesFeed());
+  AdvanceTime(milliseconds(1));
+  EXPECT_TRUE(watcher_.TakesFeed());
+  EXPECT_EQ(watcher_.cache().revision(), 0U) << "it needs all statuses";
+  AdvanceTime(milliseconds(1000));
+  EXPECT_FALSE(watcher_.ready());
+  watcher_.OnFed(now_, 8);
+  EXPECT_TRUE(watcher_.ready());
+  EXPECT_TRUE(watcher_.IsFed(now_));
+  EXPECT_TRUE(table_.full_reads.empty());
+  AdvanceTime(milliseconds(1));
+  AnswerProbe(table_, 8);
+}
+
+TEST_F(TableWatcherTest, AStartingHostWithoutAFeedReadsAllRowsAfterAWhile) {
+  ReadHosts();
+  AdvanceTime(milliseconds(2900));
+  EXPECT_TRUE(table_.full_reads.empty());
+  AdvanceTime(milliseconds(200));
+  ASSERT_EQ(table_.full_reads.size(), 1U);
+  watcher_.OnFed(now_, 8);
+  EXPECT_FALSE(watcher_.ready()) << "a feed that comes later has a gap";
+  table_.full_reads.back()(Rows(9));
+  EXPECT_TRUE(watcher_.ready());
+}
+
+TEST_F(TableWatcherTest, AFeedFillsWhatTheTableHasForgotten) {
+  Start();
+  AdvanceTime(milliseconds(300));
+  ChangesResponse lost;
+  lost.history_lost = true;
+  table_.change_reads.front().second(lost);
+  AdvanceTime(milliseconds(1));
+  EXPECT_TRUE(watcher_.TakesFeed());
+  EXPECT_EQ(watcher_.cache().revision(), 3U) << "from where it has read";
+  watcher_.OnFed(now_, 20);
+  EXPECT_TRUE(watcher_.ready());
+  EXPECT_EQ(table_.full_reads.size(), 1U);
+}
+
 TEST_F(TableWatcherTest, CatchUpWaitsForAReadStartedLater) {
   Start();
   AdvanceTime(milliseconds(300));
--- a/tests/standins/store_standin.cc
+++ b/tests/standins/store_standin.cc
@@ -114,6 +114,7 @@
   const std::string table(call.Query("table"));
   const std::string part(call.Query("part"));
   const std::string from(call.Query("from"));
+  const std::string end(call.Query("target"));
   const std::uint64_t limit = Number(call.Query("limit"));
   const std::size_t most = limit == 0 ? page_rows_ : limit;
   Json rows = Json::array();
@@ -121,7 +122,7 @@
   for (const auto& [name, row] : rows_) {
     const auto& [row_table, row_part, key] = name;
     if (row_table != table || row_part != part || key < from) continue;
-    if (row.removed) continue;
+    if (row.removed || (!end.empty() && key >= end)) continue;
     if (rows.size() == most) {
       more = true;
       break;
