The loss of a worker looks at no job that has ended

To forget what advice had said of a lost worker, each job that there had ever been was walked, with its steps: 2,500 jobs in a minute for each of 108 workers of a cut zone, in the turns in which their leases end.

Change: DispatchState::active_jobs; the walks after a lost worker and at the end of a take-over go over these alone.

Test: DecidingCostTest.TheLossOfAWorkerLooksAtNoJobThatHasEnded, 500 ended jobs and one open: one job is looked at. The count is new, so it was not run against the code before.

--- a/src/dispatch/dispatch_state.h
+++ b/src/dispatch/dispatch_state.h
@@ -43,6 +43,8 @@
   std::uint64_t workers_examined = 0;  // looked at while deciding
   // Looked at for a poll that is due, a lease that may be over or a batch.
   std::uint64_t workers_attended = 0;
+  // Looked at since a worker was lost or a take-over ended.
+  std::uint64_t jobs_examined = 0;
 };
 
 // The whole state of the dispatcher, shared by JobManager, RunManager,
@@ -58,7 +60,8 @@
   bool fenced = false;  // true once a worker has seen a higher fence
   std::map<WorkerId, TrackedWorker> workers{};
   std::map<JobId, TrackedJob> jobs{};
-  std::set<JobId> repeating_jobs{};  // those that have not ended
+  std::set<JobId> active_jobs{};     // those that have not ended
+  std::set<JobId> repeating_jobs{};  // of those, the ones with occurrences
   RunTable runs{};
   AdviceRequestManager advice{};
   FreeWorkerIndex free_workers{};
--- a/src/dispatch/job_manager.cc
+++ b/src/dispatch/job_manager.cc
@@ -36,6 +36,7 @@
   job.useless_after = job.accepted_at + JobUsefulTime(job.record);
   if (progress) job.set_progress(*progress);
   if (IsFinal(job.state)) return;
+  state_.active_jobs.insert(id);
   if (job.record.spec.repeats == 0) {
     job.OpenOccurrence(0);
   } else {
@@ -63,6 +64,7 @@
     }
   }
   state_.dirty.Remove(id);
+  state_.active_jobs.erase(id);
   state_.repeating_jobs.erase(id);
   state_.jobs.erase(id);
 }
@@ -185,6 +187,7 @@
 void JobManager::Finish(TrackedJob& job, JobPhase state) {
   job.state = state;
   state_.dirty.Mark(job.record.id);
+  state_.active_jobs.erase(job.record.id);
   state_.repeating_jobs.erase(job.record.id);
   LogRequest(LogPart::kPlacer, job.record.id.value(), [&] {
     return "job=" + job.record.id.value() +
@@ -209,7 +212,9 @@
 }
 
 void JobManager::ClearUncertainty() {
-  for (auto& [id, job] : state_.jobs) {
+  for (const JobId& id : state_.active_jobs) {
+    ++state_.counts.jobs_examined;
+    TrackedJob& job = *state_.FindJob(id);
     if (!job.uncertain) continue;
     job.uncertain = false;
     StopPartialGangs(job);
--- a/src/dispatch/worker_manager.cc
+++ b/src/dispatch/worker_manager.cc
@@ -492,8 +492,9 @@
 
 // Tickets and verdicts of the advice service hold for one incarnation.
 void WorkerManager::ForgetAdvice(const WorkerId& id) {
-  for (auto& [job_id, job] : state_.jobs) {
-    for (auto& [number, steps] : job.occurrences) {
+  for (const JobId& job : state_.active_jobs) {
+    ++state_.counts.jobs_examined;
+    for (auto& [number, steps] : state_.FindJob(job)->occurrences) {
       for (TrackedStep& step : steps) step.advice.Forget(id);
     }
   }
--- a/tests/dispatch/deciding_cost_test.cc
+++ b/tests/dispatch/deciding_cost_test.cc
@@ -3,6 +3,10 @@
 
 #include <gtest/gtest.h>
 
+#include <optional>
+#include <string>
+#include <variant>
+
 #include "dispatch/load_model.h"
 
 namespace chivewing {
@@ -66,5 +70,38 @@
             kWorkersPerAdviceRequest * counts.asks + 10 * counts.starts);
 }
 
+// The loss of a worker looked at each job that there had ever been, to forget
+// what advice had said of the worker.
+TEST(DecidingCostTest, TheLossOfAWorkerLooksAtNoJobThatHasEnded) {
+  constexpr int kEndedJobs = 500;
+  const TimePoint now{std::chrono::seconds(10)};
+  Dispatcher dispatcher({}, 1);
+  WorkerRegistration worker;
+  worker.worker = WorkerId("w");
+  dispatcher.RegisterWorker(now, worker);
+  const auto add_job = [&](const std::string& id) {
+    JobRecord record;
+    record.id = JobId(id);
+    record.spec.steps.resize(1);
+    record.spec.steps[0].task_count = 1;
+    record.spec.steps[0].size = {1000, 1000, 0};
+    dispatcher.AddJob(now, now, record, std::nullopt, false);
+  };
+  add_job("open");
+  for (int i = 0; i < kEndedJobs; ++i) {
+    const std::string id = "ended-" + std::to_string(i);
+    add_job(id);
+    dispatcher.CancelJob(JobId(id));
+  }
+  DispatchEffects effects;
+  dispatcher.Decide(now, milliseconds(0), effects);
+  ASSERT_EQ(effects.size(), 1U);
+  const auto& poll = std::get<PollWorker>(effects.front());
+  PollResponse gone;
+  gone.outcome = CommandOutcome::kWrongIncarnation;
+  dispatcher.OnPollResponse(now, poll.worker, poll.poll_id, gone);
+  EXPECT_EQ(dispatcher.state().counts.jobs_examined, 1U);
+}
+
 }  // namespace
 }  // namespace chivewing
