Whether a host is fed is a gauge and a log line

An operator could not tell hosts that hear of job states from the dispatching host from those that read the table, nor when that had changed.

--- a/src/cluster/cluster_host.cc
+++ b/src/cluster/cluster_host.cc
@@ -173,6 +173,7 @@
   ClusterMetrics metrics;
   metrics.ready = ready_;
   metrics.is_table_unreachable = table_watcher_.IsTableUnreachable(now);
+  metrics.is_fed = table_watcher_.IsFed(now);
   metrics.desired_state_version = desired_state_.cache().state().version;
   metrics.jobs_known = job_status_.size();
   metrics.peers_up = peers_.connected().size();
@@ -241,9 +242,20 @@
   ready_ = !stopping_ && desired_state_.cache().ready() &&
            table_watcher_.ready() && !table_watcher_.IsTableUnreachable(now);
   LogLoad(now);
+  LogFeed(now);
   return next;
 }
 
+void ClusterHost::LogFeed(TimePoint now) {
+  const bool fed = table_watcher_.IsFed(now);
+  if (std::exchange(was_fed_, fed) == fed) return;
+  LogInfo(LogPart::kPeer,
+          std::string(fed ? "job states come from the dispatching host"
+                          : "job states come from the table") +
+              " dispatching=" + dispatching_host_.value() +
+              " revision=" + std::to_string(table_watcher_.cache().revision()));
+}
+
 milliseconds ClusterHost::TablePollInterval() const {
   if (dispatcher_runner_.dispatching()) return kDispatchingPollInterval;
   return lease_rank_ < kSuccessors ? kSuccessorPollInterval
--- a/src/cluster/cluster_host.h
+++ b/src/cluster/cluster_host.h
@@ -58,6 +58,7 @@
   TimePoint AccountSince(TimePoint from, LoopWork work);
   std::chrono::milliseconds TablePollInterval() const;
   void LogLoad(TimePoint now);
+  void LogFeed(TimePoint now);
   Status StartServers();
   Status StartMesh();
   void OnReadinessRequest(const HttpServerRequest& request);
@@ -112,6 +113,7 @@
   LoopMonitor loop_monitor_;
   std::atomic<bool> ready_{false};
   bool stopping_ = false;
+  bool was_fed_ = false;  // in the last turn of the loop
 
   std::unique_ptr<HttpServer> caller_server_;
   std::unique_ptr<HttpServer> ready_server_;
--- a/src/cluster/metrics_text.cc
+++ b/src/cluster/metrics_text.cc
@@ -152,6 +152,8 @@
            metrics.ready ? 1 : 0);
   AddGauge(out, "table_lost", "whether the table is out of reach",
            metrics.is_table_unreachable ? 1 : 0);
+  AddGauge(out, "fed", "whether job states come from the dispatching host",
+           metrics.is_fed ? 1 : 0);
   AddGauge(out, "desired_state_version", "desired state in force",
            metrics.desired_state_version);
   AddGauge(out, "jobs_known", "jobs with a row", metrics.jobs_known);
--- a/src/cluster/metrics_text.h
+++ b/src/cluster/metrics_text.h
@@ -13,6 +13,7 @@
 struct ClusterMetrics {
   bool ready = false;
   bool is_table_unreachable = false;
+  bool is_fed = false;  // job states come from the dispatching host
   std::uint64_t desired_state_version = 0;
   std::uint64_t jobs_known = 0;
   std::uint64_t peers_up = 0;
