A starting host writes its row before it waits for the feed

They waited for a feed, but the dispatching host reaches a host only by its row, which was written once the host was ready. So the wait was always in vain, for added hosts too.

Change: the row is written as soon as the rows of the hosts are known, which gives the version that its write is conditional on.

Test: FedHostTest.AFedHostKnowsStatesAndTakesOverAllJobs now wants the second host ready within 2.5 s; the wait is 3 s.

--- a/src/cluster/host_row_writer.cc
+++ b/src/cluster/host_row_writer.cc
@@ -10,7 +10,9 @@
 }  // namespace
 
 void HostRowWriter::Tick(TimePoint now) {
-  if (written_ || in_flight_ || !watcher_.ready() || now < next_write_) return;
+  if (written_ || in_flight_ || now < next_write_) return;
+  // The dispatching host reaches this one only once its row is there.
+  if (!watcher_.knows_hosts()) return;
   in_flight_ = true;
   const std::string key = HostRowKey(row_.host);
   TableTransaction write;
--- a/src/cluster/table_watcher.h
+++ b/src/cluster/table_watcher.h
@@ -47,6 +47,8 @@
   // While set, feeds do not count: the cache is to hold all rows, as that of a
   // host that may have to dispatch soon.
   void set_needs_all_rows(bool needed);
+  // True once the rows of the hosts have been read.
+  bool knows_hosts() const { return knows_hosts_; }
   // True if a feed of the changes after the cache's revision may help.
   bool TakesFeed() const { return ready_ || waits_for_feed_; }
   // A peer has told this host all that it needs of the changes up to this
--- a/tests/cluster/cluster_host_test.cc
+++ b/tests/cluster/cluster_host_test.cc
@@ -346,6 +346,8 @@
               Counted());
   ASSERT_TRUE(WaitFor([&] { return Get(second.ready_url).status == 200; }));
   EXPECT_TRUE(HasStoppedReading());
+  EXPECT_LT(BootClock::now(), started + milliseconds(2500))
+      << "has waited in vain for the feed";
   EXPECT_NE(Get(second.metrics_url).body.find("chivewing_fed 1\n"),
             std::string::npos);
   const std::string done = "aaaaaaaaaaaaaaaa";
