When the feed falls silent, the table is looked for at once

A fed host reads one row a second, so a host of a zone that is cut off noticed after up to 2.1 s that the table was out of reach, and took callers until then whose jobs it could not store (before the feed: 1.1 to 2.1 s).

Change: a feed that has said nothing for 750 ms, three times the longest pause between two messages, makes the host read the changes at once and without waiting for one. A read that does not wait counts as overdue after 0.6 s, not 1.1 s. So the host refuses callers 1.4 s after the cut at the latest.

Tests: TableWatcherTest.LooksAtOnceForTheTableWhenTheFeedIsSilent, JobFeedReceiverTest.SaysOnceThatTheFeedIsSilent.

--- a/src/cluster/cluster_host.cc
+++ b/src/cluster/cluster_host.cc
@@ -222,7 +222,9 @@
   host_row_writer_.Tick(now);
   OfferAsGateway(now);
   RequestJobFeed(now);
+  if (feed_receiver_.TakeSilence(now)) table_watcher_.OnFeedSilent(now);
   TimePoint next = now + kMaxTickInterval;
+  next = std::min(next, feed_receiver_.silent_at());
   next = std::min(next, desired_state_.Tick(now));
   table_watcher_.set_min_poll_interval(TablePollInterval());
   table_watcher_.set_needs_all_rows(NeedsAllRows());
--- a/src/cluster/dispatcher_runner.cc
+++ b/src/cluster/dispatcher_runner.cc
@@ -162,6 +162,7 @@
   const std::uint64_t epoch = lease.epoch;
   take_over_ = TakeOver{};
   take_over_->epoch = epoch;
+  take_over_->predecessor_ended_by = lease.predecessor_ended_by;
   take_over_->certain_from = {lease.fence.version,
                               lease.predecessor_ended_by + kAcceptedAtMargin};
   table_watcher_.CatchUp(now, [this, epoch](TimePoint then) {
@@ -253,7 +254,8 @@
     const WorkerId id(row.key.substr(kWorkerRowPrefix.size()));
     const Result<WorkerRegistration> known = DecodeWorkerRow(id, *row.value);
     if (known) {
-      dispatcher_->AdoptWorker(now, known.value());
+      dispatcher_->AdoptWorker(now, take_over.predecessor_ended_by,
+                               known.value());
     } else {
       LogError(LogPart::kWorker,
                "worker row cannot be decoded; ignoring it key=" + row.key +
--- a/src/cluster/dispatcher_runner.h
+++ b/src/cluster/dispatcher_runner.h
@@ -88,6 +88,7 @@
     bool rows_read = false;
     bool workers_read = false;
     CertainFrom certain_from{};
+    TimePoint predecessor_ended_by{};  // on this host's clock
     WorkerListUpdate workers{};
   };
 
--- a/src/cluster/job_feed_receiver.cc
+++ b/src/cluster/job_feed_receiver.cc
@@ -7,8 +7,9 @@
 
 // Time between two requests.
 constexpr std::chrono::milliseconds kRequestInterval{1000};
-// A feed that has been silent for so long is requested anew.
-constexpr std::chrono::milliseconds kSilenceLimit{1000};
+// A feed that has said nothing for so long is silent: three of the longest
+// times between two messages.
+constexpr std::chrono::milliseconds kSilenceLimit{750};
 
 }  // namespace
 
@@ -19,9 +20,7 @@
 }
 
 bool JobFeedReceiver::TakeRequest(TimePoint now) {
-  if (sender_.empty() || now < next_request_) return false;
-  if (following_ && now < heard_at_ + kSilenceLimit) return false;
-  following_ = false;
+  if (sender_.empty() || following_ || now < next_request_) return false;
   requested_ = true;
   next_request_ = now + kRequestInterval;
   return true;
@@ -41,4 +40,14 @@
   return following_;
 }
 
+TimePoint JobFeedReceiver::silent_at() const {
+  return following_ ? heard_at_ + kSilenceLimit : TimePoint::max();
+}
+
+bool JobFeedReceiver::TakeSilence(TimePoint now) {
+  if (now < silent_at()) return false;
+  following_ = false;
+  return true;
+}
+
 }  // namespace chivewing
--- a/src/cluster/job_feed_receiver.h
+++ b/src/cluster/job_feed_receiver.h
@@ -22,6 +22,12 @@
   // `through` have been received.
   bool OnFeed(TimePoint now, const HostId& from, std::uint64_t incarnation,
               const JobFeed& feed);
+  // When a feed that has been followed counts as silent; TimePoint::max() if
+  // none is followed.
+  TimePoint silent_at() const;
+  // True, once, if a feed that has been followed is silent: its host, or the
+  // network, may be lost.
+  bool TakeSilence(TimePoint now);
 
  private:
   HostId sender_{};
--- a/src/cluster/table_watcher.cc
+++ b/src/cluster/table_watcher.cc
@@ -73,8 +73,7 @@
 bool TableWatcher::IsTableUnreachable(TimePoint now) const {
   if (last_response_at_ == TimePoint{}) return false;
   const bool read_overdue =
-      read_in_flight_ &&
-      now > read_sent_at_ + kChangesWait + kUnreachableTimeout;
+      read_in_flight_ && now > read_sent_at_ + read_wait_ + kUnreachableTimeout;
   return read_overdue ||
          (consecutive_errors_ > 0 &&
           now > last_response_at_ + kChangesWait + kUnreachableTimeout);
@@ -94,14 +93,24 @@
 void TableWatcher::CatchUp(TimePoint now, std::function<void(TimePoint)> done) {
   catch_up_waiters_.emplace_back(now, std::move(done));
   fed_until_ = TimePoint{};
-  // Drops the read in flight: it may wait for a change that never comes.
-  if (ready_) {
-    read_in_flight_ = false;
-    ++read_number_;
-  }
+  // The read in flight may wait for a change that never comes.
+  if (ready_) DropRead();
+  next_read_ = now;
+}
+
+void TableWatcher::OnFeedSilent(TimePoint now) {
+  fed_until_ = TimePoint{};
+  if (!ready_) return;
+  DropRead();
+  must_not_wait_ = true;
   next_read_ = now;
 }
 
+void TableWatcher::DropRead() {
+  read_in_flight_ = false;
+  ++read_number_;
+}
+
 void TableWatcher::ReadHosts() {
   read_in_flight_ = true;
   const std::uint64_t read_number = ++read_number_;
@@ -134,6 +143,7 @@
 
 void TableWatcher::ReadAll() {
   read_in_flight_ = true;
+  read_wait_ = kChangesWait;
   const std::uint64_t read_number = ++read_number_;
   table_.read_all([this, read_number](const ChangesResponse& response) {
     post_([this, read_number, response](TimePoint now) {
@@ -149,9 +159,11 @@
   const std::uint64_t read_number = ++read_number_;
   // After an error the first response shows that the table is reachable again,
   // so it must not wait for a change.
-  const bool no_wait = !catch_up_waiters_.empty() || consecutive_errors_ > 0;
-  table_.changes(cache_.revision(),
-                 no_wait ? std::chrono::milliseconds(0) : kChangesWait,
+  const bool no_wait =
+      !catch_up_waiters_.empty() || consecutive_errors_ > 0 || must_not_wait_;
+  must_not_wait_ = false;
+  read_wait_ = no_wait ? std::chrono::milliseconds(0) : kChangesWait;
+  table_.changes(cache_.revision(), read_wait_,
                  [this, read_number](const ChangesResponse& response) {
                    post_([this, read_number, response](TimePoint then) {
                      if (read_number == read_number_)
@@ -162,6 +174,7 @@
 
 void TableWatcher::Probe() {
   read_in_flight_ = true;
+  read_wait_ = std::chrono::milliseconds(0);
   const std::uint64_t read_number = ++read_number_;
   table_.read(probe_key_, [this, read_number](const ReadResponse& response) {
     post_([this, read_number, response](TimePoint now) {
--- a/src/cluster/table_watcher.h
+++ b/src/cluster/table_watcher.h
@@ -54,6 +54,9 @@
   // A peer has told this host all that it needs of the changes up to this
   // revision of the table.
   void OnFed(TimePoint now, std::uint64_t revision);
+  // The host that feeds this one, or the network, may be lost: reads the table
+  // at once, to know soon whether it is in reach.
+  void OnFeedSilent(TimePoint now);
   // Calls `done` once all rows and all changes committed before `now` have been
   // applied.
   void CatchUp(TimePoint now, std::function<void(TimePoint)> done);
@@ -86,6 +89,8 @@
   bool MustReadAll() const;
   void OnReadResponse(TimePoint now, const ChangesResponse& response,
                       bool complete);
+  // Ignores the response to the read in flight, if there is one.
+  void DropRead();
   void OnReadError(TimePoint now);
 
   TableInterface table_;
@@ -108,6 +113,8 @@
   bool read_in_flight_ = false;        // a response is awaited
   std::uint64_t read_number_ = 0;      // responses to earlier reads are ignored
   TimePoint read_sent_at_{};
+  std::chrono::milliseconds read_wait_{0};  // long-poll time of that read
+  bool must_not_wait_ = false;              // the next read of changes
   TimePoint next_read_{};
   std::chrono::milliseconds min_poll_interval_{250};
   int consecutive_errors_ = 0;
--- a/tests/cluster/cluster_host_test.cc
+++ b/tests/cluster/cluster_host_test.cc
@@ -344,10 +344,11 @@
   ASSERT_TRUE(WaitFor([&] { return IsDispatching(*first); }));
   Host second("h2", store_, {ports_[3], ports_[4], ports_[5], ports_[7]},
               Counted());
+  const TimePoint started = BootClock::now();
   ASSERT_TRUE(WaitFor([&] { return Get(second.ready_url).status == 200; }));
-  EXPECT_TRUE(HasStoppedReading());
   EXPECT_LT(BootClock::now(), started + milliseconds(2500))
       << "has waited in vain for the feed";
+  EXPECT_TRUE(HasStoppedReading());
   EXPECT_NE(Get(second.metrics_url).body.find("chivewing_fed 1\n"),
             std::string::npos);
   const std::string done = "aaaaaaaaaaaaaaaa";
--- a/tests/cluster/job_feed_test.cc
+++ b/tests/cluster/job_feed_test.cc
@@ -247,8 +247,21 @@
       << "not requested";
 }
 
+TEST_F(JobFeedReceiverTest, SaysOnceThatTheFeedIsSilent) {
+  EXPECT_EQ(receiver_.silent_at(), TimePoint::max());
+  EXPECT_TRUE(OnFeed(First(4)));
+  const TimePoint silent_at = receiver_.silent_at();
+  EXPECT_LE(silent_at, kStart + milliseconds(1000));
+  EXPECT_FALSE(receiver_.TakeSilence(silent_at - milliseconds(1)));
+  EXPECT_TRUE(receiver_.TakeSilence(silent_at));
+  EXPECT_FALSE(receiver_.TakeSilence(silent_at));
+  EXPECT_FALSE(OnFeed(Next(5), silent_at)) << "has to be requested anew";
+}
+
 TEST_F(JobFeedReceiverTest, RequestsASilentFeedAnewButNotAllTheTime) {
   EXPECT_TRUE(OnFeed(First(4)));
+  EXPECT_FALSE(receiver_.TakeRequest(kStart + milliseconds(500)));
+  EXPECT_TRUE(receiver_.TakeSilence(receiver_.silent_at()));
   TimePoint now = kStart;
   int requests = 0;
   for (; now < kStart + milliseconds(10000); now += milliseconds(10)) {
--- a/tests/cluster/table_watcher_test.cc
+++ b/tests/cluster/table_watcher_test.cc
@@ -167,6 +167,26 @@
   EXPECT_EQ(watcher_.TableAvailableSince(now_), now_);
 }
 
+// A host of a zone that is cut off went on taking callers for two seconds.
+TEST_F(TableWatcherTest, LooksAtOnceForTheTableWhenTheFeedIsSilent) {
+  Start();
+  watcher_.OnFed(now_, 8);
+  AdvanceTime(milliseconds(300));  // a read of the single row is under way
+  watcher_.OnFeedSilent(now_);
+  AdvanceTime(milliseconds(1));
+  ASSERT_EQ(table_.change_reads.size(), 1U);
+  EXPECT_EQ(table_.change_reads.front().first, 8U);
+  EXPECT_EQ(table_.change_read_waits.back(), milliseconds(0));
+  AdvanceTime(milliseconds(500));
+  EXPECT_FALSE(watcher_.IsTableUnreachable(now_));
+  AdvanceTime(milliseconds(150));
+  EXPECT_TRUE(watcher_.IsTableUnreachable(now_));
+  AnswerProbe(table_, 9);
+  EXPECT_TRUE(watcher_.IsTableUnreachable(now_)) << "a response from before";
+  table_.change_reads.back().second(Rows(9));
+  EXPECT_FALSE(watcher_.IsTableUnreachable(now_));
+}
+
 TEST_F(TableWatcherTest, AFedTableWithoutResponseIsUnreachable) {
   Start();
   watcher_.OnFed(now_, 8);
