The row of a worker that has left empty is removed at once

Ruled out: the successor trusting the registrations (a worker that is cut off from the store runs on without one).

Change: a worker without registration that does not respond, and on which the dispatcher knows that nothing runs and no start is on its way, is removed without waiting for its lease. A run that may be there keeps the row, as before.

--- a/src/dispatch/worker_manager.cc
+++ b/src/dispatch/worker_manager.cc
@@ -115,7 +115,7 @@
     if (worker.pending_poll == 0 && now >= worker.next_poll) {
       Poll(now, worker, out);
     }
-    if (!RemoveIfGone(now, worker)) UpdateAttention(now, worker);
+    if (!RemoveIfGone(worker)) UpdateAttention(now, worker);
   }
 }
 
@@ -147,12 +147,10 @@
   }
 }
 
-bool WorkerManager::RemoveIfGone(TimePoint now, TrackedWorker& worker) {
+bool WorkerManager::RemoveIfGone(TrackedWorker& worker) {
   const WorkerId id = worker.registration().worker;
-  if (worker.registered() || !worker.IsUnresponsive() ||
-      now <= worker.LeaseExpiry(state_.options)) {
-    return false;
-  }
+  if (worker.registered() || !worker.IsUnresponsive()) return false;
+  // A run that may be there, or may still start, is in the table of runs.
   const bool idle =
       state_.runs.OnWorker(id).empty() && !state_.unsynced_workers.contains(id);
   if (!idle) return false;
--- a/src/dispatch/worker_manager.h
+++ b/src/dispatch/worker_manager.h
@@ -44,8 +44,9 @@
   TimePoint AttentionTime(TimePoint now, const TrackedWorker& worker) const;
   // Stops the runs that a draining worker would otherwise take with it.
   void StopRunsBeforeLeaving(TimePoint now, const TrackedWorker& worker);
-  // Removes the worker if it has certainly gone. Returns true if it has.
-  bool RemoveIfGone(TimePoint now, TrackedWorker& worker);
+  // Removes the worker if it has gone and nothing can run there. Returns whether
+  // it has.
+  bool RemoveIfGone(TrackedWorker& worker);
   void Poll(TimePoint now, TrackedWorker& worker, DispatchEffects& out);
   void ApplyPollResponse(TimePoint now, TrackedWorker& worker,
                          const PollResponse& response);
--- a/tests/dispatch/write_order_test.cc
+++ b/tests/dispatch/write_order_test.cc
@@ -3,7 +3,9 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <optional>
+#include <set>
 #include <string>
 #include <variant>
 
@@ -124,6 +126,56 @@
   EXPECT_EQ(removed, kRemovedWorkers);
 }
 
+// The row of a worker that had left stayed for the rest of its lease. If the
+// table was away by then, a successor waited for the worker.
+TEST_F(WriteOrderTest, TheRowOfAWorkerThatHasLeftEmptyIsRemovedAtOnce) {
+  dispatcher_.UnregisterWorker(WorkerId("w"));
+  const TimePoint left = now_;
+  std::set<WorkerId> removed;
+  for (; removed.empty() && now_ < left + seconds(20);
+       now_ += milliseconds(50)) {
+    DispatchEffects effects;
+    dispatcher_.Decide(now_, milliseconds(0), effects);
+    for (const DispatchEffect& effect : effects) {
+      const auto& poll = std::get<PollWorker>(effect);
+      dispatcher_.OnPollResponse(now_, poll.worker, poll.poll_id, {});
+    }
+    removed = dispatcher_.TakeBatch(60).removed_workers;
+  }
+  EXPECT_EQ(removed, std::set<WorkerId>{WorkerId("w")});
+  EXPECT_LT(now_, left + seconds(1));
+}
+
+// A run that may still be there keeps the row.
+TEST_F(WriteOrderTest, TheRowOfAWorkerThatMayRunATaskIsKeptForItsLease) {
+  WorkerRegistration worker;
+  worker.worker = WorkerId("w");
+  worker.capacity = {16000, 32000, 0};
+  dispatcher_.RegisterWorker(now_, worker);
+  AddJob("ended");
+  EndRun("ended", 1);  // the worker's clock is known from here on
+  AddJob("z");
+  DispatchEffects effects;
+  dispatcher_.Decide(now_, milliseconds(0), effects);
+  const bool started = std::any_of(
+      effects.begin(), effects.end(), [](const DispatchEffect& effect) {
+        return std::holds_alternative<StartRun>(effect);
+      });
+  ASSERT_TRUE(started);
+  dispatcher_.UnregisterWorker(WorkerId("w"));
+  const TimePoint left = now_;
+  for (; now_ < left + seconds(5); now_ += milliseconds(50)) {
+    effects.clear();
+    dispatcher_.Decide(now_, milliseconds(0), effects);
+    for (const DispatchEffect& effect : effects) {
+      const auto* const poll = std::get_if<PollWorker>(&effect);
+      if (poll == nullptr) continue;
+      dispatcher_.OnPollResponse(now_, poll->worker, poll->poll_id, {});
+    }
+    EXPECT_TRUE(dispatcher_.TakeBatch(60).removed_workers.empty());
+  }
+}
+
 TEST_F(WriteOrderTest, UnwrittenRowsAreNextInTheirOrder) {
   for (const char* const id : {"y", "x", "a"}) MakeDirty(id);
   const ProgressWriteBatch failed = dispatcher_.TakeBatch(2);
