After a take-over, leases of workers end with that of the holder before

A successor assumed that the workers out of its reach had got a lease from the holder before at the moment of the take-over, and waited for all of it.

A dispatcher gives no lease beyond one worker's lease after its own has ended (GrantableLease), so the wait can be counted from there.

Test: DispatcherTest.LeasesOfWorkersOutOfReachEndWithThatOfTheHolderBefore, a holder that ended 4 s before the take-over: the waiting task starts not before 6 s after that end, and within 0.6 s of it. By reading, the code before starts it 4 s later.

--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -49,9 +49,9 @@
   workers_.Unregister(worker);
 }
 
-void Dispatcher::AdoptWorker(TimePoint now,
+void Dispatcher::AdoptWorker(TimePoint now, TimePoint predecessor_ended_by,
                              const WorkerRegistration& registration) {
-  workers_.AdoptWorker(now, registration);
+  workers_.AdoptWorker(now, predecessor_ended_by, registration);
 }
 
 void Dispatcher::EndTakeOver() {
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -61,8 +61,10 @@
   void CancelJob(const JobId& job);
   void RegisterWorker(TimePoint now, const WorkerRegistration& registration);
   void UnregisterWorker(const WorkerId& worker);
-  // A worker to which an earlier dispatcher may have given tasks.
-  void AdoptWorker(TimePoint now, const WorkerRegistration& registration);
+  // A worker to which an earlier dispatcher may have given tasks. By
+  // `predecessor_ended_by` that one had lost its lease.
+  void AdoptWorker(TimePoint now, TimePoint predecessor_ended_by,
+                   const WorkerRegistration& registration);
   // To be called after the last AdoptWorker: without adopted workers no job is
   // uncertain.
   void EndTakeOver();
--- a/src/dispatch/worker_manager.cc
+++ b/src/dispatch/worker_manager.cc
@@ -60,7 +60,7 @@
   }
 }
 
-void WorkerManager::AdoptWorker(TimePoint now,
+void WorkerManager::AdoptWorker(TimePoint now, TimePoint predecessor_ended_by,
                                 const WorkerRegistration& registration) {
   const auto found = state_.workers.try_emplace(registration.worker,
                                                 TrackedWorker(registration));
@@ -70,9 +70,11 @@
     worker.next_poll = now;
   }
   worker.enrolled = true;
-  // All dispatchers of a cluster grant leases of the same length.
+  // All dispatchers of a cluster grant leases of the same length, and none
+  // beyond that length after its own lease.
   worker.set_foreign_lease_expiry(
-      now + state_.options.LongestOnSlowClock(state_.options.lease));
+      std::min(now, predecessor_ended_by) +
+      state_.options.LongestOnSlowClock(state_.options.lease));
   state_.unsynced_workers.insert(registration.worker);
   state_.UpdateTableWork(worker);
   UpdateAttention(now, worker);
--- a/src/dispatch/worker_manager.h
+++ b/src/dispatch/worker_manager.h
@@ -24,7 +24,8 @@
   // Adopts a worker to which an earlier dispatcher may have given tasks. Tasks
   // without a known run wait until the worker has listed its runs or its lease
   // has expired.
-  void AdoptWorker(TimePoint now, const WorkerRegistration& registration);
+  void AdoptWorker(TimePoint now, TimePoint predecessor_ended_by,
+                   const WorkerRegistration& registration);
 
   void OnPollResponse(TimePoint now, const WorkerId& id, std::uint64_t poll_id,
                       const PollResponse& response);
--- a/tests/dispatch/cluster_model.cc
+++ b/tests/dispatch/cluster_model.cc
@@ -172,7 +172,7 @@
   active.dispatcher->set_advice_hosts(
       {HostId("h0"), HostId("h1"), HostId("h2")});
   for (const WorkerId& id : enrolled_workers_) {
-    active.dispatcher->AdoptWorker(now_, Find(id)->registration);
+    active.dispatcher->AdoptWorker(now_, now_, Find(id)->registration);
   }
   for (const ModelWorker& worker : workers_) {
     active.dispatcher->RegisterWorker(now_, worker.registration);
--- a/tests/dispatch/dispatcher_test.cc
+++ b/tests/dispatch/dispatcher_test.cc
@@ -5,6 +5,8 @@
 
 #include <gtest/gtest.h>
 
+#include <optional>
+
 #include "dispatch/cluster_model.h"
 #include "dispatch/job_limits.h"
 
@@ -157,7 +159,7 @@
   Dispatcher dispatcher({}, 2);
   dispatcher.set_advice_hosts({HostId("h0")});
   const TimePoint now = model_.now();
-  dispatcher.AdoptWorker(now, worker.registration());
+  dispatcher.AdoptWorker(now, now, worker.registration());
   dispatcher.RegisterWorker(now, worker.registration());
   dispatcher.EndTakeOver();
   DispatchEffects effects;
@@ -181,6 +183,45 @@
   EXPECT_EQ(dispatcher.state().runs.all().size(), 1U);
 }
 
+// After a take-over that took long, jobs waited for a whole lease of workers
+// out of reach, although the holder before cannot have renewed it.
+TEST_F(DispatcherTest, LeasesOfWorkersOutOfReachEndWithThatOfTheHolderBefore) {
+  DispatchOptions options;
+  Dispatcher dispatcher(options, 2);
+  const TimePoint taken_over = model_.now();
+  const TimePoint ended = taken_over - seconds(4);
+  for (const std::size_t each : {0U, 1U}) {
+    const WorkerRegistration& worker = model_.worker(each).registration;
+    dispatcher.AdoptWorker(taken_over, ended, worker);
+    dispatcher.RegisterWorker(taken_over, worker);
+  }
+  dispatcher.AddJob(taken_over, taken_over,
+                    model_.MakeJob("j", {Step(1, 1000, seconds(1))}),
+                    std::nullopt, true);
+  const WorkerId out_of_reach = model_.worker(0).registration.worker;
+  std::optional<TimePoint> started;
+  TimePoint now = taken_over;
+  for (; now < taken_over + seconds(9) && !started; now += milliseconds(10)) {
+    DispatchEffects effects;
+    dispatcher.Decide(now, milliseconds(0), effects);
+    for (const DispatchEffect& effect : effects) {
+      if (std::holds_alternative<StartRun>(effect)) started = now;
+      const auto* const poll = std::get_if<PollWorker>(&effect);
+      if (poll == nullptr) continue;
+      PollResponse response;
+      if (poll->worker != out_of_reach) {
+        response.outcome = CommandOutcome::kDone;
+        response.clock =
+            std::chrono::duration_cast<WorkerTimestamp>(now.time_since_epoch());
+      }
+      dispatcher.OnPollResponse(now, poll->worker, poll->poll_id, response);
+    }
+  }
+  ASSERT_TRUE(started);
+  EXPECT_GE(*started, ended + options.lease);
+  EXPECT_LE(*started, ended + options.lease + milliseconds(600));
+}
+
 // Guards against a dispatcher that takes its own older fence for a competitor:
 // a command sent before the host reacquired its lease can arrive after one sent
 // since, and the worker refuses it as fenced.
--- a/tests/dispatch/reported_run_test.cc
+++ b/tests/dispatch/reported_run_test.cc
@@ -29,7 +29,7 @@
     WorkerRegistration worker;
     worker.worker = WorkerId("w");
     worker.capacity = {16000, 32000, 0};
-    dispatcher_.AdoptWorker(now_, worker);
+    dispatcher_.AdoptWorker(now_, now_, worker);
     dispatcher_.RegisterWorker(now_, worker);
   }
 
