--- a/src/dispatch/worker_manager.cc
+++ b/src/dispatch/worker_manager.cc
@@ -60,7 +60,7 @@
   }
 }
 
-void WorkerManager::AdoptWorker(TimePoint now,
+void WorkerManager::AdoptWorker(TimePoint now, TimePoint predecessor_ended_by,
                                 const WorkerRegistration& registration) {
   const auto found = state_.workers.try_emplace(registration.worker,
                                                 TrackedWorker(registration));
@@ -70,9 +70,11 @@
     worker.next_poll = now;
   }
   worker.enrolled = true;
-  // All dispatchers of a cluster grant leases of the same length.
+  // All dispatchers of a cluster grant leases of the same length, and none
+  // beyond that length after its own lease.
   worker.set_foreign_lease_expiry(
-      now + state_.options.LongestOnSlowClock(state_.options.lease));
+      std::min(now, predecessor_ended_by) +
+      state_.options.LongestOnSlowClock(state_.options.lease));
   state_.unsynced_workers.insert(registration.worker);
   state_.UpdateTableWork(worker);
   UpdateAttention(now, worker);
@@ -115,7 +117,7 @@
     if (worker.pending_poll == 0 && now >= worker.next_poll) {
       Poll(now, worker, out);
     }
-    if (!RemoveIfGone(now, worker)) UpdateAttention(now, worker);
+    if (!RemoveIfGone(worker)) UpdateAttention(now, worker);
   }
 }
 
@@ -147,12 +149,10 @@
   }
 }
 
-bool WorkerManager::RemoveIfGone(TimePoint now, TrackedWorker& worker) {
+bool WorkerManager::RemoveIfGone(TrackedWorker& worker) {
   const WorkerId id = worker.registration().worker;
-  if (worker.registered() || !worker.IsUnresponsive() ||
-      now <= worker.LeaseExpiry(state_.options)) {
-    return false;
-  }
+  if (worker.registered() || !worker.IsUnresponsive()) return false;
+  // A run that may be there, or may still start, is in the table of runs.
   const bool idle =
       state_.runs.OnWorker(id).empty() && !state_.unsynced_workers.contains(id);
   if (!idle) return false;
--- a/src/dispatch/worker_manager.h
+++ b/src/dispatch/worker_manager.h
@@ -24,7 +24,8 @@
   // Adopts a worker to which an earlier dispatcher may have given tasks. Tasks
   // without a known run wait until the worker has listed its runs or its lease
   // has expired.
-  void AdoptWorker(TimePoint now, const WorkerRegistration& registration);
+  void AdoptWorker(TimePoint now, TimePoint predecessor_ended_by,
+                   const WorkerRegistration& registration);
 
   void OnPollResponse(TimePoint now, const WorkerId& id, std::uint64_t poll_id,
                       const PollResponse& response);
@@ -44,8 +45,9 @@
   TimePoint AttentionTime(TimePoint now, const TrackedWorker& worker) const;
   // Stops the runs that a draining worker would otherwise take with it.
   void StopRunsBeforeLeaving(TimePoint now, const TrackedWorker& worker);
-  // Removes the worker if it has certainly gone. Returns true if it has.
-  bool RemoveIfGone(TimePoint now, TrackedWorker& worker);
+  // Removes the worker if it has gone and nothing can run there. Returns whether
+  // it has.
+  bool RemoveIfGone(TrackedWorker& worker);
   void Poll(TimePoint now, TrackedWorker& worker, DispatchEffects& out);
   void ApplyPollResponse(TimePoint now, TrackedWorker& worker,
                          const PollResponse& response);
