Writing progress batches is a class of its own

ProgressWriter takes the batch under way, its repetition and its response; what a written batch means stays with the runner. Also gone: WatchWorkers and ApplyBatch, declared and never defined.

--- a/src/cluster/dispatcher_runner.cc
+++ b/src/cluster/dispatcher_runner.cc
@@ -14,13 +14,9 @@
 
 using std::chrono::milliseconds;
 
-// Rewritten by each progress batch, so that a copy of a batch that arrives late
-// takes no effect.
-const char* const kBatchRowKey = "placer-batch/all";
 // Progress rows of one transaction. The platform accepts 100 entries, the
 // lease's row among them.
 constexpr std::size_t kMaxRowsPerTransaction = 60;
-constexpr milliseconds kBatchRetryDelay{50};
 // By how much the time of acceptance of a job may be read as too late: the
 // table's clock is known by responses, which may be delayed.
 constexpr milliseconds kAcceptedAtMargin{500};
@@ -66,8 +62,23 @@
                // Wakes the owner's thread; a full ring is not idle anyway.
                callbacks_.wake(LoopWork::kLease);
              }),
-      write_prefix_("batch-" + settings.host.value() + "-" +
-                    std::to_string(incarnation) + "-") {}
+      progress_writer_(
+          platform.table, table_watcher,
+          "batch-" + settings.host.value() + "-" + std::to_string(incarnation) +
+              "-",
+          {.post =
+               [this](auto run) {
+                 callbacks_.post(LoopWork::kLease, std::move(run));
+               },
+           .on_rows_committed =
+               [this](TimePoint now, const std::vector<TableRow>& rows) {
+                 callbacks_.on_rows_committed(now, rows);
+               },
+           .on_result =
+               [this](TimePoint now, std::uint64_t generation,
+                      const ProgressWriteBatch& batch, bool written) {
+                 OnBatchResult(now, generation, batch, written);
+               }}) {}
 
 void DispatcherRunner::set_advice_hosts(std::set<HostId> advice_hosts) {
   advice_hosts_ = std::move(advice_hosts);
@@ -308,89 +319,34 @@
   callbacks_.drop_calls();
 }
 
-void DispatcherRunner::SaveProgress(TimePoint now) {
-  if (batch_) {
-    // The same transaction is resent until the response is definite, so it
-    // takes effect at most once.
-    if (!batch_in_flight_ && now >= next_batch_send_) {
-      batch_in_flight_ = true;
-      platform_.table.commit(
-          batch_transaction_, [this](const CommitResponse& response) {
-            callbacks_.post(LoopWork::kLease, [this, response](TimePoint then) {
-              OnBatchCommitResponse(then, response);
-            });
-          });
-    }
-    return;
-  }
-  if (!dispatcher_ || !dispatcher_->HasDirty()) return;
+TimePoint DispatcherRunner::SaveProgress(TimePoint now) {
+  const TimePoint next = progress_writer_.Tick(now);
+  if (progress_writer_.busy() || !dispatcher_ || !dispatcher_->HasDirty())
+    return next;
   const LeaseKeeper::State lease = lease_.state();
   const bool is_current = lease.held && now < lease.valid_until &&
                           lease.epoch == dispatcher_->fence();
-  if (!is_current) return;
+  if (!is_current) return next;
   ProgressWriteBatch batch = dispatcher_->TakeBatch(kMaxRowsPerTransaction);
   if (batch.empty()) {
     dispatcher_->OnSaved(now, batch);
-    return;
+  } else {
+    progress_writer_.Write(now, generation_, dispatcher_->fence(), lease.fence,
+                           std::move(batch));
   }
-  TableTransaction transaction;
-  transaction.write_id = write_prefix_ + std::to_string(next_write_number_++);
-  transaction.conditions = {
-      lease.fence,
-      {kBatchRowKey, table_watcher_.cache().version(kBatchRowKey)}};
-  transaction.writes.push_back(
-      {kBatchRowKey, std::to_string(dispatcher_->fence())});
-  for (const auto& [id, progress] : batch.jobs) {
-    transaction.writes.push_back(
-        {ProgressRowKey(id), EncodeJobProgress(progress)});
-  }
-  for (const WorkerRegistration& each : batch.enrolled) {
-    transaction.writes.push_back(
-        {WorkerRowKey(each.worker), EncodeWorkerRow(each)});
-  }
-  for (const WorkerId& id : batch.removed_workers) {
-    transaction.writes.push_back({WorkerRowKey(id), std::nullopt});
-  }
-  batch_ = std::move(batch);
-  batch_transaction_ = std::move(transaction);
-  batch_generation_ = generation_;
-  batch_unconfirmed_ = false;
-  batch_in_flight_ = false;
-  next_batch_send_ = now;
-  SaveProgress(now);
+  return next;
 }
 
-void DispatcherRunner::OnBatchCommitResponse(TimePoint now,
-                                             const CommitResponse& response) {
-  batch_in_flight_ = false;
-  if (!batch_) return;
-  if (response.status == CommitStatus::kUnknown ||
-      (response.status == CommitStatus::kNotApplied && batch_unconfirmed_)) {
-    batch_unconfirmed_ = true;
-    next_batch_send_ = now + kBatchRetryDelay;
-    return;
-  }
-  std::uint64_t version = 0;
-  if (response.status == CommitStatus::kCommitted) version = response.revision;
-  if (response.status == CommitStatus::kConflict) {
-    version = VersionIfCommitted(batch_transaction_, response);
-  }
-  const ProgressWriteBatch batch = std::move(*batch_);
-  const TableTransaction transaction = std::move(batch_transaction_);
-  batch_.reset();
+void DispatcherRunner::OnBatchResult(TimePoint now, std::uint64_t generation,
+                                     const ProgressWriteBatch& batch,
+                                     bool written) {
   // A batch of an earlier dispatcher says nothing about this one's progress.
-  const bool is_own = dispatcher_ && batch_generation_ == generation_;
-  for (const TableRow& row : response.rows) table_watcher_.Apply(now, row);
-  if (version == 0) {
-    if (is_own && dispatcher_) dispatcher_->OnNotSaved(batch);
-    return;
-  }
-  std::vector<TableRow> rows;
-  for (const TableWrite& write : transaction.writes) {
-    rows.push_back({write.key, write.value, version, transaction.write_id});
+  if (!dispatcher_ || generation != generation_) return;
+  if (written) {
+    dispatcher_->OnSaved(now, batch);
+  } else {
+    dispatcher_->OnNotSaved(batch);
   }
-  callbacks_.on_rows_committed(now, rows);
-  if (is_own && dispatcher_) dispatcher_->OnSaved(now, batch);
 }
 
 TimePoint DispatcherRunner::Tick(TimePoint now) {
@@ -421,9 +377,7 @@
     Execute(effects);
     if (!workers_read_in_flight_) next = std::min(next, next_workers_read_);
   }
-  SaveProgress(now);
-  if (batch_ && !batch_in_flight_) next = std::min(next, next_batch_send_);
-  return next;
+  return std::min(next, SaveProgress(now));
 }
 
 void DispatcherRunner::OnTickMeasured(TimePoint end, Duration spent) {
--- a/src/cluster/dispatcher_runner.h
+++ b/src/cluster/dispatcher_runner.h
@@ -15,6 +15,7 @@
 #include "cluster/lease_keeper.h"
 #include "cluster/loop_monitor.h"
 #include "cluster/platform_interface.h"
+#include "cluster/progress_writer.h"
 #include "cluster/shared_time_of_day.h"
 #include "cluster/table_watcher.h"
 #include "dispatch/dispatcher.h"
@@ -104,12 +105,12 @@
   void AddDeferredJobs(TimePoint now);
   void DropDispatcher(TimePoint now, const std::string& why);
 
-  void WatchWorkers(TimePoint now);
   void OnWorkers(TimePoint now, const WorkerListUpdate& update);
   void ApplyWorkerUpdate(TimePoint now, const WorkerListUpdate& update);
-  void SaveProgress(TimePoint now);
-  void OnBatchCommitResponse(TimePoint now, const CommitResponse& response);
-  void ApplyBatch(TimePoint now, std::uint64_t version);
+  // Returns when it must be called next.
+  TimePoint SaveProgress(TimePoint now);
+  void OnBatchResult(TimePoint now, std::uint64_t generation,
+                     const ProgressWriteBatch& batch, bool written);
 
   void Execute(const DispatchEffects& effects);
   void LogStart(const StartRun& command) const;
@@ -146,15 +147,7 @@
   bool workers_read_in_flight_ = false;
   TimePoint next_workers_read_{};
 
-  // The progress batch that is being committed.
-  std::optional<ProgressWriteBatch> batch_;
-  TableTransaction batch_transaction_{};
-  std::uint64_t batch_generation_ = 0;  // of the dispatcher that made it
-  bool batch_in_flight_ = false;
-  bool batch_unconfirmed_ = false;
-  TimePoint next_batch_send_{};
-  std::uint64_t next_write_number_ = 1;
-  std::string write_prefix_;
+  ProgressWriter progress_writer_;
 };
 
 }  // namespace chivewing
--- /dev/null
+++ b/src/cluster/progress_writer.cc
@@ -0,0 +1,93 @@
+#include "cluster/progress_writer.h"
+
+#include <chrono>
+#include <utility>
+
+#include "cluster/worker_row.h"
+#include "store/pending_commit.h"
+
+namespace chivewing {
+namespace {
+
+// Rewritten by each progress batch, so that a copy of a batch that arrives late
+// takes no effect.
+const char* const kBatchRowKey = "placer-batch/all";
+constexpr std::chrono::milliseconds kRetryDelay{50};
+
+void AddRows(const ProgressWriteBatch& batch, TableTransaction& transaction) {
+  for (const auto& [id, progress] : batch.jobs) {
+    transaction.writes.push_back(
+        {ProgressRowKey(id), EncodeJobProgress(progress)});
+  }
+  for (const WorkerRegistration& each : batch.enrolled) {
+    transaction.writes.push_back(
+        {WorkerRowKey(each.worker), EncodeWorkerRow(each)});
+  }
+  for (const WorkerId& id : batch.removed_workers) {
+    transaction.writes.push_back({WorkerRowKey(id), std::nullopt});
+  }
+}
+
+}  // namespace
+
+void ProgressWriter::Write(TimePoint now, std::uint64_t generation,
+                           std::uint64_t fence, const TableCondition& lease,
+                           ProgressWriteBatch batch) {
+  TableTransaction transaction;
+  transaction.write_id = write_prefix_ + std::to_string(next_write_number_++);
+  transaction.conditions = {
+      lease, {kBatchRowKey, table_watcher_.cache().version(kBatchRowKey)}};
+  transaction.writes.push_back({kBatchRowKey, std::to_string(fence)});
+  AddRows(batch, transaction);
+  batch_ = std::move(batch);
+  transaction_ = std::move(transaction);
+  generation_ = generation;
+  unconfirmed_ = false;
+  next_send_ = now;
+  Send();
+}
+
+TimePoint ProgressWriter::Tick(TimePoint now) {
+  if (!busy() || in_flight_) return TimePoint::max();
+  if (now < next_send_) return next_send_;
+  Send();
+  return TimePoint::max();
+}
+
+void ProgressWriter::Send() {
+  in_flight_ = true;
+  table_.commit(transaction_, [this](const CommitResponse& response) {
+    callbacks_.post(
+        [this, response](TimePoint now) { OnResponse(now, response); });
+  });
+}
+
+void ProgressWriter::OnResponse(TimePoint now, const CommitResponse& response) {
+  in_flight_ = false;
+  if (!busy()) return;
+  if (response.status == CommitStatus::kUnknown ||
+      (response.status == CommitStatus::kNotApplied && unconfirmed_)) {
+    unconfirmed_ = true;
+    next_send_ = now + kRetryDelay;
+    return;
+  }
+  std::uint64_t version = 0;
+  if (response.status == CommitStatus::kCommitted) version = response.revision;
+  if (response.status == CommitStatus::kConflict) {
+    version = VersionIfCommitted(transaction_, response);
+  }
+  const ProgressWriteBatch batch = std::move(*batch_);
+  const TableTransaction transaction = std::move(transaction_);
+  batch_.reset();
+  for (const TableRow& row : response.rows) table_watcher_.Apply(now, row);
+  if (version != 0) {
+    std::vector<TableRow> rows;
+    for (const TableWrite& write : transaction.writes) {
+      rows.push_back({write.key, write.value, version, transaction.write_id});
+    }
+    callbacks_.on_rows_committed(now, rows);
+  }
+  callbacks_.on_result(now, generation_, batch, version != 0);
+}
+
+}  // namespace chivewing
--- a/src/dispatch/worker_manager.h
+++ b/src/dispatch/worker_manager.h
@@ -45,8 +45,8 @@
   TimePoint AttentionTime(TimePoint now, const TrackedWorker& worker) const;
   // Stops the runs that a draining worker would otherwise take with it.
   void StopRunsBeforeLeaving(TimePoint now, const TrackedWorker& worker);
-  // Removes the worker if it has gone and nothing can run there. Returns whether
-  // it has.
+  // Removes the worker if it has gone and nothing can run there. Returns
+  // whether it has.
   bool RemoveIfGone(TrackedWorker& worker);
   void Poll(TimePoint now, TrackedWorker& worker, DispatchEffects& out);
   void ApplyPollResponse(TimePoint now, TrackedWorker& worker,
