--- a/tests/dispatch/cluster_model.h
+++ b/tests/dispatch/cluster_model.h
@@ -38,6 +38,11 @@
   seconds stall_interval{0};
   milliseconds max_stall{0};
   milliseconds max_command_delay{0};  // from its decision to its sending
+  bool repeating_jobs = false;
+  // The time of day of each dispatcher is wrong by up to max_clock_step, and
+  // that of the newest one changes again and again.
+  seconds clock_step_interval{0};
+  milliseconds max_clock_step{0};
 };
 
 struct ModelOptions {
@@ -118,6 +123,7 @@
     std::optional<ProgressWriteBatch> batch{};
     bool lease_lost = false;  // true once its writes are rejected
     TimePoint stalled_until{};
+    milliseconds clock_error{0};  // of its time of day, while faults last
   };
   struct Event {
     TimePoint at;
@@ -135,6 +141,7 @@
   void RemoveLeavingWorkers();
   void Register(const WorkerRegistration& registration);
   void AddRandomJobs();
+  void MakeRepeating(JobRecord& record);
   void AdvanceWorkers();
   void End(ModelWorker& worker, const TaskRunKey& run, RunEndReason how);
   void RunAfter(Duration delay, std::function<void()> run);
@@ -159,6 +166,9 @@
   WorkerTimestamp ClockOf(const ModelWorker& worker) const;
   bool IsReachable(const ModelWorker& worker) const;
   ModelWorker* Find(const WorkerId& id);
+  // No occurrence starts earlier than the error of a time of day explains.
+  void CheckDue(const JobRecord& job, const TaskKey& task,
+                const std::string& name);
   void CheckStart(const ModelWorker& worker, const StartRun& command);
   void CheckUnasked(const StartRun& command, const std::string& name);
   void CheckOverstay(const TaskRunKey& run, ModelWorker::Execution& execution);
@@ -169,6 +179,9 @@
   bool IsDonePersisted(const TaskKey& task) const;
   void Report(const std::string& rule, const std::string& what);
   double RandomFraction();
+  // The error of a time of day.
+  milliseconds RandomClockError();
+  milliseconds TrueTimeOfDay() const;
   Duration RandomDuration(Duration min, Duration max);
   bool AreFaultsActive() const;
 
@@ -198,6 +211,7 @@
   TimePoint next_leave_{};
   TimePoint next_replace_{};
   TimePoint next_cancel_{};
+  TimePoint next_clock_step_{};
   TimePoint next_stall_{};
 };
 
