--- a/tests/cluster/job_feed_test.cc
+++ b/tests/cluster/job_feed_test.cc
@@ -29,6 +29,11 @@
 constexpr milliseconds kCommitInterval{10};
 constexpr std::size_t kMaxMessagesPerSecond = 25;
 constexpr milliseconds kMaxDelay{60};
+// A large deployment late in the day, and the hosts that get all statuses at a
+// time.
+constexpr int kJobs = 5000;
+constexpr int kHosts = 90;
+constexpr std::size_t kAtATime = 3;
 
 const HostId kSender("sender");
 const HostId kReceiver("receiver");
@@ -153,9 +158,6 @@
 
 // All hosts of a large deployment start at once, late in the day.
 TEST(JobFeedSenderTest, HostsThatLackMuchGetAllStatusesAFewAtATime) {
-  constexpr int kJobs = 5000;
-  constexpr int kHosts = 90;
-  constexpr std::size_t kAtATime = 3;
   Dispatching host;
   for (int i = 0; i < kJobs; ++i) {
     host.Apply(kStart, JobRow(i, static_cast<std::uint64_t>(i) + 1));
--- a/tests/dispatch/deciding_cost_test.cc
+++ b/tests/dispatch/deciding_cost_test.cc
@@ -21,6 +21,7 @@
 constexpr std::uint64_t kLooksPerPollAndEnd = 4;
 // Workers asked about by one advice request, those passed over among them.
 constexpr std::uint64_t kWorkersPerAdviceRequest = 40;
+constexpr int kEndedJobs = 500;
 
 LoadOptions Burst() {
   LoadOptions options;
@@ -73,7 +74,6 @@
 // The loss of a worker looked at each job that there had ever been, to forget
 // what advice had said of the worker.
 TEST(DecidingCostTest, TheLossOfAWorkerLooksAtNoJobThatHasEnded) {
-  constexpr int kEndedJobs = 500;
   const TimePoint now{std::chrono::seconds(10)};
   Dispatcher dispatcher({}, 1);
   WorkerRegistration worker;
