--- a/tests/dispatch/cluster_model.cc
+++ b/tests/dispatch/cluster_model.cc
@@ -18,6 +18,7 @@
 constexpr milliseconds kMaxOverstay{2500};
 constexpr seconds kCheckpointInterval{1};
 constexpr std::size_t kMaxAttempts = 3;
+constexpr int kWhole = 100;  // percent
 
 }  // namespace
 
@@ -579,7 +580,6 @@
 }
 
 int ClusterModel::PercentOf(const ModelWorker::Execution& execution) const {
-  constexpr int kWhole = 100;
   if (execution.ends == TimePoint::max()) return kWhole;
   return static_cast<int>((now_ - execution.started_at) * kWhole /
                           (execution.ends - execution.started_at));
--- a/tests/store/table_clock_test.cc
+++ b/tests/store/table_clock_test.cc
@@ -10,6 +10,8 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+constexpr milliseconds kMaxDelay{400};
+constexpr milliseconds kAllowedError{120};
 constexpr TimePoint kStart{std::chrono::hours(1)};
 
 TEST(TableClockTest, IsNotKnownBeforeTheFirstReading) {
@@ -28,8 +30,6 @@
 // Readings arrive with a delay of up to `kMaxDelay`; the host's clock is up to
 // 1% quicker than the table's.
 TEST(TableClockTest, StaysWithinTheLeastDelayOfSlowResponses) {
-  constexpr milliseconds kMaxDelay{400};
-  constexpr milliseconds kAllowedError{120};
   for (unsigned seed = 1; seed <= 20; ++seed) {
     std::mt19937 random(seed);
     TableClock clock;
