A renewal says by the table's clock when it was sent

The holder's lease had ended at 31.6 s, and the successor took over at 35.8. But the successor saw the last renewal, of 31 s, only at 35 s, with the first response after the outage, and reckoned the end of the lease from there.

Change: the row of a lease carries the table's clock at its sending, from which the lease counts on its holder. A successor takes the earlier of that plus the lease plus 0.3 s, and what it had before. Rows of earlier builds have no such clock and count as before.

Ruled out: the difference of two reads of the feed (no read is answered during the outage); asking the holder (it is cut off).

Test: LeaseManagerPredecessor.TheTablesClockTellsWhenARenewalWasSent, a renewal seen 9 s late: the holder's end is known to 0.5 s, and not before the end that the holder itself goes by. By reading, the code before is 9 s late.

--- a/src/cluster/dispatcher_runner.cc
+++ b/src/cluster/dispatcher_runner.cc
@@ -20,6 +20,8 @@
 // By how much the time of acceptance of a job may be read as too late: the
 // table's clock is known by responses, which may be delayed.
 constexpr milliseconds kAcceptedAtMargin{500};
+// How often the keeper of the lease is told the table's clock.
+constexpr milliseconds kClockUpdateInterval{200};
 // Worker registrations: long-poll time of one read, and the minimum interval
 // between two.
 constexpr milliseconds kWorkersWatchWait{1000};
@@ -140,6 +142,10 @@
 void DispatcherRunner::TickLease(TimePoint now) {
   lease_.OnOwnerTurn(now);
   for (const TableRow& row : lease_.TakeRows()) table_watcher_.Apply(now, row);
+  if (now >= next_clock_update_) {
+    next_clock_update_ = now + kClockUpdateInterval;
+    lease_.set_table_clock(table_watcher_.clock());
+  }
   const std::optional<TimePoint> since =
       table_watcher_.ready() ? table_watcher_.TableAvailableSince(now)
                              : std::nullopt;
--- a/src/cluster/dispatcher_runner.h
+++ b/src/cluster/dispatcher_runner.h
@@ -134,6 +134,7 @@
   std::uint64_t acquired_epoch_ =
       0;  // of the lease that was last taken note of
   std::optional<TimePoint> reported_available_since_;
+  TimePoint next_clock_update_{};
   std::optional<TakeOver> take_over_;
   std::unique_ptr<Dispatcher> dispatcher_;
   // Rises with each dispatcher; responses to an earlier one are dropped.
--- a/src/cluster/lease_keeper.cc
+++ b/src/cluster/lease_keeper.cc
@@ -123,6 +123,12 @@
   });
 }
 
+void LeaseKeeper::set_table_clock(const TableClock& clock) {
+  thread_.Post([this, clock](TimePoint, LeaseManager::Effects&) {
+    lease_.set_table_clock(clock);
+  });
+}
+
 void LeaseKeeper::Relinquish() {
   thread_.Post([this](TimePoint, LeaseManager::Effects& effects) {
     lease_.Relinquish(effects);
--- a/src/cluster/lease_keeper.h
+++ b/src/cluster/lease_keeper.h
@@ -55,6 +55,7 @@
   // The owner's loop has turned at `now`. Without turns for seconds the lease
   // is given up, since nothing is decided under it.
   void OnOwnerTurn(TimePoint now) { owner_turned_at_ = now; }
+  void set_table_clock(const TableClock& clock);
   // Gives up the lease without a write, to acquire it with a higher epoch.
   void Relinquish();
   // Planned stop: releases the lease for the other hosts.
--- a/src/lease/lease_manager.cc
+++ b/src/lease/lease_manager.cc
@@ -8,12 +8,17 @@
 namespace chivewing {
 namespace {
 
+using std::chrono::milliseconds;
+
 // A lease is extended by this many commit durations: one for the renewal, one
 // for a commit in flight before it, and two as reserve.
 constexpr int kCommitDurationsPerLease = 4;
 // Length in a lease row whose renewals are separate. It counts for hosts of
 // earlier versions only, which do not see the renewals.
 constexpr Duration kLeaseOfUnrenewedRow = std::chrono::minutes(1);
+// Two hosts' reckonings of the table's clock may differ by so much, since the
+// responses that carry it are delayed.
+constexpr std::chrono::milliseconds kTableClockMargin{300};
 
 }  // namespace
 
@@ -90,10 +95,12 @@
 
 // A renewal of an earlier epoch says nothing about the present holder, which
 // may be of a version that renews the lease row itself.
+bool LeaseManager::IsRenewed() const {
+  return settings_.separate_renewals && renewal_.epoch >= row_.epoch;
+}
+
 Duration LeaseManager::WrittenLease() const {
-  const bool renewed =
-      settings_.separate_renewals && renewal_.epoch >= row_.epoch;
-  return std::max(renewed ? renewal_.lease : row_.lease, settings_.lease);
+  return std::max(IsRenewed() ? renewal_.lease : row_.lease, settings_.lease);
 }
 
 TimePoint LeaseManager::AcquireDueAt() const {
@@ -109,12 +116,20 @@
   return from + WrittenLease() + settings_.clock_drift_margin + delay;
 }
 
-// The row shows the last renewal that took effect. A holder that has released
-// the lease had stopped before.
+// The row shows the last renewal that took effect, and when it was sent; this
+// host may have seen it much later. A holder that has released the lease had
+// stopped before.
 TimePoint LeaseManager::HolderEndsBy(TimePoint now) const {
   if (row_.host == settings_.host) return now;
   if (row_.host.empty()) return row_seen_at_;
-  return row_seen_at_ + WrittenLease();
+  const TimePoint by_sight = row_seen_at_ + WrittenLease();
+  const std::optional<milliseconds> sent_at_table =
+      IsRenewed() ? renewal_.sent_at_table : row_.sent_at_table;
+  if (!sent_at_table) return by_sight;
+  const std::optional<TimePoint> sent_at =
+      table_clock_.ToLocal(now, *sent_at_table);
+  if (!sent_at) return by_sight;
+  return std::min(by_sight, *sent_at + WrittenLease() + kTableClockMargin);
 }
 
 void LeaseManager::Tick(TimePoint now, Effects& out) {
@@ -124,12 +139,13 @@
     return;
   }
   if (held_ && stopping_) {
-    StartCommit(now, CommitKind::kRelease, MakeRow(HostId(), epoch_), out);
+    StartCommit(now, CommitKind::kRelease, MakeRow(now, HostId(), epoch_), out);
   } else if (held_ && now >= renewed_at_ + settings_.renew_interval) {
-    StartCommit(now, CommitKind::kRenew, MakeRow(settings_.host, epoch_), out);
+    StartCommit(now, CommitKind::kRenew, MakeRow(now, settings_.host, epoch_),
+                out);
   } else if (!held_ && !stopping_ && IsAcquireDue(now)) {
     const std::uint64_t epoch = row_.epoch + (faults_.keep_epoch ? 0 : 1);
-    LeaseRow row = MakeRow(settings_.host, epoch);
+    LeaseRow row = MakeRow(now, settings_.host, epoch);
     // The commit duration is not known yet, and a shorter lease may expire
     // before the commit's response arrives. The first renewal shortens it.
     row.lease = std::max(row.lease, settings_.max_lease_duration);
@@ -172,9 +188,14 @@
       longest);
 }
 
-LeaseRow LeaseManager::MakeRow(const HostId& host, std::uint64_t epoch) const {
-  return LeaseRow{host, settings_.incarnation, epoch, CurrentLeaseDuration(),
-                  row_.serial + 1};
+LeaseRow LeaseManager::MakeRow(TimePoint now, const HostId& host,
+                               std::uint64_t epoch) const {
+  return LeaseRow{host,
+                  settings_.incarnation,
+                  epoch,
+                  CurrentLeaseDuration(),
+                  row_.serial + 1,
+                  table_clock_.At(now)};
 }
 
 std::string LeaseManager::NewWriteId() {
@@ -225,7 +246,7 @@
   const std::string key = RowKey(settings_.zone);
   InFlightCommit commit;
   commit.kind = CommitKind::kFencedTransaction;
-  commit.written_row = MakeRow(settings_.host, epoch_);
+  commit.written_row = MakeRow(now, settings_.host, epoch_);
   commit.first_sent_at = now;
   commit.transaction.write_id = write_id;
   LeaseTransactionPart part{{key, row_version_},
--- a/src/lease/lease_manager.h
+++ b/src/lease/lease_manager.h
@@ -11,6 +11,7 @@
 #include "lease/lease_row.h"
 #include "store/pending_commit.h"
 #include "store/table.h"
+#include "store/table_clock.h"
 
 namespace chivewing {
 
@@ -100,6 +101,9 @@
   void set_table_available_since(std::optional<TimePoint> since) {
     table_available_since_ = since;
   }
+  // The table's clock as this host reckons it, for the rows that it writes and
+  // reads.
+  void set_table_clock(const TableClock& clock) { table_clock_ = clock; }
   // Acquires, renews, releases and retries when due. Call a few times a second.
   void Tick(TimePoint now, Effects& out);
 
@@ -158,12 +162,14 @@
   TimePoint AcquireDueAt() const;
   TimePoint HolderEndsBy(TimePoint now) const;
   // Length of the lease that the present holder has last written.
+  bool IsRenewed() const;
   Duration WrittenLease() const;
   void SendAgainOrAbandon(TimePoint now, Effects& out);
   void CheckExpiry(TimePoint now, Effects& out);
   void MarkLost(Effects& out);
   Duration CurrentLeaseDuration() const;
-  LeaseRow MakeRow(const HostId& host, std::uint64_t epoch) const;
+  LeaseRow MakeRow(TimePoint now, const HostId& host,
+                   std::uint64_t epoch) const;
   void StartCommit(TimePoint now, CommitKind kind, const LeaseRow& row,
                    Effects& out);
   // A shorter lease counts as soon as it is sent: it may take effect although
@@ -190,6 +196,7 @@
   TimePoint renewed_at_;
   std::size_t rank_ = 0;
   std::optional<TimePoint> table_available_since_ = TimePoint{};
+  TableClock table_clock_;
   Duration last_commit_duration_{0};  // that the newest commit took
   std::optional<InFlightCommit> in_flight_;
   std::uint64_t next_write_number_ = 1;
--- a/src/lease/lease_row.h
+++ b/src/lease/lease_row.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -16,6 +17,9 @@
   std::uint64_t epoch = 0;        // raised each time the lease is acquired
   Duration lease{0};              // length; stored in whole milliseconds
   std::uint64_t serial = 0;       // raised by each write of the row
+  // The table's clock when the write was sent, from which the lease counts;
+  // absent if the holder did not know it.
+  std::optional<std::chrono::milliseconds> sent_at_table{};
 };
 
 std::string EncodeLeaseRow(const LeaseRow& row);
--- a/tests/lease/lease_manager_test.cc
+++ b/tests/lease/lease_manager_test.cc
@@ -565,6 +565,35 @@
                     PredecessorCase{"Released", true, seconds(1)}),
     [](const auto& each) { return each.param.name; });
 
+// After an outage of the table a host sees the last renewal seconds after it
+// was made. Jobs accepted since waited for workers out of reach.
+TEST(LeaseManagerPredecessor, TheTablesClockTellsWhenARenewalWasSent) {
+  constexpr milliseconds table_at_start{50'000};
+  InMemoryTable table;
+  LeaseSettings settings;
+  settings.host = HostId("a");
+  settings.zone = kZone;
+  LeaseManager a(kStart, settings);
+  settings.host = HostId("b");
+  LeaseManager b(kStart, settings);
+  TableClock clock;
+  clock.OnReading(kStart, table_at_start);
+  a.set_table_clock(clock);
+  b.set_table_clock(clock);
+  LeaseManager::Effects out;
+  a.Tick(kStart, out);
+  const auto sent = std::get<CommitLease>(out.back()).transaction;
+  a.OnCommit(kStart, sent.write_id, table.Commit(sent), out);
+  const TimePoint seen = kStart + seconds(9);
+  b.OnRow(seen, table.Row(LeaseManager::RowKey(kZone)), out);
+  out.clear();
+  b.Tick(kStart + seconds(60), out);
+  ASSERT_FALSE(out.empty());
+  EXPECT_GE(b.predecessor_ended_by(), a.valid_until());
+  EXPECT_LE(b.predecessor_ended_by(),
+            kStart + settings.lease + milliseconds(500));
+}
+
 TEST(LeaseManagerPredecessor, ThisHostItselfMayHaveHeldItUntilNow) {
   LeaseSettings settings;
   settings.host = HostId("a");
