Requests for the feed are looked at a few times a second

Found in the last read of the change: while hosts waited for the statuses of all jobs, each turn of the dispatching host's loop walked all rows for each of them. After all hosts have lost power 88 ask at once, so for the 1.5 s until they are served that is 88 walks of 8,000 rows in each of some thousand turns a second, at the moment when the new dispatching host starts everything anew.

Change: the requests are looked at each 50 ms, and rows are counted only up to the limit that decides.

--- a/src/cluster/job_feed_sender.cc
+++ b/src/cluster/job_feed_sender.cc
@@ -17,10 +17,10 @@
 constexpr std::chrono::milliseconds kMaxSilence{250};
 // A host that lacks more rows than this gets the statuses of all jobs.
 constexpr std::size_t kMaxChangedRows = 2000;
-// Hosts that get the statuses of all jobs at a time, and the time between two
-// of these messages: more would fill this host's link.
+// Time between two looks at the requests, and the hosts that get the statuses
+// of all jobs each time: more would fill this host's link.
+constexpr std::chrono::milliseconds kRequestInterval{50};
 constexpr std::size_t kHostsPerSnapshot = 3;
-constexpr std::chrono::milliseconds kSnapshotInterval{50};
 // Jobs whose statuses fit in a message; with more, hosts read the table.
 constexpr std::size_t kMaxSnapshotJobs = 12000;
 
@@ -77,16 +77,19 @@
 std::vector<JobFeedSender::First> JobFeedSender::TakeFirsts(
     TimePoint now, const RowCache& cache, const JobStatusIndex& status) {
   std::vector<First> firsts;
+  if (requests_.empty() || now < requests_due_) return firsts;
+  requests_due_ = now + kRequestInterval;
   std::vector<HostId> lack_much;
   for (const auto& [host, since] : requests_) {
-    if (cache.CountChangedSince(since) > kMaxChangedRows) {
-      if (lack_much.size() < kHostsPerSnapshot) lack_much.push_back(host);
-    } else {
+    const std::size_t changed =
+        cache.CountChangedSince(since, kMaxChangedRows + 1);
+    if (changed <= kMaxChangedRows) {
       firsts.push_back({{host}, ChangesSince(since, cache, status)});
+    } else if (lack_much.size() < kHostsPerSnapshot) {
+      lack_much.push_back(host);
     }
   }
-  if (!lack_much.empty() && now >= next_snapshot_) {
-    next_snapshot_ = now + kSnapshotInterval;
+  if (!lack_much.empty()) {
     if (status.size() <= kMaxSnapshotJobs) {
       firsts.push_back({lack_much, AllStatuses(cache, status)});
     } else {
@@ -136,7 +139,7 @@
 
 TimePoint JobFeedSender::due() const {
   const TimePoint first_due =
-      requests_.empty() ? TimePoint::max() : next_snapshot_;
+      requests_.empty() ? TimePoint::max() : requests_due_;
   return std::min(first_due, next_due());
 }
 
--- a/src/cluster/job_feed_sender.h
+++ b/src/cluster/job_feed_sender.h
@@ -65,7 +65,7 @@
                       const JobStatusIndex& status) const;
 
   std::map<HostId, std::uint64_t> requests_;
-  TimePoint next_snapshot_{};
+  TimePoint requests_due_{};
   std::set<HostId> receivers_;
   std::set<JobId> jobs_;        // changed since the last message
   std::vector<TableRow> rows_;  // the same
--- a/src/store/row_cache.cc
+++ b/src/store/row_cache.cc
@@ -1,7 +1,6 @@
 #include "store/row_cache.h"
 
 #include <algorithm>
-#include <iterator>
 
 namespace chivewing {
 namespace {
@@ -93,9 +92,14 @@
   }
 }
 
-std::size_t RowCache::CountChangedSince(std::uint64_t since) const {
-  return static_cast<std::size_t>(std::distance(
-      by_version_.lower_bound({since + 1, std::string()}), by_version_.end()));
+std::size_t RowCache::CountChangedSince(std::uint64_t since,
+                                        std::size_t limit) const {
+  std::size_t count = 0;
+  for (auto each = by_version_.lower_bound({since + 1, std::string()});
+       each != by_version_.end() && count < limit; ++each) {
+    ++count;
+  }
+  return count;
 }
 
 void RowCache::set_revision(std::uint64_t revision) {
--- a/src/store/row_cache.h
+++ b/src/store/row_cache.h
@@ -57,8 +57,8 @@
   // Calls `visit` for each row, tombstones included, with a version above
   // `since`, in ascending version order. `visit` must not change the cache.
   void ForEachChangedSince(std::uint64_t since, const Visitor& visit) const;
-  // The number of those rows.
-  std::size_t CountChangedSince(std::uint64_t since) const;
+  // The number of those rows, counted up to `limit`.
+  std::size_t CountChangedSince(std::uint64_t since, std::size_t limit) const;
 
   // All changes of the table up to this revision are applied.
   std::uint64_t revision() const { return revision_; }
