Hosts tell how long ago they read the desired state, and why a read failed (CONFIG)

New: a gauge of the age of the last good read, a counter of failed reads, lines for the first failed read (error, and whether the connection was reused) and for the first good one after it, a line with version and age for each request that names no queue. The stand-in of the store waits for changes as the store does; it responded at once, so that followers in tests read without a pause.

No decision changes.

--- a/src/cluster/caller_request_handler.cc
+++ b/src/cluster/caller_request_handler.cc
@@ -98,7 +98,7 @@
   const Queue* const queue =
       desired_state_.FindQueue(request.host, request.path);
   if (queue == nullptr) {
-    Respond(call_id, MakeResponse(CallerResponseKind::kQueueNotFound));
+    RespondQueueNotFound(now, call_id, request);
     return;
   }
   const std::string name = request.path.substr(queue->path_prefix.size());
@@ -132,6 +132,23 @@
   }
 }
 
+void CallerRequestHandler::RespondQueueNotFound(TimePoint now,
+                                                std::uint64_t call_id,
+                                                const CallerRequest& request) {
+  const std::optional<Duration> age =
+      callbacks_.time_since_desired_state_read(now);
+  LogRequest(LogPart::kRouter, request.path, [&] {
+    return "request names no queue host=" + request.host +
+           " path=" + request.path +
+           " version=" + std::to_string(desired_state_.state().version) +
+           " desired_state_read_ms_ago=" +
+           std::to_string(std::chrono::duration_cast<milliseconds>(
+                              age.value_or(Duration(0)))
+                              .count());
+  });
+  Respond(call_id, MakeResponse(CallerResponseKind::kQueueNotFound));
+}
+
 void CallerRequestHandler::Submit(TimePoint now, std::uint64_t call_id,
                                   const CallerRequest& request,
                                   const Queue& queue, const JobId& job,
--- a/src/cluster/caller_request_handler.h
+++ b/src/cluster/caller_request_handler.h
@@ -48,6 +48,9 @@
     // The table's steady clock; nullopt while it is not known.
     std::function<std::optional<std::chrono::milliseconds>(TimePoint)>
         table_clock{};
+    // How long ago this host last read the desired state; nullopt if never.
+    std::function<std::optional<Duration>(TimePoint)>
+        time_since_desired_state_read{};
   };
 
   CallerRequestHandler(TableInterface table,
@@ -80,6 +83,8 @@
     TimePoint next_send_time{};
   };
 
+  void RespondQueueNotFound(TimePoint now, std::uint64_t call_id,
+                            const CallerRequest& request);
   void Submit(TimePoint now, std::uint64_t call_id,
               const CallerRequest& request, const Queue& queue,
               const JobId& job, const std::string& body);
--- a/src/cluster/cluster_host.cc
+++ b/src/cluster/cluster_host.cc
@@ -76,8 +76,10 @@
            .wall_clock = [] { return WallClockNow(); },
            .decode_job = platform.decode_job,
            .table_clock =
+               [this](TimePoint now) { return table_watcher_.clock().At(now); },
+           .time_since_desired_state_read =
                [this](TimePoint now) {
-                 return table_watcher_.clock().At(now);
+                 return desired_state_.TimeSinceLastRead(now);
                }}),
       worker_calls_(platform,
                     {.send =
@@ -175,6 +177,8 @@
   metrics.is_table_unreachable = table_watcher_.IsTableUnreachable(now);
   metrics.is_fed = table_watcher_.IsFed(now);
   metrics.desired_state_version = desired_state_.cache().state().version;
+  metrics.desired_state_read_ago = desired_state_.TimeSinceLastRead(now);
+  metrics.desired_state_failed_reads = desired_state_.failed_reads();
   metrics.jobs_known = job_status_.size();
   metrics.peers_up = peers_.connected().size();
   metrics.callers = &caller_requests_.counters();
--- a/src/cluster/desired_state_watcher.h
+++ b/src/cluster/desired_state_watcher.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 
 #include "base/time.h"
 #include "cluster/desired_state_cache.h"
@@ -25,9 +26,16 @@
   TimePoint Tick(TimePoint now);
 
   const DesiredStateCache& cache() const { return cache_; }
+  // How long ago the last response without an error has been handled; none
+  // before the first one.
+  std::optional<Duration> TimeSinceLastRead(TimePoint now) const;
+  // Failed reads since construction.
+  std::uint64_t failed_reads() const { return failed_reads_; }
 
  private:
   void OnUpdate(TimePoint now, const DesiredStateUpdate& update);
+  void OnReadError(TimePoint now, const DesiredStateUpdate& update);
+  void OnReached(TimePoint now);
 
   const PlatformInterface& platform_;
   Post post_;
@@ -35,6 +43,9 @@
   bool read_in_flight_ = false;
   TimePoint next_read_{};
   std::uint64_t revision_ = 0;  // 0: the next read returns the whole state
+  std::optional<TimePoint> last_read_at_{};  // last response without an error
+  std::uint64_t consecutive_errors_ = 0;
+  std::uint64_t failed_reads_ = 0;
 };
 
 }  // namespace chivewing
--- a/src/cluster/metrics_text.cc
+++ b/src/cluster/metrics_text.cc
@@ -36,6 +36,14 @@
   out.push_back(std::move(family));
 }
 
+void AddSeconds(Families& out, std::string name, std::string help,
+                Duration value) {
+  prometheus::MetricFamily family = MakeFamily(std::move(name), std::move(help),
+                                               prometheus::MetricType::Gauge);
+  family.metric.front().gauge.value = Seconds(value);
+  out.push_back(std::move(family));
+}
+
 void AddCounter(Families& out, std::string name, std::string help,
                 std::uint64_t value) {
   prometheus::MetricFamily family = MakeFamily(std::move(name), std::move(help),
@@ -184,6 +192,14 @@
            metrics.is_fed ? 1 : 0);
   AddGauge(out, "desired_state_version", "desired state in force",
            metrics.desired_state_version);
+  if (metrics.desired_state_read_ago) {
+    AddSeconds(out, "desired_state_read_age_seconds",
+               "time since the desired state was last read without an error",
+               *metrics.desired_state_read_ago);
+  }
+  AddCounter(out, "desired_state_failed_reads_total",
+             "reads of the desired state that failed",
+             metrics.desired_state_failed_reads);
   AddGauge(out, "jobs_known", "jobs with a row", metrics.jobs_known);
   AddGauge(out, "peers_up", "entry hosts connected", metrics.peers_up);
   AddGauge(out, "dispatching", "whether this host dispatches",
--- a/src/cluster/metrics_text.h
+++ b/src/cluster/metrics_text.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
+#include "base/time.h"
 #include "cluster/caller_request_handler.h"
 #include "dispatch/dispatcher.h"
 
@@ -15,6 +17,9 @@
   bool is_table_unreachable = false;
   bool is_fed = false;  // job states come from the dispatching host
   std::uint64_t desired_state_version = 0;
+  // None before the first read.
+  std::optional<Duration> desired_state_read_ago{};
+  std::uint64_t desired_state_failed_reads = 0;
   std::uint64_t jobs_known = 0;
   std::uint64_t peers_up = 0;
   const CallerRequestCounters* callers = nullptr;
--- a/src/cluster/platform_interface.h
+++ b/src/cluster/platform_interface.h
@@ -30,6 +30,7 @@
   bool history_lost = false;
   std::uint64_t revision = 0;           // pass as `after` to the next read
   std::optional<DesiredState> state{};  // absent if unchanged
+  std::string error_detail{};           // of a failed read
 };
 
 // Worker registrations, or changes to them since a revision.
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -52,6 +52,8 @@
   HttpError error = HttpError::kNone;
   // False only when it is certain that no byte of the request was sent.
   bool maybe_sent = false;
+  // Whether the request was written to a connection opened for an earlier one.
+  bool reused_connection = false;
 
   bool ok() const { return error == HttpError::kNone; }
   // Returns the value of the header with this lower-case name, or an empty
--- a/src/http/http_transfer.cc
+++ b/src/http/http_transfer.cc
@@ -59,6 +59,7 @@
   answer_ = HttpResponse{};
   received_ = 0;
   written_ = false;
+  reused_connection_ = false;
   too_large_ = false;
   curl_easy_setopt(handle_, CURLOPT_URL, request_.url.c_str());
   curl_easy_setopt(handle_, CURLOPT_TIMEOUT_MS,
@@ -152,6 +153,9 @@
   auto* transfer = static_cast<HttpTransfer*>(self);
   if (transfer->written_) return CURL_PREREQFUNC_ABORT;
   transfer->written_ = true;
+  long opened = 0;
+  curl_easy_getinfo(transfer->handle_, CURLINFO_NUM_CONNECTS, &opened);
+  transfer->reused_connection_ = opened == 0;
   return CURL_PREREQFUNC_OK;
 }
 
@@ -185,12 +189,14 @@
   answer_.status = static_cast<int>(status);
   answer_.error = ToHttpError(code);
   answer_.maybe_sent = written_;
+  answer_.reused_connection = reused_connection_;
   return std::move(answer_);
 }
 
 HttpResponse HttpTransfer::TakeStoppedResponse() {
   answer_.error = HttpError::kStopped;
   answer_.maybe_sent = written_;
+  answer_.reused_connection = reused_connection_;
   return std::move(answer_);
 }
 
--- a/src/http/http_transfer.h
+++ b/src/http/http_transfer.h
@@ -55,6 +55,7 @@
   HttpResponse answer_;
   std::size_t received_ = 0;
   bool written_ = false;  // the request may have been written
+  bool reused_connection_ = false;
   bool too_large_ = false;
 };
 
--- a/tests/cluster/caller_request_handler_test.cc
+++ b/tests/cluster/caller_request_handler_test.cc
@@ -65,6 +65,7 @@
   TimePoint now_{std::chrono::hours(1)};
   bool table_unreachable_ = false;
   std::optional<milliseconds> table_clock_;
+  Duration desired_state_age_{0};
   std::uint64_t last_call_id_ = 0;
   std::map<std::uint64_t, CallerResponse> responses_;
   FakeTable table_;
@@ -89,7 +90,9 @@
          job.steps.resize(1);
          return job;
        },
-       .table_clock = [this](TimePoint) { return table_clock_; }}};
+       .table_clock = [this](TimePoint) { return table_clock_; },
+       .time_since_desired_state_read =
+           [this](TimePoint) { return desired_state_age_; }}};
 };
 
 TEST_F(CallerRequestHandlerTest, AcknowledgesAJobOnlyOnceItIsStored) {
--- a/tests/standins/store_standin.cc
+++ b/tests/standins/store_standin.cc
@@ -34,20 +34,31 @@
   if (!started) std::abort();
 }
 
+StoreStandin::~StoreStandin() {
+  server_.Stop();
+  timer_.Stop();
+}
+
 std::string StoreStandin::address() const {
   return "127.0.0.1:" + std::to_string(server_.port());
 }
 
 void StoreStandin::Put(const std::string& table, const std::string& part,
                        const std::string& key, const std::string& value) {
-  const std::lock_guard lock(mutex_);
-  rows_[{table, part, key}] = {wire::EncodeBase64(value), ++version_, false};
+  {
+    const std::lock_guard lock(mutex_);
+    rows_[{table, part, key}] = {wire::EncodeBase64(value), ++version_, false};
+  }
+  RespondToFeeds();
 }
 
 void StoreStandin::Remove(const std::string& table, const std::string& part,
                           const std::string& key) {
-  const std::lock_guard lock(mutex_);
-  rows_[{table, part, key}] = {"", ++version_, true};
+  {
+    const std::lock_guard lock(mutex_);
+    rows_[{table, part, key}] = {"", ++version_, true};
+  }
+  RespondToFeeds();
 }
 
 std::size_t StoreStandin::CountRows(const std::string& table) const {
@@ -63,21 +74,65 @@
     server_.Respond(call.id, Reply(refuse_with, Json::object()));
     return;
   }
+  if (call.path == "/rows-feed") {
+    OnFeedCall(call);
+    return;
+  }
   HttpServerResponse reply = Reply(404, Json::object());
   if (call.path == "/rows-tx") {
     reply = Transact(call.body);
+    RespondToFeeds();
     if (lose_answers) reply.truncate_body_after = 1;
   } else if (call.path == "/rows-get") {
     reply = GetRows(call);
   } else if (call.path == "/rows-parts") {
     reply = ListParts(call);
     if (after_listing) after_listing();
-  } else if (call.path == "/rows-feed") {
-    reply = Feed(call);
   }
   server_.Respond(call.id, std::move(reply));
 }
 
+void StoreStandin::OnFeedCall(const HttpServerRequest& call) {
+  if (history_lost.exchange(false)) {
+    server_.Respond(call.id, Reply(410, Json::object()));
+    return;
+  }
+  {
+    const std::lock_guard lock(mutex_);
+    waiting_feeds_.emplace(call.id, call);
+  }
+  const std::chrono::milliseconds wait(Number(call.Query("waitMs")));
+  timer_.After(wait, [this, id = call.id] {
+    std::unique_lock lock(mutex_);
+    const auto waiting = waiting_feeds_.extract(id);
+    if (waiting.empty()) return;
+    HttpServerResponse reply = Feed(waiting.mapped());
+    lock.unlock();
+    server_.Respond(id, std::move(reply));
+  });
+  RespondToFeeds();
+}
+
+void StoreStandin::RespondToFeeds() {
+  std::map<std::uint64_t, HttpServerResponse> replies;
+  {
+    const std::lock_guard lock(mutex_);
+    for (const auto& [id, call] : waiting_feeds_) {
+      if (HasChanges(call)) replies.emplace(id, Feed(call));
+    }
+    for (const auto& [id, reply] : replies) waiting_feeds_.erase(id);
+  }
+  for (auto& [id, reply] : replies) server_.Respond(id, std::move(reply));
+}
+
+bool StoreStandin::HasChanges(const HttpServerRequest& call) const {
+  const std::string table(call.Query("table"));
+  const std::uint64_t after = Number(call.Query("after"));
+  return std::any_of(rows_.begin(), rows_.end(), [&](const auto& item) {
+    return std::get<0>(item.first) == table && item.second.version > after;
+  });
+}
+
 HttpServerResponse StoreStandin::Transact(const std::string& body) {
   const Json tx = Json::parse(body);
   const std::lock_guard lock(mutex_);
@@ -150,9 +205,7 @@
   return Reply(200, {{"parts", parts}, {"ver", version_}, {"nowMs", 1}});
 }
 
-HttpServerResponse StoreStandin::Feed(const HttpServerRequest& call) {
-  if (history_lost.exchange(false)) return Reply(410, Json::object());
-  const std::lock_guard lock(mutex_);
+HttpServerResponse StoreStandin::Feed(const HttpServerRequest& call) const {
   const std::string table(call.Query("table"));
   const std::uint64_t after = Number(call.Query("after"));
   std::vector<std::pair<std::uint64_t, Json>> changed;
--- a/tests/standins/store_standin.h
+++ b/tests/standins/store_standin.h
@@ -10,17 +10,22 @@
 #include <vector>
 
 #include "http/http_server.h"
+#include "standins/timer_thread.h"
 
 namespace chivewing {
 
 // HTTP stand-in for the platform's row store, in memory. Implements the
 // published protocol: rows grouped by table and part, conditional transactions,
-// paged reads, the list of parts and the change feed.
+// paged reads, the list of parts and the change feed with its long poll.
 class StoreStandin {
  public:
   explicit StoreStandin(std::size_t page_rows = 500);
+  ~StoreStandin();
+  StoreStandin(const StoreStandin&) = delete;
+  StoreStandin& operator=(const StoreStandin&) = delete;
 
   std::string address() const;
+  std::uint16_t port() const { return server_.port(); }
   // Writes a row directly, without HTTP, in place of an operator or a worker.
   void Put(const std::string& table, const std::string& part,
            const std::string& key, const std::string& value);
@@ -43,16 +48,23 @@
   };
 
   void OnCall(const HttpServerRequest& call);
+  void OnFeedCall(const HttpServerRequest& call);
+  // Responds to the waiting feed calls for which there are changes.
+  void RespondToFeeds();
   HttpServerResponse Transact(const std::string& body);
   HttpServerResponse GetRows(const HttpServerRequest& call);
   HttpServerResponse ListParts(const HttpServerRequest& call);
-  HttpServerResponse Feed(const HttpServerRequest& call);
+  // Both need the mutex.
+  bool HasChanges(const HttpServerRequest& call) const;
+  HttpServerResponse Feed(const HttpServerRequest& call) const;
 
   const std::size_t page_rows_;
   mutable std::mutex mutex_;
   std::map<Name, Row> rows_;
   std::uint64_t version_ = 0;
+  std::map<std::uint64_t, HttpServerRequest> waiting_feeds_;  // by call id
   HttpServer server_;
+  TimerThread timer_;  // ends the waits of feeds
 };
 
 }  // namespace chivewing
