After a timeout, the other open connections to its address are not reused (CONFIG)

What callers saw: a request refused for want of a queue that had been there for more than two seconds, at a host that was in reach of everything.

Cause: open connections can go silent together, without being closed, while new ones work. The HTTP client closed the connection of a request that had timed out, and sent the next one over an idle connection that had gone silent with it. Each cost a follower of the desired state 2.65 s; a host counts as calm after 3.

Change: ConnectionTrust. Once a request that was written has timed out, a connection to its address is reused only if it has responded since. libcurl chooses connections by itself, so the choice is judged when it is about to write the request: a connection that is not trusted is closed, nothing has been sent, and the request goes on with another one. Not done: closing idle connections by their sockets, which libcurl does not hand out; a connection for each follower, which leaves commits, polls of workers and advice with the fault. All users of the client get it: table, lease, registrations, workers, the router of serve.

--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -13,6 +13,7 @@
 
 #include "base/ring.h"
 #include "base/time.h"
+#include "http/connection_trust.h"
 #include "http/curl_event_loop.h"
 #include "http/http_transfer.h"
 
@@ -21,6 +22,8 @@
 
 constexpr std::chrono::milliseconds kMaxPollTime{1000};
 constexpr std::string_view kScheme = "http://";
+// libcurl counts the idle time of a connection in whole seconds.
+constexpr std::chrono::seconds kIdleTimeRounding{1};
 
 // Returns the "IP:PORT" part of a URL, by which connections are limited.
 std::string HostOf(std::string_view url) {
@@ -92,6 +95,11 @@
   void StartWaiting(const std::string& name);
   bool StartFirst(Host& host);
   void ExpireWaiting();
+  std::chrono::milliseconds TimeLeft(TimePoint deadline) const;
+  bool MayReuse(const HttpTransfer& transfer, int local_port) const;
+  void Restart(HttpTransfer& transfer);
+  void JudgeConnection(const HttpTransfer& transfer,
+                       const HttpResponse& answer);
   void Finish(HttpTransfer& transfer, HttpResponse answer);
   void Report(const ResponseCallback& done, HttpResponse answer);
   void FailAll();
@@ -100,6 +108,7 @@
 
   HttpClientOptions options_;
   CurlEventLoop events_;
+  ConnectionTrust trust_;
   Ring<Submission> ring_;
   std::vector<Submission> taken_;
   std::unordered_map<std::string, Host> hosts_;
@@ -114,6 +123,7 @@
   std::atomic<std::uint64_t> requests_{0};
   std::atomic<std::uint64_t> responses_{0};
   std::atomic<std::uint64_t> errors_{0};
+  std::atomic<std::uint64_t> connections_distrusted_{0};
   std::atomic<std::uint64_t> bytes_sent_{0};
   std::atomic<std::uint64_t> bytes_received_{0};
   std::mutex stop_mutex_;
@@ -122,6 +132,7 @@
 
 HttpClient::Loop::Loop(HttpClientOptions options)
     : options_(options),
+      trust_(options.max_idle + kIdleTimeRounding),
       ring_(options.ring_capacity, [this] { events_.Wake(); }) {
   CURLM* const multi = events_.multi();
   curl_multi_setopt(multi, CURLMOPT_MAX_HOST_CONNECTIONS,
@@ -154,6 +165,7 @@
   return {.requests = requests_,
           .responses = responses_,
           .errors = errors_,
+          .connections_distrusted = connections_distrusted_,
           .bytes_sent = bytes_sent_,
           .bytes_received = bytes_received_};
 }
@@ -202,8 +214,7 @@
 // Starts the transfer. Returns false, after reporting kTimeout, when the
 // deadline of the submission has passed.
 bool HttpClient::Loop::Start(Host& host, Submission submission) {
-  const auto left = std::chrono::ceil<std::chrono::milliseconds>(
-      submission.deadline - BootClock::now());
+  const std::chrono::milliseconds left = TimeLeft(submission.deadline);
   if (left.count() <= 0) {
     Report(submission.done, {.error = HttpError::kTimeout});
     return false;
@@ -211,20 +222,28 @@
   ++host.active;
   std::unique_ptr<HttpTransfer> transfer = TakeTransfer();
   transfer->Prepare(std::move(submission.request), std::move(submission.done),
-                    left);
+                    submission.deadline, left);
   curl_multi_add_handle(events_.multi(), transfer->handle());
   HttpTransfer* const key = transfer.get();
   active_.emplace(key, std::move(transfer));
   return true;
 }
 
+std::chrono::milliseconds HttpClient::Loop::TimeLeft(TimePoint deadline) const {
+  return std::chrono::ceil<std::chrono::milliseconds>(deadline -
+                                                      BootClock::now());
+}
+
 std::unique_ptr<HttpTransfer> HttpClient::Loop::TakeTransfer() {
   if (!idle_.empty()) {
     std::unique_ptr<HttpTransfer> transfer = std::move(idle_.back());
     idle_.pop_back();
     return transfer;
   }
-  auto transfer = std::make_unique<HttpTransfer>();
+  auto transfer = std::make_unique<HttpTransfer>(
+      [this](const HttpTransfer& asking, int local_port) {
+        return MayReuse(asking, local_port);
+      });
   curl_easy_setopt(transfer->handle(), CURLOPT_MAXAGE_CONN,
                    static_cast<long>(options_.max_idle.count()));
   return transfer;
@@ -237,7 +256,39 @@
     void* transfer = nullptr;
     curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &transfer);
     auto* const done = static_cast<HttpTransfer*>(transfer);
-    Finish(*done, done->TakeResponse(message->data.result));
+    if (done->reuse_rejected()) {
+      Restart(*done);
+      continue;
+    }
+    HttpResponse answer = done->TakeResponse(message->data.result);
+    JudgeConnection(*done, answer);
+    Finish(*done, std::move(answer));
+  }
+}
+
+bool HttpClient::Loop::MayReuse(const HttpTransfer& transfer,
+                                int local_port) const {
+  return trust_.IsTrusted(BootClock::now(), HostOf(transfer.request().url),
+                          local_port);
+}
+
+void HttpClient::Loop::Restart(HttpTransfer& transfer) {
+  ++connections_distrusted_;
+  curl_multi_remove_handle(events_.multi(), transfer.handle());
+  transfer.PrepareAgain(
+      std::max(TimeLeft(transfer.deadline()), std::chrono::milliseconds(1)));
+  curl_multi_add_handle(events_.multi(), transfer.handle());
+}
+
+// A request that was written and got no response in time leaves it open whether
+// the other connections to its address still work.
+void HttpClient::Loop::JudgeConnection(const HttpTransfer& transfer,
+                                       const HttpResponse& answer) {
+  const std::string address = HostOf(transfer.request().url);
+  if (answer.error == HttpError::kTimeout) {
+    trust_.OnTimeout(BootClock::now(), address);
+  } else if (answer.ok()) {
+    trust_.OnAlive(address, transfer.local_port());
   }
 }
 
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -75,6 +75,9 @@
   std::uint64_t requests = 0;
   std::uint64_t responses = 0;
   std::uint64_t errors = 0;
+  // Open connections closed instead of reused, since another one to the same
+  // address had given no response in time.
+  std::uint64_t connections_distrusted = 0;
   std::uint64_t bytes_sent = 0;      // bodies
   std::uint64_t bytes_received = 0;  // bodies
 };
@@ -83,7 +86,8 @@
 // thread. A request is written to at most one connection: when a connection
 // fails after the request may have been written, the request ends with
 // kConnectionLost and is never retried. A connection whose request did not end
-// with a complete response is closed.
+// with a complete response is closed, and after a timeout the others to its
+// address are not reused unless they have responded since.
 class HttpClient {
  public:
   using ResponseCallback = std::function<void(HttpResponse)>;
--- a/src/http/http_transfer.cc
+++ b/src/http/http_transfer.cc
@@ -27,7 +27,10 @@
 
 }  // namespace
 
-HttpTransfer::HttpTransfer() : handle_(curl_easy_init()) { SetFixedOptions(); }
+HttpTransfer::HttpTransfer(MayReuse may_reuse)
+    : may_reuse_(std::move(may_reuse)), handle_(curl_easy_init()) {
+  SetFixedOptions();
+}
 
 HttpTransfer::~HttpTransfer() {
   curl_easy_cleanup(handle_);
@@ -53,17 +56,20 @@
 
 void HttpTransfer::Prepare(HttpRequest request,
                            HttpClient::ResponseCallback done,
+                           TimePoint deadline,
                            std::chrono::milliseconds remaining) {
   request_ = std::move(request);
   done_ = std::move(done);
+  deadline_ = deadline;
   answer_ = HttpResponse{};
   received_ = 0;
   written_ = false;
   reused_connection_ = false;
+  reuse_rejected_ = false;
+  local_port_ = 0;
   too_large_ = false;
   curl_easy_setopt(handle_, CURLOPT_URL, request_.url.c_str());
-  curl_easy_setopt(handle_, CURLOPT_TIMEOUT_MS,
-                   static_cast<long>(remaining.count()));
+  SetRemaining(remaining);
   curl_easy_setopt(handle_, CURLOPT_CONNECTTIMEOUT_MS,
                    static_cast<long>(request_.connect_timeout.count()));
   curl_easy_setopt(handle_, CURLOPT_FRESH_CONNECT,
@@ -72,6 +78,16 @@
   SetHeaders();
 }
 
+void HttpTransfer::PrepareAgain(std::chrono::milliseconds remaining) {
+  reuse_rejected_ = false;
+  SetRemaining(remaining);
+}
+
+void HttpTransfer::SetRemaining(std::chrono::milliseconds remaining) {
+  curl_easy_setopt(handle_, CURLOPT_TIMEOUT_MS,
+                   static_cast<long>(remaining.count()));
+}
+
 void HttpTransfer::SetMethod() {
   curl_easy_setopt(handle_, CURLOPT_CUSTOMREQUEST, nullptr);
   curl_easy_setopt(handle_, CURLOPT_HTTPGET, 1L);
@@ -149,13 +165,19 @@
 // have run the request.
 int HttpTransfer::OnConnected(void* self, char* /*remote_ip*/,
                               char* /*local_ip*/, int /*remote_port*/,
-                              int /*local_port*/) {
+                              int local_port) {
   auto* transfer = static_cast<HttpTransfer*>(self);
   if (transfer->written_) return CURL_PREREQFUNC_ABORT;
-  transfer->written_ = true;
   long opened = 0;
   curl_easy_getinfo(transfer->handle_, CURLINFO_NUM_CONNECTS, &opened);
   transfer->reused_connection_ = opened == 0;
+  if (transfer->reused_connection_ &&
+      !transfer->may_reuse_(*transfer, local_port)) {
+    transfer->reuse_rejected_ = true;
+    return CURL_PREREQFUNC_ABORT;
+  }
+  transfer->local_port_ = local_port;
+  transfer->written_ = true;
   return CURL_PREREQFUNC_OK;
 }
 
