--- a/src/cluster/platform_interface.h
+++ b/src/cluster/platform_interface.h
@@ -24,6 +24,14 @@
 // Longest time from a poll to its response, beyond its long-poll time.
 inline constexpr std::chrono::milliseconds kWorkerPollTimeoutMargin{400};
 
+struct DesiredStateRead {
+  // 0: reads the current state; otherwise the changes since this revision.
+  std::uint64_t after = 0;
+  // How long to wait for a change.
+  std::chrono::milliseconds wait{0};
+  bool new_connection = false;
+};
+
 // Result of a read of the desired state or of its changes.
 struct DesiredStateUpdate {
   bool ok = false;
@@ -81,11 +89,11 @@
                      std::function<void(CommitResponse)> done)>
       commit_lease{};
 
-  // With `after` 0 reads the current state; otherwise waits up to `wait` for
-  // changes since revision `after`.
-  std::function<void(std::uint64_t after, std::chrono::milliseconds wait,
+  std::function<void(const DesiredStateRead&,
                      std::function<void(DesiredStateUpdate)> done)>
       watch_desired_state{};
+  // With `after` 0 reads all registrations; otherwise waits up to `wait` for
+  // changes since revision `after`.
   std::function<void(std::uint64_t after, std::chrono::milliseconds wait,
                      std::function<void(WorkerListUpdate)> done)>
       watch_workers{};
