A whole host over connections that go silent, as callers see it (CONFIG)

A host behind a proxy whose open connections go silent, with five idle connections to the store; at that moment a queue is added.

--- a/tests/cluster/cluster_host_test.cc
+++ b/tests/cluster/cluster_host_test.cc
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <future>
 #include <memory>
 #include <mutex>
 #include <set>
@@ -19,6 +20,7 @@
 #include "platform/store_codec.h"
 #include "standins/blocking_http.h"
 #include "standins/free_ports.h"
+#include "standins/silencing_proxy.h"
 #include "standins/store_standin.h"
 #include "standins/task_runner_standin.h"
 
@@ -38,7 +40,12 @@
       const std::string& name, const StoreStandin& store,
       const std::vector<std::uint16_t>& ports,
       const std::function<void(PlatformInterface&)>& change = [](auto&) {})
-      : platform(store.address(), ""), calls(platform.interface()) {
+      : Host(name, store.address(), ports, change) {}
+  Host(
+      const std::string& name, const std::string& store_address,
+      const std::vector<std::uint16_t>& ports,
+      const std::function<void(PlatformInterface&)>& change = [](auto&) {})
+      : platform(store_address, ""), calls(platform.interface()) {
     change(calls);
     ClusterSettings settings;
     settings.host = HostId(name);
@@ -64,10 +71,23 @@
   }
   int Call(const std::string& method, const std::string& job,
            const std::string& body = "") {
-    return chivewing::Call(method, caller_url + "/jobs/" + job, body,
+    return CallPath(method, "/jobs/" + job, body);
+  }
+  int CallPath(const std::string& method, const std::string& path,
+               const std::string& body = "") {
+    return chivewing::Call(method, caller_url + path, body,
                            {{"Host", "desk.example"}})
         .status;
   }
+  // Leaves so many idle connections to the store.
+  void OpenStoreConnections(int count) {
+    std::vector<std::promise<void>> done(static_cast<std::size_t>(count));
+    for (auto& read : done) {
+      calls.table.read("job/a",
+                       [&read](const ReadResponse&) { read.set_value(); });
+    }
+    for (auto& read : done) read.get_future().get();
+  }
   std::string StateOf(const std::string& job) {
     return chivewing::Call("GET", caller_url + "/jobs/" + job, "",
                            {{"Host", "desk.example"}})
@@ -369,6 +389,22 @@
   EXPECT_EQ(worker_.starts(), 2 * small_day::kTasksPerJob);
 }
 
+TEST_F(ClusterHostTest, AnAddedQueueIsServedThoughOpenConnectionsWentSilent) {
+  constexpr seconds kCalmAfter{3};  // a host counts as calm so long after that
+  SilencingProxy proxy(store_.port());
+  Host host("h1", proxy.address(),
+            {ports_[0], ports_[1], ports_[2], ports_[6]});
+  ASSERT_TRUE(WaitFor([&] { return Get(host.ready_url).status == 200; }));
+  const std::string path = "/added/aaaaaaaaaaaaaaaa";
+  ASSERT_EQ(host.CallPath("POST", path, kJob), 404);
+  host.OpenStoreConnections(5);
+  proxy.SilenceOpenConnections();
+  const TimePoint calm_at = BootClock::now() + kCalmAfter;
+  store_.Put("op", "", "config", small_day::kDesiredStateWithAddedQueue);
+  std::this_thread::sleep_until(calm_at);
+  EXPECT_EQ(host.CallPath("POST", path, kJob), 200);
+}
+
 TEST_F(ClusterHostTest, RefusesWhileTheStoreRefuses) {
   Host host("h1", store_, {ports_[0], ports_[1], ports_[2], ports_[6]});
   ASSERT_TRUE(WaitFor([&] { return Get(host.ready_url).status == 200; }));
--- a/tests/cluster/small_day.h
+++ b/tests/cluster/small_day.h
@@ -14,6 +14,14 @@
         "pathPrefix":"/jobs/","sloMs":250,"priority":0,"service":"pool",
         "maxAttempts":2,"stretch":1.5}],
         "services":[{"name":"pool"}]})";
+inline constexpr const char* kDesiredStateWithAddedQueue =
+    R"({"version":4,"routes":[{"name":"r","host":"desk.example",
+        "pathPrefix":"/jobs/","sloMs":250,"priority":0,"service":"pool",
+        "maxAttempts":2,"stretch":1.5},
+        {"name":"added","host":"desk.example",
+        "pathPrefix":"/added/","sloMs":250,"priority":0,"service":"pool",
+        "maxAttempts":2,"stretch":1.5}],
+        "services":[{"name":"pool"}]})";
 inline constexpr const char* kJob =
     R"({"spec":"x","steps":[{"count":3,"cpu":500,"memMb":100,"estMs":50},
                             {"count":2,"cpu":500,"memMb":100,"estMs":50,
