A host that may be behind does not deny a queue (CONFIG)

What callers saw: 404, which they take for an answer, from a host that had not read the desired state for seconds.

Cause: a host judged a queue that it does not know by whatever desired state it had, however old. The class: absence concluded from a copy of unknown age.

Change: if the desired state was last read more than 1.75 s ago, a version of two seconds may be unknown here, and the caller is told to retry later, at once. A long poll ends after a second, so this concerns hosts whose reads fail. Known queues are served as before: a store that is away for a part of its tables must not stop them.

Evidence: CallerRequestHandlerTest.AnUnknownQueueIsNotDeniedByAHostThatIsBehind, 404 on the code before.

--- a/src/cluster/caller_request_handler.cc
+++ b/src/cluster/caller_request_handler.cc
@@ -25,6 +25,9 @@
 // Retry delay given to callers while the table is unreachable.
 constexpr milliseconds kRetryAfterTableUnreachable{1000};
 constexpr milliseconds kRetryAfterNoDesiredState{500};
+// A host that has not read the desired state for so long may not know a version
+// that has been in force for two seconds.
+constexpr milliseconds kMaxDesiredStateAge{1750};
 constexpr std::size_t kJobIdLength = 16;
 
 bool IsJobId(std::string_view text) {
@@ -135,17 +138,22 @@
 void CallerRequestHandler::RespondQueueNotFound(TimePoint now,
                                                 std::uint64_t call_id,
                                                 const CallerRequest& request) {
-  const std::optional<Duration> age =
-      callbacks_.time_since_desired_state_read(now);
+  const Duration age =
+      callbacks_.time_since_desired_state_read(now).value_or(Duration::max());
+  const bool behind = age > kMaxDesiredStateAge;
   LogRequest(LogPart::kRouter, request.path, [&] {
     return "request names no queue host=" + request.host +
            " path=" + request.path +
            " version=" + std::to_string(desired_state_.state().version) +
            " desired_state_read_ms_ago=" +
-           std::to_string(std::chrono::duration_cast<milliseconds>(
-                              age.value_or(Duration(0)))
-                              .count());
+           std::to_string(
+               std::chrono::duration_cast<milliseconds>(age).count()) +
+           " behind=" + (behind ? "1" : "0");
   });
+  if (behind) {
+    RespondRetryLater(call_id, kRetryAfterNoDesiredState);
+    return;
+  }
   Respond(call_id, MakeResponse(CallerResponseKind::kQueueNotFound));
 }
 
--- a/tests/cluster/caller_request_handler_test.cc
+++ b/tests/cluster/caller_request_handler_test.cc
@@ -104,6 +104,20 @@
             CallerResponseKind::kState);
 }
 
+TEST_F(CallerRequestHandlerTest, AnUnknownQueueIsNotDeniedByAHostThatIsBehind) {
+  desired_state_age_ = milliseconds(1700);
+  const std::string path = "/added/" + job_;
+  EXPECT_EQ(ResponseKind(Request(CallerRequestKind::kSubmit, path)),
+            CallerResponseKind::kQueueNotFound);
+  desired_state_age_ = milliseconds(1800);
+  const std::uint64_t call = Request(CallerRequestKind::kSubmit, path);
+  EXPECT_EQ(ResponseKind(call), CallerResponseKind::kRetryLater);
+  EXPECT_GT(responses_.at(call).retry_after, milliseconds(0));
+  EXPECT_FALSE(
+      responses_.contains(Request(CallerRequestKind::kSubmit, "/q/" + job_)))
+      << "a known queue is served";
+}
+
 TEST_F(CallerRequestHandlerTest, AJobCarriesTheTimeOfTheTablesClock) {
   table_clock_ = milliseconds(77);
   Request(CallerRequestKind::kSubmit, "/q/" + job_);
