--- a/src/cluster/caller_request_handler.cc
+++ b/src/cluster/caller_request_handler.cc
@@ -25,6 +25,9 @@
 // Retry delay given to callers while the table is unreachable.
 constexpr milliseconds kRetryAfterTableUnreachable{1000};
 constexpr milliseconds kRetryAfterNoDesiredState{500};
+// A host that has not read the desired state for so long may not know a version
+// that has been in force for two seconds.
+constexpr milliseconds kMaxDesiredStateAge{1750};
 constexpr std::size_t kJobIdLength = 16;
 
 bool IsJobId(std::string_view text) {
@@ -98,7 +101,7 @@
   const Queue* const queue =
       desired_state_.FindQueue(request.host, request.path);
   if (queue == nullptr) {
-    Respond(call_id, MakeResponse(CallerResponseKind::kQueueNotFound));
+    RespondQueueNotFound(now, call_id, request);
     return;
   }
   const std::string name = request.path.substr(queue->path_prefix.size());
@@ -132,6 +135,28 @@
   }
 }
 
+void CallerRequestHandler::RespondQueueNotFound(TimePoint now,
+                                                std::uint64_t call_id,
+                                                const CallerRequest& request) {
+  const Duration age =
+      callbacks_.time_since_desired_state_read(now).value_or(Duration::max());
+  const bool behind = age > kMaxDesiredStateAge;
+  LogRequest(LogPart::kRouter, request.path, [&] {
+    return "request names no queue host=" + request.host +
+           " path=" + request.path +
+           " version=" + std::to_string(desired_state_.state().version) +
+           " desired_state_read_ms_ago=" +
+           std::to_string(
+               std::chrono::duration_cast<milliseconds>(age).count()) +
+           " behind=" + (behind ? "1" : "0");
+  });
+  if (behind) {
+    RespondRetryLater(call_id, kRetryAfterNoDesiredState);
+    return;
+  }
+  Respond(call_id, MakeResponse(CallerResponseKind::kQueueNotFound));
+}
+
 void CallerRequestHandler::Submit(TimePoint now, std::uint64_t call_id,
                                   const CallerRequest& request,
                                   const Queue& queue, const JobId& job,
--- a/tests/cluster/caller_request_handler_test.cc
+++ b/tests/cluster/caller_request_handler_test.cc
@@ -65,6 +65,7 @@
   TimePoint now_{std::chrono::hours(1)};
   bool table_unreachable_ = false;
   std::optional<milliseconds> table_clock_;
+  Duration desired_state_age_{0};
   std::uint64_t last_call_id_ = 0;
   std::map<std::uint64_t, CallerResponse> responses_;
   FakeTable table_;
@@ -89,7 +90,9 @@
          job.steps.resize(1);
          return job;
        },
-       .table_clock = [this](TimePoint) { return table_clock_; }}};
+       .table_clock = [this](TimePoint) { return table_clock_; },
+       .time_since_desired_state_read =
+           [this](TimePoint) { return desired_state_age_; }}};
 };
 
 TEST_F(CallerRequestHandlerTest, AcknowledgesAJobOnlyOnceItIsStored) {
@@ -101,6 +104,20 @@
             CallerResponseKind::kState);
 }
 
+TEST_F(CallerRequestHandlerTest, AnUnknownQueueIsNotDeniedByAHostThatIsBehind) {
+  desired_state_age_ = milliseconds(1700);
+  const std::string path = "/added/" + job_;
+  EXPECT_EQ(ResponseKind(Request(CallerRequestKind::kSubmit, path)),
+            CallerResponseKind::kQueueNotFound);
+  desired_state_age_ = milliseconds(1800);
+  const std::uint64_t call = Request(CallerRequestKind::kSubmit, path);
+  EXPECT_EQ(ResponseKind(call), CallerResponseKind::kRetryLater);
+  EXPECT_GT(responses_.at(call).retry_after, milliseconds(0));
+  EXPECT_FALSE(
+      responses_.contains(Request(CallerRequestKind::kSubmit, "/q/" + job_)))
+      << "a known queue is served";
+}
+
 TEST_F(CallerRequestHandlerTest, AJobCarriesTheTimeOfTheTablesClock) {
   table_clock_ = milliseconds(77);
   Request(CallerRequestKind::kSubmit, "/q/" + job_);
