--- a/src/dispatch/crash_policy.cc
+++ b/src/dispatch/crash_policy.cc
@@ -38,6 +38,10 @@
   return task.progress.crashes > 0 || task.progress.isolated_starts > 0;
 }
 
+bool NeedsNote(const TrackedTask& task, const StepSpec& step) {
+  return !step.gang && IsSuspected(task);
+}
+
 bool MayCopy(const TrackedJob& job, const TrackedTask& task,
              const StepSpec& step) {
   if (NeedsWorkerAlone(task, step)) return false;
--- a/src/dispatch/crash_policy.h
+++ b/src/dispatch/crash_policy.h
@@ -14,7 +14,9 @@
 // A task that crashes its workers does so soon after its start, so only the
 // runs that were young are counted as suspects. A task that has been a suspect
 // twice is started alone on its worker, until it has proved harmless; one that
-// goes on to crash workers while alone is given up, and its job fails.
+// goes on to crash workers while alone is given up, and its job fails. Starts
+// of a suspected task are noted in the table before they are made, so that a
+// later dispatcher counts the crash of a worker that nobody has seen.
 
 // True if the run was young when the worker was last heard of. `worker` is as
 // it was before its restart.
@@ -30,6 +32,10 @@
 // True if something is held against the task.
 bool IsSuspected(const TrackedTask& task);
 
+// True if a start of the task, of this step, has to be noted in the table
+// before it is made.
+bool NeedsNote(const TrackedTask& task, const StepSpec& step);
+
 // True if a copy of the task may be started beside its run on a silent worker.
 // A crash that is suspected there has to be in the table before.
 bool MayCopy(const TrackedJob& job, const TrackedTask& task,
--- a/src/dispatch/dispatch_state.h
+++ b/src/dispatch/dispatch_state.h
@@ -79,6 +79,8 @@
   // Workers that may run tasks of an earlier dispatcher and have not listed
   // their runs yet.
   std::set<WorkerId> unsynced_workers{};
+  // One of them was lost before it had listed its runs.
+  bool lost_unseen_worker = false;
   // Workers that are certainly gone and whose rows are still to be deleted.
   std::set<WorkerId> removed_workers{};
   // Registered workers whose rows are still to be written, and workers with
--- a/src/dispatch/job_manager.cc
+++ b/src/dispatch/job_manager.cc
@@ -44,6 +44,7 @@
     state_.repeating_jobs.insert(id);
   }
   job.uncertain = uncertain;
+  if (!uncertain) ResolveNotedStarts(job);
   if (may_have_runs)
     job.run_number_floor = kRunNumbersPerFence * (state_.fence - 1);
   RefreshReadySteps(job);
@@ -210,24 +211,45 @@
   state_.dirty.Mark(job.record.id);
 }
 
-void JobManager::NoteIsolatedStart(TrackedJob& job, TrackedTask& task) {
-  task.isolated_start_noted = true;
-  ++task.progress.isolated_starts;
+void JobManager::NoteStart(TrackedJob& job, TrackedTask& task, bool isolated) {
+  TaskProgress& progress = task.progress;
+  const bool replaces_unused = task.next_start_noted && progress.noted_start;
+  if (replaces_unused && progress.noted_start->isolated)
+    --progress.isolated_starts;
+  task.next_start_noted = true;
+  progress.noted_start = NotedStart{.isolated = isolated};
+  if (isolated) ++progress.isolated_starts;
   ++job.suspicions;
   state_.dirty.Mark(job.record.id);
 }
 
+void JobManager::SetNotedWorker(TrackedJob& job, TrackedTask& task,
+                                const TrackedWorker& worker) {
+  if (!task.next_start_noted || !task.progress.noted_start) return;
+  NotedStart& start = *task.progress.noted_start;
+  start.worker = worker.registration().worker;
+  start.incarnation_start = worker.incarnation_start;
+  task.next_start_noted = false;
+  state_.dirty.Mark(job.record.id);
+}
+
 void JobManager::ForgetIsolatedStart(TrackedJob& job, TrackedTask& task) {
   if (task.progress.isolated_starts == 0) return;
   --task.progress.isolated_starts;
+  task.progress.noted_start.reset();
   ++job.suspicions;
   state_.dirty.Mark(job.record.id);
 }
 
 void JobManager::ClearSuspicion(TrackedJob& job, TrackedTask& task) {
-  if (task.progress.crashes == 0 && task.progress.isolated_starts == 0) return;
+  const bool clear = task.progress.crashes == 0 &&
+                     task.progress.isolated_starts == 0 &&
+                     !task.progress.noted_start;
+  if (clear) return;
   task.progress.crashes = 0;
   task.progress.isolated_starts = 0;
+  task.progress.noted_start.reset();
+  task.next_start_noted = false;
   ++job.suspicions;
   state_.dirty.Mark(job.record.id);
 }
@@ -285,12 +307,75 @@
     TrackedJob& job = *state_.FindJob(id);
     if (!job.uncertain) continue;
     job.uncertain = false;
+    ResolveNotedStarts(job);
+    if (state_.lost_unseen_worker) SuspectUnseenRuns(job);
     StopPartialGangs(job);
     RefreshReadySteps(job);
   }
   state_.ready.WakeAll();
 }
 
+void JobManager::ResolveNotedStarts(TrackedJob& job) {
+  for (auto& [number, steps] : job.occurrences) {
+    for (TrackedStep& step : steps) {
+      for (TrackedTask& task : step.tasks) {
+        const bool open = task.progress.noted_start && task.runs.empty() &&
+                          !task.progress.done && !task.next_start_noted;
+        if (open) ResolveNotedStart(job, task);
+      }
+    }
+  }
+}
+
+// A start whose worker goes on without it was not made. One without a worker
+// was still waiting for one, or was made a moment before its dispatcher ended.
+void JobManager::ResolveNotedStart(TrackedJob& job, TrackedTask& task) {
+  const NotedStart start = *task.progress.noted_start;
+  task.progress.noted_start.reset();
+  const bool made = !start.worker.empty() &&
+                    !IsRunningSince(start.worker, start.incarnation_start);
+  if (made) ++task.progress.crashes;
+  if (!made && start.isolated && task.progress.isolated_starts > 0)
+    --task.progress.isolated_starts;
+  ++job.suspicions;
+  state_.dirty.Mark(job.record.id);
+  LogRequest(LogPart::kPlacer, job.record.id.value(), [&] {
+    return "start noted by an earlier dispatcher job=" + job.record.id.value() +
+           " worker=" + start.worker.value() +
+           " crashed=" + (made ? "1" : "0") +
+           " crashes=" + std::to_string(task.progress.crashes) +
+           " isolated_starts=" + std::to_string(task.progress.isolated_starts);
+  });
+}
+
+bool JobManager::IsRunningSince(const WorkerId& id,
+                                milliseconds incarnation_start) const {
+  const auto found = state_.workers.find(id);
+  if (found == state_.workers.end()) return false;
+  const TrackedWorker& worker = found->second;
+  return worker.synced && !worker.IsUnresponsive() &&
+         worker.incarnation_start == incarnation_start;
+}
+
+// Their next start is noted; more than that takes a crash that has been seen.
+// Not members of gangs: their crashes count towards giving the gang up.
+void JobManager::SuspectUnseenRuns(TrackedJob& job) {
+  if (job.state != JobPhase::kRunning) return;
+  for (auto& [number, steps] : job.occurrences) {
+    for (std::size_t s = 0; s < steps.size(); ++s) {
+      const bool startable =
+          job.IsDue(number) && job.ArePredecessorsDone(number, s);
+      if (!startable || job.spec(s).gang) continue;
+      for (TrackedTask& task : steps[s].tasks) {
+        if (task.progress.done || !task.runs.empty()) continue;
+        if (task.progress.crashes > 0) continue;
+        task.progress.crashes = 1;
+        ++job.suspicions;
+      }
+    }
+  }
+}
+
 // Stops the runs of gangs of which an earlier dispatcher started only a part.
 void JobManager::StopPartialGangs(TrackedJob& job) {
   for (auto& [number, steps] : job.occurrences) {
--- a/src/dispatch/job_manager.h
+++ b/src/dispatch/job_manager.h
@@ -45,8 +45,11 @@
   void OnWorkerCrashed(TrackedJob& job, const TaskKey& task);
   // It had not.
   void ForgetCrash(TrackedJob& job, const TaskKey& task);
-  // The task is about to be started alone on a worker.
-  void NoteIsolatedStart(TrackedJob& job, TrackedTask& task);
+  // The task is about to be started, alone on a worker or not.
+  void NoteStart(TrackedJob& job, TrackedTask& task, bool isolated);
+  // The worker of the noted start has been chosen.
+  void SetNotedWorker(TrackedJob& job, TrackedTask& task,
+                      const TrackedWorker& worker);
   // Its isolated start has ended otherwise than by a crash of the worker.
   void ForgetIsolatedStart(TrackedJob& job, TrackedTask& task);
   // The task has run without harm to its worker.
@@ -59,6 +62,14 @@
   void ClearUncertainty();
 
  private:
+  // Finds out what has become of starts that an earlier dispatcher has noted.
+  void ResolveNotedStarts(TrackedJob& job);
+  void ResolveNotedStart(TrackedJob& job, TrackedTask& task);
+  // A worker was lost before its runs were known here: holds a crash against
+  // the tasks that may have run there.
+  void SuspectUnseenRuns(TrackedJob& job);
+  bool IsRunningSince(const WorkerId& worker,
+                      std::chrono::milliseconds incarnation_start) const;
   void Finish(TrackedJob& job, JobPhase state);
   void StopRuns(const TrackedJob& job);
   void StopPartialGangs(TrackedJob& job);
--- a/src/dispatch/job_progress.cc
+++ b/src/dispatch/job_progress.cc
@@ -24,6 +24,24 @@
   return std::nullopt;
 }
 
+Json ToJson(const NotedStart& start) {
+  Json out = Json::object();
+  if (start.isolated) out["isolated"] = true;
+  if (start.worker.empty()) return out;
+  out["worker"] = start.worker.value();
+  out["worker_started_ms"] = start.incarnation_start.count();
+  return out;
+}
+
+NotedStart ReadNotedStart(JsonObjectReader& reader) {
+  NotedStart start;
+  start.isolated = reader.Flag("isolated", false);
+  start.worker = WorkerId(reader.Text("worker", ""));
+  start.incarnation_start =
+      std::chrono::milliseconds(reader.Integer("worker_started_ms", 0));
+  return start;
+}
+
 // Done tasks are written as indices, tasks with failures or a checkpoint as
 // objects. Each host of the cluster reads the row, so empty members are left
 // out.
@@ -41,6 +59,7 @@
     if (!task.saved.empty()) item["saved"] = task.saved;
     if (task.crashes > 0) item["crashes"] = task.crashes;
     if (task.isolated_starts > 0) item["isolated"] = task.isolated_starts;
+    if (task.noted_start) item["noted"] = ToJson(*task.noted_start);
     open.push_back(std::move(item));
   }
   Json out = Json::object();
@@ -64,6 +83,11 @@
     task.crashes = static_cast<std::size_t>(item.Integer("crashes", 0));
     task.isolated_starts =
         static_cast<std::size_t>(item.Integer("isolated", 0));
+    if (const JsonNode* const noted = item.Object("noted")) {
+      JsonObjectReader start(*noted);
+      task.noted_start = ReadNotedStart(start);
+      if (!start.good()) item.Fail("noted", start.problem());
+    }
     if (!item.good()) reader.Fail("open", item.problem());
   }
   return step;
--- a/src/dispatch/job_progress.h
+++ b/src/dispatch/job_progress.h
@@ -1,14 +1,17 @@
 #pragma once
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "base/result.h"
+#include "dispatch/worker_messages.h"
 
 namespace chivewing {
 
@@ -21,6 +24,14 @@
   return state != JobPhase::kQueued && state != JobPhase::kRunning;
 }
 
+// A start of a suspected task. It is noted in the progress row before it is
+// made, and once more when the worker has been chosen.
+struct NotedStart {
+  bool isolated = false;  // counted in TaskProgress::isolated_starts
+  WorkerId worker{};      // empty until it is chosen
+  std::chrono::milliseconds incarnation_start{0};  // of that worker
+};
+
 // Progress of one task that a later dispatcher needs.
 struct TaskProgress {
   bool done = false;
@@ -31,11 +42,14 @@
   // Starts of the task alone on a worker that have not ended harmlessly.
   // Written before the start, so that a later dispatcher knows of it.
   std::size_t isolated_starts = 0;
+  // The newest start that has been noted; none once its task has proved
+  // harmless.
+  std::optional<NotedStart> noted_start{};
 
   // True if a later dispatcher needs nothing of it.
   bool empty() const {
     return !done && failed_runs.empty() && saved.empty() && crashes == 0 &&
-           isolated_starts == 0;
+           isolated_starts == 0 && !noted_start;
   }
 };
 
--- a/src/dispatch/run_manager.cc
+++ b/src/dispatch/run_manager.cc
@@ -48,7 +48,7 @@
   state_.UpdateWorker(worker);
   Run& added = state_.runs.Add(std::move(run));
   if (NeedsWorkerAlone(state, job.spec(task.step))) Isolate(added);
-  state.isolated_start_noted = false;
+  jobs_.SetNotedWorker(job, state, worker);
   state.runs.push_back(added.id);
   state.highest_run = std::max(state.highest_run, number);
   job.highest_run = std::max(job.highest_run, number);
--- a/src/dispatch/step_scheduler.cc
+++ b/src/dispatch/step_scheduler.cc
@@ -62,7 +62,7 @@
   ++state_.counts.steps_tried;
   for (const std::size_t index : placement.waiting()) {
     const TrackedTask& task = placement.step().tasks[index];
-    if (task.isolated_start_noted || !IsGivenUp(task, spec)) continue;
+    if (task.next_start_noted || !IsGivenUp(task, spec)) continue;
     jobs_.GiveUp(placement.job(),
                  {key.step.job, key.step.occurrence, key.step.step, index});
     return;
@@ -84,10 +84,11 @@
   std::size_t placed = 0;
   for (const std::size_t index : placement.waiting()) {
     TrackedTask& task = placement.step().tasks[index];
-    const bool alone = NeedsWorkerAlone(task, placement.spec());
-    TrackedWorker* const worker = alone ? ChooseIdleWorker(now, placement, task)
-                                        : placement.ChooseWorker(&task);
-    if (worker == nullptr && alone) continue;
+    const bool suspected = NeedsNote(task, placement.spec());
+    TrackedWorker* const worker = suspected
+                                      ? ChooseForSuspect(now, placement, task)
+                                      : placement.ChooseWorker(&task);
+    if (worker == nullptr && suspected) continue;
     if (worker == nullptr) break;
     const WorkerId id = worker->registration().worker;
     const std::string* const ticket = placement.step().advice.FindTicket(
@@ -104,18 +105,38 @@
   return placed;
 }
 
-TrackedWorker* StepScheduler::ChooseIdleWorker(TimePoint now,
+TrackedWorker* StepScheduler::ChooseForSuspect(TimePoint now,
                                                StepPlacement& placement,
                                                TrackedTask& task) {
   TrackedJob& job = placement.job();
-  if (task.isolated_start_noted && job.suspicions > job.suspicions_saved)
-    return nullptr;
-  TrackedWorker* const worker = placement.ChooseIdleWorker(now);
-  if (worker == nullptr || task.isolated_start_noted) return worker;
-  jobs_.NoteIsolatedStart(job, task);
+  const bool alone = NeedsWorkerAlone(task, placement.spec());
+  const bool noted =
+      task.next_start_noted && task.progress.noted_start->isolated == alone;
+  if (noted && job.suspicions > job.suspicions_saved) return nullptr;
+  TrackedWorker* const worker =
+      alone ? placement.ChooseIdleWorker(now) : placement.ChooseWorker(&task);
+  if (worker == nullptr || noted) return worker;
+  jobs_.NoteStart(job, task, alone);
   return nullptr;
 }
 
+bool StepScheduler::IsGangSuspected(StepPlacement& placement) {
+  const std::vector<TrackedTask>& tasks = placement.step().tasks;
+  return std::any_of(tasks.begin(), tasks.end(), IsSuspected);
+}
+
+// Notes the starts of all members, if that has not been done.
+bool StepScheduler::IsGangStartNoted(StepPlacement& placement) {
+  TrackedJob& job = placement.job();
+  std::vector<TrackedTask>& tasks = placement.step().tasks;
+  const bool noted = std::all_of(
+      tasks.begin(), tasks.end(),
+      [](const TrackedTask& task) { return task.next_start_noted; });
+  if (noted) return job.suspicions <= job.suspicions_saved;
+  for (TrackedTask& task : tasks) jobs_.NoteStart(job, task, false);
+  return false;
+}
+
 // Starts all tasks of the gang or none. The resources are reserved while the
 // workers are chosen and released before the runs start.
 std::size_t StepScheduler::PlaceGang(TimePoint now, StepPlacement& placement,
@@ -130,6 +151,7 @@
   }
   for (TrackedWorker* const worker : chosen) worker->Release(placement.held());
   if (chosen.size() < placement.waiting().size()) return 0;
+  if (IsGangSuspected(placement) && !IsGangStartNoted(placement)) return 0;
   std::uint64_t number = placement.job().run_number_floor;
   std::string saved;
   for (const TrackedTask& task : placement.step().tasks) {
--- a/src/dispatch/step_scheduler.h
+++ b/src/dispatch/step_scheduler.h
@@ -26,10 +26,13 @@
   void TryStep(TimePoint now, const ReadyStepKey& key, DispatchEffects& out);
   std::size_t PlaceTasks(TimePoint now, StepPlacement& placement,
                          DispatchEffects& out);
-  // The worker on which a task that may crash it is started now; nullptr if
-  // there is none, or while the start is not noted in the table.
-  TrackedWorker* ChooseIdleWorker(TimePoint now, StepPlacement& placement,
+  // The worker on which a suspected task is started now; nullptr if there is
+  // none, or while the start is not noted in the table.
+  TrackedWorker* ChooseForSuspect(TimePoint now, StepPlacement& placement,
                                   TrackedTask& task);
+  static bool IsGangSuspected(StepPlacement& placement);
+  // True once the starts of all members are noted in the table.
+  bool IsGangStartNoted(StepPlacement& placement);
   std::size_t PlaceGang(TimePoint now, StepPlacement& placement,
                         DispatchEffects& out);
   StepWait RequestAdvice(TimePoint now, const StepPlacement& placement,
--- a/src/dispatch/tracked_job.h
+++ b/src/dispatch/tracked_job.h
@@ -21,8 +21,8 @@
   std::uint64_t highest_run = 0;  // highest run number used so far
   std::set<WorkerId> failed_on{};
   std::vector<std::uint64_t> runs{};
-  // Its next isolated start has been counted.
-  bool isolated_start_noted = false;
+  // Its next start is noted in `progress`, by this dispatcher.
+  bool next_start_noted = false;
 };
 
 // One step of one occurrence.
@@ -53,8 +53,9 @@
   std::uint64_t run_number_floor = 0;
   std::map<std::size_t, std::vector<TrackedStep>> occurrences{};
   std::size_t finished_occurrences = 0;
-  // Number of changes of `crashes` and `isolated_starts` of its tasks, and how
-  // many of them the written progress row holds. Isolated starts wait for it.
+  // Number of changes of `crashes`, `isolated_starts` and `noted_start` of its
+  // tasks, and how many of them the written progress row holds. Starts of
+  // suspected tasks wait for it.
   std::size_t suspicions = 0;
   std::size_t suspicions_saved = 0;
   // Of a repeating job: the occurrences below this number are due. Tasks of
--- a/src/dispatch/worker_manager.cc
+++ b/src/dispatch/worker_manager.cc
@@ -277,6 +277,7 @@
   LogInfo(LogPart::kWorker,
           "worker incarnation has ended; its runs count as lost worker=" +
               id.value());
+  NoteLostUnseen(worker);
   if (!worker.has_drained) runs_.ConfirmCrash(worker);
   EndRunsAsLost(now, id);
   worker.ResetForNewIncarnation();
@@ -511,6 +512,7 @@
              "lease of an unresponsive worker has expired; its runs count as "
              "lost worker=" +
                  id.value());
+  NoteLostUnseen(worker);
   EndRunsAsLost(now, id);
   worker.synced = false;
   state_.UpdateWorker(worker);
@@ -536,6 +538,12 @@
   }
 }
 
+void WorkerManager::NoteLostUnseen(const TrackedWorker& worker) {
+  const WorkerId& id = worker.registration().worker;
+  if (worker.has_drained || !state_.unsynced_workers.contains(id)) return;
+  state_.lost_unseen_worker = true;
+}
+
 void WorkerManager::MarkSynced(const WorkerId& id) {
   if (state_.unsynced_workers.erase(id) == 0) return;
   if (state_.unsynced_workers.empty()) jobs_.ClearUncertainty();
--- a/src/dispatch/worker_manager.h
+++ b/src/dispatch/worker_manager.h
@@ -74,6 +74,8 @@
                         const ActiveRunReport& listed);
   void EndUnlistedRuns(TimePoint now, TrackedWorker& worker,
                        const PollResponse& response);
+  // The worker is lost: remembers if its runs were not known here yet.
+  void NoteLostUnseen(const TrackedWorker& worker);
   void MarkSynced(const WorkerId& id);
   void EndRunsAsLost(TimePoint now, const WorkerId& id);
   void EndRunsAfterLeaseExpiry(TimePoint now, TrackedWorker& worker);
--- a/tests/dispatch/dispatcher_test.cc
+++ b/tests/dispatch/dispatcher_test.cc
@@ -446,10 +446,18 @@
   progress.occurrences[0][0][1].done = true;
   progress.occurrences[0][1][4].failed_runs = {1, 1001};
   progress.occurrences[0][1][4].saved = "00ab";
+  progress.occurrences[0][1][5].crashes = 1;
+  progress.occurrences[0][1][5].noted_start = NotedStart{};
+  progress.occurrences[0][1][6].isolated_starts = 1;
+  progress.occurrences[0][1][6].noted_start =
+      NotedStart{true, WorkerId("w"), milliseconds(7)};
   const std::string text = EncodeJobProgress(progress);
   const Result<JobProgress> back = DecodeJobProgress(text);
   ASSERT_TRUE(back);
   EXPECT_EQ(EncodeJobProgress(back.value()), text);
+  const StepProgress& step = back.value().occurrences.at(0).at(1);
+  EXPECT_TRUE(step.at(5).noted_start);
+  EXPECT_EQ(step.at(6).noted_start->worker, WorkerId("w"));
   EXPECT_FALSE(DecodeJobProgress(R"({"state":"odd","top_run":0})"));
 }
 
