--- a/src/dispatch/job_manager.h
+++ b/src/dispatch/job_manager.h
@@ -68,7 +68,7 @@
   // A worker was lost before its runs were known here: holds a crash against
   // the tasks that may have run there.
   void SuspectUnseenRuns(TrackedJob& job);
-  bool IsRunningSince(const WorkerId& worker,
+  bool IsRunningSince(const WorkerId& id,
                       std::chrono::milliseconds incarnation_start) const;
   void Finish(TrackedJob& job, JobPhase state);
   void StopRuns(const TrackedJob& job);
--- a/tests/cluster/cluster_host_test.cc
+++ b/tests/cluster/cluster_host_test.cc
@@ -34,6 +34,9 @@
 using small_day::kJob;
 using small_day::WaitFor;
 
+// A host counts as calm this long after the end of a disruption.
+constexpr seconds kCalmAfter{3};
+
 // An entry host with its own platform clients.
 struct Host {
   Host(
@@ -390,7 +393,6 @@
 }
 
 TEST_F(ClusterHostTest, AnAddedQueueIsServedThoughOpenConnectionsWentSilent) {
-  constexpr seconds kCalmAfter{3};  // a host counts as calm so long after that
   SilencingProxy proxy(store_.port());
   Host host("h1", proxy.address(),
             {ports_[0], ports_[1], ports_[2], ports_[6]});
--- a/tests/http/http_client_test.cc
+++ b/tests/http/http_client_test.cc
@@ -10,6 +10,7 @@
 #include "http/listen_socket.h"
 #include "http/scripted_server.h"
 #include "standins/blocking_http.h"
+#include "standins/loopback_socket.h"
 
 namespace chivewing {
 namespace {
--- a/tests/http/http_server_test.cc
+++ b/tests/http/http_server_test.cc
@@ -13,6 +13,7 @@
 #include "base/time.h"
 #include "http/scripted_server.h"
 #include "standins/blocking_http.h"
+#include "standins/loopback_socket.h"
 
 namespace chivewing {
 namespace {
--- a/tests/standins/silencing_proxy.cc
+++ b/tests/standins/silencing_proxy.cc
@@ -1,6 +1,5 @@
 #include "standins/silencing_proxy.h"
 
-#include <arpa/inet.h>
 #include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -10,6 +9,7 @@
 #include <cstdlib>
 
 #include "http/listen_socket.h"
+#include "standins/loopback_socket.h"
 
 namespace chivewing {
 namespace {
@@ -18,18 +18,6 @@
 constexpr int kPollMilliseconds = 5;
 constexpr std::size_t kBlockBytes = 65536;
 
-int ConnectToLoopback(std::uint16_t port) {
-  const int fd = socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_port = htons(port);
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  const auto* const generic = reinterpret_cast<const sockaddr*>(&address);
-  if (connect(fd, generic, sizeof(address)) == 0) return fd;
-  close(fd);
-  return -1;
-}
-
 // Passes on what can be read. Returns false once either side has closed.
 bool PassOn(int from, int to) {
   std::array<char, kBlockBytes> block{};
@@ -78,7 +66,7 @@
 }
 
 void SilencingProxy::Forward(int caller_fd, std::uint64_t generation) {
-  const int backend_fd = ConnectToLoopback(backend_port_);
+  const int backend_fd = ConnectTo(backend_port_);
   std::array<pollfd, 2> ends{{{caller_fd, POLLIN, 0}, {backend_fd, POLLIN, 0}}};
   bool open = backend_fd >= 0;
   while (open && !stopping_) {
