--- a/tests/cluster/desired_state_watcher_test.cc
+++ b/tests/cluster/desired_state_watcher_test.cc
@@ -67,9 +67,7 @@
 }
 
 TEST_F(DesiredStateWatcherTest, ReadsTheWholeStateWhenTheHistoryIsLost) {
-  watcher_.Tick(now_);
-  Complete(0, Version(7, 20));
-  AdvanceTime(milliseconds(0));
+  Start();
   DesiredStateUpdate lost;
   lost.history_lost = true;
   Complete(1, lost);
@@ -79,9 +77,7 @@
 }
 
 TEST_F(DesiredStateWatcherTest, AnOlderVersionIsNotTaken) {
-  watcher_.Tick(now_);
-  Complete(0, Version(7, 20));
-  AdvanceTime(milliseconds(0));
+  Start();
   Complete(1, Version(6, 21));
   EXPECT_EQ(version(), 7U);
 }
