--- a/review/standins/worker.cc
+++ b/review/standins/worker.cc
@@ -71,7 +71,8 @@
   bool Start() {
     const bool started = static_cast<bool>(
         server_.Start([this](const HttpServerRequest& call) { OnCall(call); }));
-    log_.Write("BORN cpu=" + std::to_string(capacity_cpu_));
+    log_.Write("BORN cpu=" + std::to_string(capacity_cpu_) +
+               " kind=" + options_.Text("kind", "a"));
     timer_.After(kTick, [this] { Tick(); });
     return started;
   }
