--- a/review/standins/worker.cc
+++ b/review/standins/worker.cc
@@ -369,7 +369,9 @@
     const std::int64_t now = SteadyMs();
     EndGangs();
     MindGangs(now);
-    const bool lapsed = !runs_.empty() && Clock() > lease_until_;
+    const bool lapsed = Clock() > lease_until_;
+    if (lapsed && lease_until_ > 0 && !lapse_logged_) log_.Write("LAPSE");
+    lapse_logged_ = lapsed;
     for (auto each = runs_.begin(); each != runs_.end();) {
       const auto& [task, run] = *each;
       if (lapsed) {
@@ -422,6 +424,7 @@
   std::uint64_t last_end_ = 0;
   std::uint64_t seq_ = 0;
   std::int64_t lease_until_ = 0;
+  bool lapse_logged_ = false;
   std::int64_t used_cpu_ = 0;
   chivewing::HttpServer server_;
   chivewing::HttpClient client_;
