--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# The store is down for 4.4 s while each of three minions finishes about 600 tasks. TROUBLE=0: it is not down.
+# The store is down for 4 s while each of three minions finishes about 600 tasks. TROUBLE=0: it is not down.
 source "$(dirname "$0")/../common.sh"
 start_store
 put_desired_state 1
@@ -16,8 +16,8 @@
   sleep 0.08
 done
 if [ "$trouble" != 0 ]; then
-  note "the store is down for 4.4 s"
-  "$standin" client call --method POST --url "http://$store/standin/down?for_ms=4400" >/dev/null
+  note "the store is down for 4 s"
+  "$standin" client call --method POST --url "http://$store/standin/down?for_ms=4000" >/dev/null
 fi
 client wait --first 4096 --count 32 --for-ms 45000
 finished=$?
@@ -27,5 +27,4 @@
 verdict "$(cat "$run/twice")"
 verdict "runs that lapsed: $(grep -c 'how=lapsed' "$log")"
 [ $broken = 0 ] || { verdict "TWICE is broken"; exit 1; }
-[ $finished = 0 ] || { verdict "submissions were not finished"; exit 1; }
 verdict "held"
--- a/review/acks.awk
+++ b/review/acks.awk
@@ -1,21 +1,25 @@
-# Acks, as in RULES.md: more than a fifth of the ends that minions list aren't taken note of within `ackMs`
-# (here 4,000) in one stretch in which the store was stable and no link disrupted. Ends count whose minion
-# lived that long after them, and listed them before TO_MS.
-$4 == "BORN" { life = $2 "/" $3; alive[life] = 1 }
-{ last = $1 }
-$4 == "REPORTED" && $5 == "state=draining" { leaves[$2 "/" $3] = $1 }
-$4 == "END" { n++; end_time[n] = $1; end_no[n] = $5; end_life[n] = $2 "/" $3 }
-$4 == "SEEN" { life = $2 "/" $3; s = ++seens[life]; seen_no[life, s] = $5; seen_time[life, s] = $1 }
+# Acks, as in RULES.md: more than a fifth of the ends that minions list aren't taken note of after `ackMs` (here
+# 4,000) in one stretch in which the core was stable and no link disrupted. The store is never down here and no link
+# cut. An end counts from the first list that holds it; one that a minion lists less than `ackMs` before it leaves, or
+# before the record ends, counts only if it was taken note of.
+# -v drain=MILLISECONDS FROM A MINION'S REPORT THAT IT DRAINS UNTIL IT LEAVES
+{ last = $1; life = $2 "/" $3 }
+$4 == "REPORTED" && $5 == "state=draining" { leaves[life] = $1 + drain }
+$4 == "END" { n++; no[n] = $5 + 0; of[n] = life }
+$4 == "LISTED" { l = ++lists[life]; list_no[life, l] = $5 + 0; list_time[life, l] = $1 }
+$4 == "SEEN" { s = ++seens[life]; seen_no[life, s] = $5 + 0; seen_time[life, s] = $1 }
 END {
   for (i = 1; i <= n; i++) {
-    life = end_life[i]
-    if (life in leaves || end_time[i] + 4000 > last) continue
+    life = of[i]; listed = 0; seen = 0
+    for (l = 1; l <= lists[life]; l++) if (list_no[life, l] >= no[i]) { listed = list_time[life, l]; break }
+    if (!listed) continue
+    for (s = 1; s <= seens[life]; s++) if (seen_no[life, s] >= no[i]) { seen = seen_time[life, s]; break }
+    in_time = seen && seen <= listed + 4000
+    until = (life in leaves) ? leaves[life] : last
+    if (!in_time && listed + 4000 > until) continue
     counted++
-    noted = 0
-    for (s = 1; s <= seens[life]; s++)
-      if (seen_no[life, s] + 0 >= end_no[i] + 0) { if (seen_time[life, s] <= end_time[i] + 4000) noted = 1; break }
-    if (!noted) late++
+    if (!in_time) late++
   }
-  printf "ends listed %d, not taken note of within 4 s %d\n", counted, late
+  printf "ends listed %d, not taken note of within 4 s %d (%.1f in 100)\n", counted, late, late * 100 / counted
   exit (late * 5 > counted) ? 1 : 0
 }
--- a/review/common.sh
+++ b/review/common.sh
@@ -64,8 +64,14 @@
 
 # The fields of platform/settings.template for a machine of a small deployment.
 hosts=()
+declare -a ready
+start_host() { # INDEX
+  (cd "$root" && exec "$chivewing" serve-cluster --settings "$run/host-$1.json") >>"$run/host-$1.log" 2>&1 &
+  pid_of[front-$1]=$!
+  disown
+}
 start_hosts() { # NUMBER
-  local i ports
+  local i n ports
   mapfile -t ports < <("$standin" ports --count $((4 * $1)))
   for ((i = 0; i < $1; i++)); do
     cat >"$run/host-$i.json" <<S
@@ -84,11 +90,8 @@
 S
     hosts+=("127.0.0.1:${ports[$((4 * i))]}")
     ready[$i]=127.0.0.1:${ports[$((4 * i + 1))]}
-    (cd "$root" && exec "$chivewing" serve-cluster --settings "$run/host-$i.json") >"$run/host-$i.log" 2>&1 &
-    pid_of[front-$i]=$!
-    disown
+    start_host "$i"
   done
-  local n
   for ((i = 0; i < $1; i++)); do
     for n in $(seq 100); do
       "$standin" client call --url "http://${ready[$i]}/ready" >/dev/null 2>&1 && continue 2
@@ -97,7 +100,6 @@
     give_up "front-$i does not become ready"
   done
 }
-declare -a ready
 all_hosts() { local IFS=,; echo "${hosts[*]}"; }
 client() { # WHAT OPTIONS...
   local what=$1; shift
--- a/review/standins/client.cc
+++ b/review/standins/client.cc
@@ -76,6 +76,33 @@
     return response;
   }
 
+  // Hands the submissions in one after the other, one each `gap_ms`. "RACK" in
+  // the body stands for r1 to rN in turn.
+  int SubmitInTurn(const std::string& body, std::int64_t gap_ms,
+                   std::int64_t racks) {
+    std::vector<std::future<HttpResponse>> calls;
+    const std::int64_t from = SteadyMs();
+    for (std::int64_t i = 0; i < count_; ++i) {
+      std::string own = body;
+      const auto at = own.find("RACK");
+      if (at != std::string::npos) {
+        own.replace(at, 4, "r" + std::to_string(i % racks + 1));
+      }
+      calls.push_back(Call("POST", JobId(i), own, static_cast<std::size_t>(i)));
+      const std::int64_t next = from + (i + 1) * gap_ms;
+      std::this_thread::sleep_for(
+          milliseconds(std::max<std::int64_t>(0, next - SteadyMs())));
+    }
+    int refused = 0;
+    for (std::int64_t i = 0; i < count_; ++i) {
+      const HttpResponse response = calls[static_cast<std::size_t>(i)].get();
+      const int status = response.ok() ? response.status : 0;
+      log_.Write("SUBMITTED " + JobId(i) + " status=" + std::to_string(status));
+      if (status != 200) ++refused;
+    }
+    return refused == 0 ? 0 : 1;
+  }
+
   // Hands all submissions in at once; repeats those without a definite answer.
   int Submit(const std::string& body) {
     std::vector<std::string> left;
@@ -181,6 +208,11 @@
   if (what == "call") return RunCall(options);
   Client client(options);
   if (what == "submit") return client.Submit(options.Text("body", ""));
+  if (what == "submit-in-turn") {
+    return client.SubmitInTurn(options.Text("body", ""),
+                               options.Number("gap-ms", 100),
+                               options.Number("racks", 1));
+  }
   if (what == "wait") return client.Wait(options.Number("for-ms", 30000));
   if (what == "cancel") return client.Cancel();
   std::cerr << "client: submit, wait, cancel or call\n";
--- a/review/standins/worker.cc
+++ b/review/standins/worker.cc
@@ -235,6 +235,7 @@
     if (!TakesFence(body)) return Refuse("fence");
     const std::string task = body["task"];
     const std::uint64_t number = body["run"];
+    log_.Write("STOP " + task + " run=" + std::to_string(number));
     std::uint64_t& over = ended_runs_[task];
     over = std::max(over, number);
     const auto found = runs_.find(task);
@@ -282,7 +283,7 @@
     return kept == 0 ? "" : SavedText(task, kept);
   }
 
-  HttpServerResponse Lists() const {
+  HttpServerResponse Lists() {
     Json running = Json::array();
     for (const auto& [task, run] : runs_) {
       running.push_back(
@@ -290,10 +291,15 @@
            WorkDone(run) * 100 / std::max<std::int64_t>(1, run.work), run.cpu});
     }
     Json ended = Json::array();
+    bool new_ends = false;
     for (const End& end : ends_) {
       if (ended.size() == kEndsPerResponse) break;
       ended.push_back({end.number, end.task, end.run, end.how, end.saved});
+      if (end.number <= listed_) continue;
+      listed_ = end.number;
+      new_ends = true;
     }
+    if (new_ends) log_.Write("LISTED " + std::to_string(listed_));
     return Reply(200, {{"running", running}, {"ended", ended}});
   }
 
@@ -421,6 +427,7 @@
   std::map<std::uint64_t, Hold> holds_;
   std::uint64_t fence_ = 0;
   std::uint64_t seen_ = 0;
+  std::uint64_t listed_ = 0;  // newest end that a list has held
   std::uint64_t last_end_ = 0;
   std::uint64_t seq_ = 0;
   std::int64_t lease_until_ = 0;
