Log how full the lists were when a run counts as lost

Three hypotheses were stated before any change of logic: 1. a run beyond a full list of ends is in neither list, and is taken for lost; 2. the worker's lease runs out during the outage, and its runs count as lost; 3. another host takes over during the outage and starts what it does not find. 2 and 3 have log lines of their own. 1 could not be told from a run that the worker had never begun: the line on a run that is no longer listed now says how many runs and ends were listed, and how many ends wait for the table.

--- a/src/dispatch/worker_manager.cc
+++ b/src/dispatch/worker_manager.cc
@@ -492,7 +492,11 @@
              " task=" + std::to_string(run.key.task.index) +
              " worker=" + id.value() +
              " acknowledged=" + std::to_string(run.acknowledged ? 1 : 0) +
-             " stopped=" + std::to_string(run.stop_confirmed ? 1 : 0);
+             " stopped=" + std::to_string(run.stop_confirmed ? 1 : 0) +
+             " runs_listed=" + std::to_string(response.running.size()) +
+             " ends_listed=" + std::to_string(response.ended.size()) +
+             " ends_unsaved=" +
+             std::to_string(worker.processed_end - worker.persisted_end);
     });
     runs_.End(now, run_id, RunEndReason::kLost, "");
   }
