--- a/src/cluster/metrics_text.cc
+++ b/src/cluster/metrics_text.cc
@@ -150,6 +150,9 @@
              "runs that were stopped, lapsed or went with their worker",
              counts.runs_lost);
   AddCounter(out, "polls_total", "polls of workers", counts.polls);
+  AddCounter(out, "full_end_lists_total",
+             "polls whose worker may have more ends than it listed",
+             counts.full_end_lists);
   AddCounter(out, "advice_asks_total", "questions to the advice service",
              counts.asks);
   AddCounter(out, "advice_failures_total", "questions without an answer",
--- a/src/dispatch/dispatch_state.h
+++ b/src/dispatch/dispatch_state.h
@@ -32,6 +32,7 @@
   std::uint64_t asks = 0;
   std::uint64_t asks_failed = 0;
   std::uint64_t polls = 0;
+  std::uint64_t full_end_lists = 0;  // polls whose worker may have more ends
   std::uint64_t invariant_breaches = 0;
   // Runs that were stopped because their job had been cancelled or had ended
   // before their start was confirmed.
@@ -77,7 +78,7 @@
   ReadySteps ready{};
   DirtyJobs dirty{};
   // Workers that may run tasks of an earlier dispatcher and have not listed
-  // their runs yet.
+  // all of their runs and ends yet.
   std::set<WorkerId> unsynced_workers{};
   // One of them was lost before it had listed its runs.
   bool lost_unseen_worker = false;
--- a/src/dispatch/tracked_worker.cc
+++ b/src/dispatch/tracked_worker.cc
@@ -70,6 +70,7 @@
 
 void TrackedWorker::ResetForNewIncarnation() {
   synced = false;
+  lists_all_runs = true;
   processed_end = 0;
   persisted_end = 0;
   unpersisted_ends.clear();
--- a/src/dispatch/tracked_worker.h
+++ b/src/dispatch/tracked_worker.h
@@ -64,6 +64,9 @@
 
   // True once this dispatcher has read the list of its runs.
   bool synced = false;
+  // False while a run that its newest lists lack may have ended; see
+  // PollResponse::ListsAllRuns.
+  bool lists_all_runs = true;
   // True once its row is in the table, so that a successor looks for its runs;
   // `enrolling` is true while the row is being written.
   bool enrolled = false;
--- a/src/dispatch/worker_manager.cc
+++ b/src/dispatch/worker_manager.cc
@@ -349,12 +349,13 @@
   worker.unresponsive_since = TimePoint{};
   ProcessEnds(now, worker, response);
   ProcessRunning(now, worker, response);
-  EndUnlistedRuns(now, worker, response);
+  NoteWhetherListsAreWhole(worker, response);
+  if (worker.lists_all_runs) EndUnlistedRuns(now, worker, response);
   const bool first_response = !worker.synced;
   worker.synced = true;
   state_.UpdateWorker(worker);
   state_.UpdateTableWork(worker);
-  MarkSynced(worker.registration().worker);
+  if (worker.lists_all_runs) MarkSynced(worker.registration().worker);
   const bool wait_for_table = worker.HasUnpersistedEnds() && !first_response;
   worker.next_poll =
       wait_for_table ? now + state_.options.end_persist_wait : now;
@@ -460,9 +461,26 @@
   runs_.Adopt(now, worker, listed);
 }
 
+void WorkerManager::NoteWhetherListsAreWhole(TrackedWorker& worker,
+                                             const PollResponse& response) {
+  const bool whole = response.ListsAllRuns();
+  if (!whole) ++state_.counts.full_end_lists;
+  if (whole == worker.lists_all_runs) return;
+  worker.lists_all_runs = whole;
+  LogInfo(LogPart::kWorker,
+          std::string(whole ? "worker lists all of its ends again"
+                            : "worker may have more ends than it lists; runs "
+                              "that it does not list count as running") +
+              " worker=" + worker.registration().worker.value() +
+              " runs_listed=" + std::to_string(response.running.size()) +
+              " ends_listed=" + std::to_string(response.ended.size()) +
+              " ends_unsaved=" +
+              std::to_string(worker.processed_end - worker.persisted_end));
+}
+
 // Ends the runs that the worker would list if they still existed: it has
 // acknowledged them or their stop before the poll was sent, or their start
-// deadline has passed.
+// deadline has passed. The lists must be whole.
 void WorkerManager::EndUnlistedRuns(TimePoint now, TrackedWorker& worker,
                                     const PollResponse& response) {
   std::set<TaskRunKey> listed;
--- a/src/dispatch/worker_manager.h
+++ b/src/dispatch/worker_manager.h
@@ -72,6 +72,8 @@
                       const PollResponse& response);
   void ProcessListedRun(TimePoint now, TrackedWorker& worker,
                         const ActiveRunReport& listed);
+  void NoteWhetherListsAreWhole(TrackedWorker& worker,
+                                const PollResponse& response);
   void EndUnlistedRuns(TimePoint now, TrackedWorker& worker,
                        const PollResponse& response);
   // The worker is lost: remembers if its runs were not known here yet.
--- a/src/dispatch/worker_messages.h
+++ b/src/dispatch/worker_messages.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -135,6 +136,9 @@
   std::string saved{};
 };
 
+// Most ends that a worker lists in one response, its oldest ones.
+inline constexpr std::size_t kMaxListedEnds = 500;
+
 // Response to PollWorker.
 struct PollResponse {
   CommandOutcome outcome = CommandOutcome::kNoResponse;
@@ -143,6 +147,10 @@
   std::chrono::milliseconds incarnation_start{0};  // 0: not reported
   std::vector<ActiveRunReport> running{};
   std::vector<EndedRunReport> ended{};
+
+  // False if the worker may have more ends than it lists: a run in neither list
+  // may have ended in any way.
+  bool ListsAllRuns() const { return ended.size() < kMaxListedEnds; }
 };
 
 // Requests the advice service's verdict on which workers may run a step.
--- a/tests/adapter/codec_test.cc
+++ b/tests/adapter/codec_test.cc
@@ -270,6 +270,21 @@
   EXPECT_EQ(answer.ended[1].how, RunEndReason::kFailed);
 }
 
+// A worker returns 500 ends at a time, so a list of that length may lack some.
+TEST(WorkerCodec, AListOfEndsThatIsFullMayLackSome) {
+  for (const std::size_t ends : {kMaxListedEnds - 1, kMaxListedEnds}) {
+    std::string body = R"({"clockMs":1,"born":7,"running":[],"ended":[)";
+    for (std::size_t i = 1; i <= ends; ++i) {
+      if (i > 1) body += ",";
+      body += "[" + std::to_string(i) + R"(,"j.0.1.9",)" + std::to_string(i) +
+              R"(,"done",""])";
+    }
+    const PollResponse answer = DecodePollResponse(200, body + "]}");
+    EXPECT_EQ(answer.ended.size(), ends);
+    EXPECT_EQ(answer.ListsAllRuns(), ends < kMaxListedEnds);
+  }
+}
+
 TEST(WorkerCodec, OmitsEmptyFields) {
   StartRun start;
   start.run = {{JobId("j"), 0, 1, 2}, 3};
