--- a/src/dispatch/dispatch_state.cc
+++ b/src/dispatch/dispatch_state.cc
@@ -77,6 +77,7 @@
   const WorkerId& id = worker.registration().worker;
   const bool accepts_tasks = worker.registered() && worker.enrolled &&
                              worker.synced && worker.has_clock() &&
+                             worker.IsRegistrationCurrent() &&
                              !worker.registration().draining &&
                              !worker.IsUnresponsive() && !runs.HasOrphan(id);
   if (free_workers.Update(worker, accepts_tasks)) freed_workers.insert(id);
--- a/src/dispatch/tracked_worker.cc
+++ b/src/dispatch/tracked_worker.cc
@@ -28,6 +28,12 @@
   leaves_at_ = std::min(leaves_at_.value_or(reported), reported);
 }
 
+bool TrackedWorker::IsRegistrationCurrent() const {
+  const std::chrono::milliseconds registered = registration_.incarnation_start;
+  const bool known = registered.count() > 0 && incarnation_start.count() > 0;
+  return !known || registered == incarnation_start;
+}
+
 void TrackedWorker::SetClock(TimePoint now, WorkerTimestamp clock) {
   // Responses may overtake each other: the clock reading that is furthest ahead
   // had the least delay.
--- a/src/dispatch/tracked_worker.h
+++ b/src/dispatch/tracked_worker.h
@@ -92,6 +92,9 @@
   std::chrono::milliseconds incarnation_start{0};  // 0: not known
 
   bool IsUnresponsive() const { return unresponsive_since != TimePoint{}; }
+  // False if the registration is of another incarnation than the newest lists:
+  // the worker may be of another size and kind than the registration says.
+  bool IsRegistrationCurrent() const;
   // True if ends have been processed whose effects may not be in the table.
   bool HasUnpersistedEnds() const { return persisted_end != processed_end; }
   // True if the worker may get tasks once it has a row in the table.
--- a/src/dispatch/worker_manager.cc
+++ b/src/dispatch/worker_manager.cc
@@ -302,9 +302,19 @@
   state_.UpdateTableWork(worker);
   worker.set_foreign_lease_expiry(
       now + state_.options.LongestOnSlowClock(state_.options.max_worker_lease));
+  std::vector<std::uint64_t> never_there;
   for (const std::uint64_t run_id : state_.runs.OnWorker(id)) {
     Run& run = *state_.runs.Find(run_id);
-    if (run.unanswered_sends > 0) state_.runs.RequestStop(run);
+    if (run.unanswered_sends > 0) {
+      state_.runs.RequestStop(run);
+    } else if (!run.acknowledged) {
+      never_there.push_back(run_id);
+    }
+  }
+  // Their next attempt would start them on the new incarnation, which may be
+  // smaller or of another kind.
+  for (const std::uint64_t run_id : never_there) {
+    runs_.End(now, run_id, RunEndReason::kLost, "");
   }
   ForgetAdvice(id);
 }
--- a/tests/dispatch/cluster_model.cc
+++ b/tests/dispatch/cluster_model.cc
@@ -10,6 +10,8 @@
 constexpr milliseconds kTimeStep{2};
 constexpr milliseconds kMessageDelay{1};
 constexpr milliseconds kTableWriteDelay{12};
+// The registration of a worker that has restarted is read so much later.
+constexpr milliseconds kRegistrationDelay{200};
 constexpr milliseconds kCommandTimeout{600};
 constexpr milliseconds kStopDuration{500};
 constexpr milliseconds kMaxCancelDelay{4500};
@@ -305,7 +307,16 @@
 
 void ClusterModel::Crash(ModelWorker& worker, Duration down) {
   Restart(worker, down);
-  if (!options_.faults.new_id_after_crash) return;
+  if (!options_.faults.new_id_after_crash) {
+    RunAfter(down + kRegistrationDelay,
+             [this, registration = worker.registration] {
+               const ModelWorker& returned = *Find(registration.worker);
+               if (returned.registration.incarnation_start ==
+                   registration.incarnation_start)
+                 Register(returned.registration);
+             });
+    return;
+  }
   const WorkerId old = worker.registration.worker;
   worker.registration.worker =
       WorkerId(FirstId(old) + kCrashMark + std::to_string(++worker.crashes));
