A busy weak host hands the dispatcher's lease over to a stronger one

Cause: when most connections to the store went silent, only a host of 0.12 cores reached the table, took the lease, and kept it to the end beside six sound hosts of 0.5 cores. Its loop worked 650 to 850 ms of each second; all calls of that host (table, advice, desired state) were late.

Change: LeaseHandover decides, LeaseManager::HandOver releases the lease for 3 s, as a planned stop does. Equal hosts never hand over.

--- a/src/cluster/cluster_host.cc
+++ b/src/cluster/cluster_host.cc
@@ -243,6 +243,11 @@
   next = std::min(next, worker_gateway_.Tick(now));
   measured = AccountSince(measured, LoopWork::kDeciding);
   dispatcher_runner_.OnTickMeasured(measured, measured - deciding_from);
+  lease_handover_.OnTurn(measured, measured - now);
+  if (lease_handover_.IsDue(measured, dispatcher_runner_.dispatching(),
+                            own_row_.processor_milli, strongest_peer_milli_)) {
+    dispatcher_runner_.HandOver(measured);
+  }
   loop_monitor_.AddIteration(measured - now, events.size(),
                              event_loop_.waiting());
   ready_ = !stopping_ && desired_state_.cache().ready() &&
@@ -423,6 +428,7 @@
   // A host that has offered itself also has a connection to this one, for its
   // responses.
   worker_calls_.SetGateways(peers_.Gateways());
+  strongest_peer_milli_ = peers_.StrongestConnectedMilli();
 }
 
 // Offers this host to the dispatching one, again and again because a message
--- a/src/cluster/cluster_host.h
+++ b/src/cluster/cluster_host.h
@@ -16,6 +16,7 @@
 #include "cluster/job_feed_receiver.h"
 #include "cluster/job_feed_sender.h"
 #include "cluster/job_status_index.h"
+#include "cluster/lease_handover.h"
 #include "cluster/loop_monitor.h"
 #include "cluster/peer_directory.h"
 #include "cluster/platform_interface.h"
@@ -111,6 +112,8 @@
   std::size_t lease_rank_ = 0;
 
   LoopMonitor loop_monitor_;
+  LeaseHandover lease_handover_;
+  std::int64_t strongest_peer_milli_ = 0;  // of the connected ones
   std::atomic<bool> ready_{false};
   bool stopping_ = false;
   bool was_fed_ = false;  // in the last turn of the loop
--- a/src/cluster/dispatcher_runner.cc
+++ b/src/cluster/dispatcher_runner.cc
@@ -27,6 +27,8 @@
 constexpr milliseconds kWorkersWatchWait{1000};
 constexpr milliseconds kMinWorkersReadInterval{200};
 constexpr milliseconds kWorkersRetryDelay{200};
+// How long a lease that is handed over is left to the other hosts.
+constexpr milliseconds kHandOverTime{3000};
 
 LeaseSettings MakeLeaseSettings(const ClusterSettings& settings,
                                 std::uint64_t incarnation) {
@@ -415,6 +417,11 @@
          " advice=" + std::to_string(state.counts.asks);
 }
 
+void DispatcherRunner::HandOver(TimePoint now) {
+  DropDispatcher(now, "a stronger host can dispatch");
+  lease_.HandOver(now + kHandOverTime);
+}
+
 void DispatcherRunner::Stop(TimePoint now) {
   DropDispatcher(now, "graceful stop");
   take_over_.reset();
--- a/src/cluster/lease_keeper.cc
+++ b/src/cluster/lease_keeper.cc
@@ -135,6 +135,12 @@
   });
 }
 
+void LeaseKeeper::HandOver(TimePoint until) {
+  thread_.Post([this, until](TimePoint now, LeaseManager::Effects& effects) {
+    lease_.HandOver(now, until, effects);
+  });
+}
+
 void LeaseKeeper::Release() {
   thread_.Post([this](TimePoint now, LeaseManager::Effects& effects) {
     lease_.Stop(now, effects);
--- a/src/cluster/lease_keeper.h
+++ b/src/cluster/lease_keeper.h
@@ -58,6 +58,9 @@
   void set_table_clock(const TableClock& clock);
   // Gives up the lease without a write, to acquire it with a higher epoch.
   void Relinquish();
+  // Releases the lease for the other hosts, and does not acquire it before
+  // `until`.
+  void HandOver(TimePoint until);
   // Planned stop: releases the lease for the other hosts.
   void Release();
 
--- a/src/cluster/peer_directory.cc
+++ b/src/cluster/peer_directory.cc
@@ -1,5 +1,6 @@
 #include "cluster/peer_directory.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace chivewing {
@@ -70,4 +71,13 @@
   return options;
 }
 
+std::int64_t PeerDirectory::StrongestConnectedMilli() const {
+  std::int64_t strongest = 0;
+  for (const auto& [host, incarnation] : connected_) {
+    if (const HostRow* const row = FindConnectedRow(host))
+      strongest = std::max(strongest, row->processor_milli);
+  }
+  return strongest;
+}
+
 }  // namespace chivewing
--- a/src/cluster/peer_directory.h
+++ b/src/cluster/peer_directory.h
@@ -41,6 +41,9 @@
   // Connected hosts whose responses reach this host.
   std::set<HostId> AdviceHosts() const;
   std::vector<GatewayOption> Gateways() const;
+  // The most processor time of a connected host, in thousandths of a core; 0 if
+  // none is connected.
+  std::int64_t StrongestConnectedMilli() const;
 
  private:
   // The row of the connected process; nullptr if there is none.
--- a/src/lease/lease_manager.cc
+++ b/src/lease/lease_manager.cc
@@ -79,7 +79,8 @@
 }
 
 bool LeaseManager::IsHeld(TimePoint now) const {
-  return held_ && !stopping_ && (faults_.ignore_expiry || now < valid_until_);
+  return held_ && !IsReleasing(now) &&
+         (faults_.ignore_expiry || now < valid_until_);
 }
 
 void LeaseManager::CheckExpiry(TimePoint now, Effects& out) {
@@ -138,12 +139,12 @@
     SendAgainOrAbandon(now, out);
     return;
   }
-  if (held_ && stopping_) {
+  if (held_ && IsReleasing(now)) {
     StartCommit(now, CommitKind::kRelease, MakeRow(now, HostId(), epoch_), out);
   } else if (held_ && now >= renewed_at_ + settings_.renew_interval) {
     StartCommit(now, CommitKind::kRenew, MakeRow(now, settings_.host, epoch_),
                 out);
-  } else if (!held_ && !stopping_ && IsAcquireDue(now)) {
+  } else if (!held_ && !IsReleasing(now) && IsAcquireDue(now)) {
     const std::uint64_t epoch = row_.epoch + (faults_.keep_epoch ? 0 : 1);
     LeaseRow row = MakeRow(now, settings_.host, epoch);
     // The commit duration is not known yet, and a shorter lease may expire
@@ -176,8 +177,10 @@
         in_flight_->awaiting_retry ? in_flight_->retry_at : TimePoint::max();
     return held_ ? std::min(retry, valid_until_) : retry;
   }
+  if (held_ && IsReleasing(now)) return now;
   if (held_) return renewed_at_ + settings_.renew_interval;
-  return stopping_ ? TimePoint::max() : std::max(now, AcquireDueAt());
+  if (stopping_) return TimePoint::max();
+  return std::max({now, handed_over_until_, AcquireDueAt()});
 }
 
 Duration LeaseManager::CurrentLeaseDuration() const {
@@ -323,6 +326,12 @@
   if (held_) MarkLost(out);
 }
 
+void LeaseManager::HandOver(TimePoint now, TimePoint until, Effects& out) {
+  if (!held_) return;
+  handed_over_until_ = until;
+  Tick(now, out);
+}
+
 void LeaseManager::Stop(TimePoint now, Effects& out) {
   stopping_ = true;
   Tick(now, out);
--- a/src/lease/lease_manager.h
+++ b/src/lease/lease_manager.h
@@ -138,6 +138,9 @@
   // Gives up the lease without a write. A later Tick may acquire it again with
   // a higher epoch.
   void Relinquish(Effects& out);
+  // Releases the lease, so that another host can acquire it at once. This host
+  // does not acquire it again before `until`.
+  void HandOver(TimePoint now, TimePoint until, Effects& out);
   // Planned stop: releases the lease, so that another host can acquire it at
   // once.
   void Stop(TimePoint now, Effects& out);
@@ -157,6 +160,9 @@
 
   bool IsHeldByThisProcess() const;
   bool IsAcquireDue(TimePoint now) const { return now >= AcquireDueAt(); }
+  bool IsReleasing(TimePoint now) const {
+    return stopping_ || now < handed_over_until_;
+  }
   // Time from which this host may acquire the lease; TimePoint::max() while the
   // table does not respond.
   TimePoint AcquireDueAt() const;
@@ -190,6 +196,7 @@
   std::uint64_t renewal_version_ = 0;
   bool held_ = false;
   bool stopping_ = false;
+  TimePoint handed_over_until_{};  // the lease is for other hosts until then
   std::uint64_t epoch_ = 0;
   TimePoint valid_until_;
   TimePoint predecessor_ended_by_;
--- a/tests/lease/lease_manager_test.cc
+++ b/tests/lease/lease_manager_test.cc
@@ -493,6 +493,43 @@
   }
 }
 
+// A weak host hands the lease over to a stronger one, and takes it back if none
+// comes.
+TEST(LeaseManagerHandOver, TheLeaseIsFreeForOthersForAWhile) {
+  InMemoryTable table;
+  LeaseSettings settings;
+  settings.zone = kZone;
+  settings.host = HostId("weak");
+  LeaseManager weak(kStart, settings);
+  LeaseManager::Effects out;
+  const auto commit_next = [&](LeaseManager& manager, TimePoint now) {
+    const auto sent = std::get<CommitLease>(out.back()).transaction;
+    out.clear();
+    manager.OnCommit(now, sent.write_id, table.Commit(sent), out);
+  };
+  weak.Tick(kStart, out);
+  commit_next(weak, kStart);
+  ASSERT_TRUE(weak.IsHeld(kStart));
+  out.clear();
+  const TimePoint until = kStart + seconds(3);
+  weak.HandOver(kStart, until, out);
+  EXPECT_FALSE(weak.IsHeld(kStart)) << "before the release is written";
+  commit_next(weak, kStart);
+  const TimePoint soon = kStart + milliseconds(100);
+  out.clear();
+  weak.Tick(until - milliseconds(1), out);
+  EXPECT_TRUE(out.empty());
+  settings.host = HostId("strong");
+  LeaseManager strong(kStart, settings);
+  strong.OnRow(soon, table.Row(LeaseManager::RowKey(kZone)), out);
+  LeaseManager fallback = weak;
+  strong.Tick(soon, out);
+  ASSERT_FALSE(out.empty()) << "released: another host need not wait";
+  out.clear();
+  fallback.Tick(until, out);
+  ASSERT_FALSE(out.empty()) << "nobody has taken it";
+}
+
 TEST(LeaseManagerStop, ReleasedLeaseIsAcquiredAtOnce) {
   InMemoryTable table;
   LeaseSettings settings;
