--- a/src/cluster/progress_writer.cc
+++ b/src/cluster/progress_writer.cc
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <utility>
 
+#include "base/log.h"
 #include "cluster/worker_row.h"
 #include "store/pending_commit.h"
 
@@ -13,11 +14,21 @@
 // takes no effect.
 const char* const kBatchRowKey = "placer-batch/all";
 constexpr std::chrono::milliseconds kRetryDelay{50};
+constexpr std::chrono::seconds kLeftOutLogInterval{1};
 
-void AddRows(const ProgressWriteBatch& batch, TableTransaction& transaction) {
+// Returns how many checkpoints do not fit into their rows.
+std::size_t AddRows(const ProgressWriteBatch& batch,
+                    TableTransaction& transaction) {
+  std::size_t left_out = 0;
   for (const auto& [id, progress] : batch.jobs) {
-    transaction.writes.push_back(
-        {ProgressRowKey(id), EncodeJobProgress(progress)});
+    ProgressRowValue row = EncodeProgressRow(progress, kMaxProgressRowBytes);
+    left_out += row.checkpoints_left_out;
+    if (row.text.size() > kMaxProgressRowBytes) {
+      LogError(LogPart::kPlacer,
+               "progress row is larger than the table may take job=" +
+                   id.value() + " bytes=" + std::to_string(row.text.size()));
+    }
+    transaction.writes.push_back({ProgressRowKey(id), std::move(row.text)});
   }
   for (const WorkerRegistration& each : batch.enrolled) {
     transaction.writes.push_back(
@@ -26,6 +37,7 @@
   for (const WorkerId& id : batch.removed_workers) {
     transaction.writes.push_back({WorkerRowKey(id), std::nullopt});
   }
+  return left_out;
 }
 
 }  // namespace
@@ -38,7 +50,7 @@
   transaction.conditions = {
       lease, {kBatchRowKey, table_watcher_.cache().version(kBatchRowKey)}};
   transaction.writes.push_back({kBatchRowKey, std::to_string(fence)});
-  AddRows(batch, transaction);
+  NoteLeftOut(now, AddRows(batch, transaction));
   batch_ = std::move(batch);
   transaction_ = std::move(transaction);
   generation_ = generation;
@@ -47,6 +59,15 @@
   Send();
 }
 
+void ProgressWriter::NoteLeftOut(TimePoint now, std::size_t checkpoints) {
+  if (checkpoints == 0 || now < next_left_out_log_) return;
+  next_left_out_log_ = now + kLeftOutLogInterval;
+  LogWarning(LogPart::kPlacer,
+             "progress rows are too large for all checkpoints; after a "
+             "take-over tasks may start without theirs checkpoints=" +
+                 std::to_string(checkpoints));
+}
+
 TimePoint ProgressWriter::Tick(TimePoint now) {
   if (!busy() || in_flight_) return TimePoint::max();
   if (now < next_send_) return next_send_;
--- a/src/cluster/progress_writer.h
+++ b/src/cluster/progress_writer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -47,6 +48,7 @@
   TimePoint Tick(TimePoint now);
 
  private:
+  void NoteLeftOut(TimePoint now, std::size_t checkpoints);
   void Send();
   void OnResponse(TimePoint now, const CommitResponse& response);
 
@@ -61,6 +63,7 @@
   bool in_flight_ = false;
   bool unconfirmed_ = false;  // a copy may have taken effect
   TimePoint next_send_{};
+  TimePoint next_left_out_log_{};
 };
 
 }  // namespace chivewing
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -13,6 +13,9 @@
 // jobs that are added meanwhile keep clear of its run numbers.
 constexpr std::chrono::milliseconds kHandoverWindow{1500};
 constexpr int kRequestIdBitsPerFence = 32;
+// A batch ends with the job whose progress reaches so many bytes. Encoded, it
+// stays below the 1 MB that the platform takes at once.
+constexpr std::size_t kFullBatchBytes = 400'000;
 
 }  // namespace
 
@@ -156,10 +159,14 @@
 ProgressWriteBatch Dispatcher::TakeBatch(std::size_t max_rows) {
   ProgressWriteBatch batch;
   TakeWorkerRows(max_rows, batch);
-  while (!state_.dirty.empty() && batch.row_count() < max_rows) {
+  std::size_t bytes = 0;
+  while (!state_.dirty.empty() && batch.row_count() < max_rows &&
+         bytes < kFullBatchBytes) {
     const JobId id = *state_.dirty.TakeOldest();
     if (const TrackedJob* const job = state_.FindJob(id)) {
       batch.jobs.emplace_back(id, job->progress());
+      bytes += std::min(EstimateProgressBytes(batch.jobs.back().second),
+                        kMaxProgressRowBytes);
       if (job->suspicions > 0) batch.suspicions[id] = job->suspicions;
     }
   }
--- a/src/dispatch/job_progress.cc
+++ b/src/dispatch/job_progress.cc
@@ -1,8 +1,10 @@
 #include "dispatch/job_progress.h"
 
+#include <algorithm>
 #include <array>
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <ranges>
 
 #include "schema/json_object_reader.h"
 #include "schema/json_parser.h"
@@ -42,6 +44,35 @@
   return start;
 }
 
+// Bytes of the names and punctuation around a checkpoint.
+constexpr std::size_t kCheckpointMemberBytes = 11;
+// Least bytes of an open task without members.
+constexpr std::size_t kLeastOpenTaskBytes = 11;
+// Estimates of encoded parts, in bytes: a row or step without tasks, the index
+// of a task, an open task without members, the number of a run, a noted start.
+constexpr std::size_t kEmptyProgressBytes = 60;
+constexpr std::size_t kIndexBytes = 6;
+constexpr std::size_t kOpenTaskBytes = 40;
+constexpr std::size_t kRunNumberBytes = 8;
+constexpr std::size_t kNotedStartBytes = 100;
+
+std::size_t EstimateBytes(const TaskProgress& task) {
+  if (task.done) return kIndexBytes;
+  if (task.empty()) return 0;
+  return kOpenTaskBytes + task.saved.size() +
+         kRunNumberBytes * task.failed_runs.size() +
+         (task.noted_start ? kNotedStartBytes : 0);
+}
+
+template <typename Function>
+void ForEachTaskFromTheLast(JobProgress& progress, Function function) {
+  for (auto& [number, steps] : std::views::reverse(progress.occurrences)) {
+    for (StepProgress& step : std::views::reverse(steps)) {
+      for (auto& [index, task] : std::views::reverse(step)) function(task);
+    }
+  }
+}
+
 // Done tasks are written as indices, tasks with failures or a checkpoint as
 // objects. Each host of the cluster reads the row, so empty members are left
 // out.
@@ -182,6 +213,35 @@
   return out.dump(-1, ' ', false, OrderedJson::error_handler_t::replace);
 }
 
+ProgressRowValue EncodeProgressRow(const JobProgress& progress,
+                                   std::size_t max_bytes) {
+  ProgressRowValue out{.text = EncodeJobProgress(progress)};
+  if (out.text.size() <= max_bytes) return out;
+  std::size_t excess = out.text.size() - max_bytes;
+  JobProgress smaller = progress;
+  ForEachTaskFromTheLast(smaller, [&](TaskProgress& task) {
+    if (excess == 0 || task.done || task.saved.empty()) return;
+    std::size_t freed = task.saved.size() + kCheckpointMemberBytes;
+    task.saved.clear();
+    if (task.empty()) freed += kLeastOpenTaskBytes;  // it is not written at all
+    excess -= std::min(excess, freed);
+    ++out.checkpoints_left_out;
+  });
+  out.text = EncodeJobProgress(smaller);
+  return out;
+}
+
+std::size_t EstimateProgressBytes(const JobProgress& progress) {
+  std::size_t bytes = kEmptyProgressBytes;
+  for (const auto& [number, steps] : progress.occurrences) {
+    for (const StepProgress& step : steps) {
+      bytes += kEmptyProgressBytes;
+      for (const auto& [index, task] : step) bytes += EstimateBytes(task);
+    }
+  }
+  return bytes;
+}
+
 Result<JobPhase> DecodeJobPhase(std::string_view value) {
   PhaseFinder finder;
   Json::sax_parse(value, &finder);
--- a/src/dispatch/job_progress.h
+++ b/src/dispatch/job_progress.h
@@ -68,6 +68,22 @@
 // The value of the progress row, as JSON. Decoding a malformed value fails with
 // kBadRequest.
 std::string EncodeJobProgress(const JobProgress& progress);
+// Most bytes of the value of a progress row; the platform takes no larger rows.
+inline constexpr std::size_t kMaxProgressRowBytes = 48'000;
+// The value of a progress row that is not too large for the platform.
+struct ProgressRowValue {
+  std::string text{};
+  // A later dispatcher starts so many tasks without their checkpoints, unless
+  // their workers list them.
+  std::size_t checkpoints_left_out = 0;
+};
+// Leaves out checkpoints, of the last tasks first, to stay within `max_bytes`.
+// All else is written, so the value of a job of very many tasks that have
+// failed can still be larger.
+ProgressRowValue EncodeProgressRow(const JobProgress& progress,
+                                   std::size_t max_bytes);
+// About the bytes of the encoded value.
+std::size_t EstimateProgressBytes(const JobProgress& progress);
 Result<JobProgress> DecodeJobProgress(std::string_view value);
 // The state alone. Reads no further than the state, so the rest may be
 // malformed; fails with kBadRequest if there is no state.
--- a/src/dispatch/run_manager.cc
+++ b/src/dispatch/run_manager.cc
@@ -435,7 +435,8 @@
     ++state_.counts.runs_failed;
     // A gang fails as a whole: its failures are counted at its first task.
     TrackedTask& counted = spec.gang ? step->tasks.front() : *task;
-    counted.progress.failed_runs.insert(run.number);
+    // Tasks that last may fail any number of times.
+    if (!spec.long_running) counted.progress.failed_runs.insert(run.number);
     jobs_.OnTaskFailed(job, key, counted.progress);
   } else {
     ++state_.counts.runs_lost;
