Checkpoints are left out without a reversed view

The same tasks are visited, gathered first and taken from the back; done tasks and those without a checkpoint were skipped before too. LargeProgressTest and JobRowsTest pass.

--- a/src/dispatch/job_progress.cc
+++ b/src/dispatch/job_progress.cc
@@ -4,7 +4,7 @@
 #include <array>
 #include <nlohmann/json.hpp>
 #include <optional>
-#include <ranges>
+#include <vector>
 
 #include "schema/json_object_reader.h"
 #include "schema/json_parser.h"
@@ -64,13 +64,17 @@
          (task.noted_start ? kNotedStartBytes : 0);
 }
 
-template <typename Function>
-void ForEachTaskFromTheLast(JobProgress& progress, Function function) {
-  for (auto& [number, steps] : std::views::reverse(progress.occurrences)) {
-    for (StepProgress& step : std::views::reverse(steps)) {
-      for (auto& [index, task] : std::views::reverse(step)) function(task);
+// The tasks that are not done and have a checkpoint, in their order.
+std::vector<TaskProgress*> TasksWithCheckpoint(JobProgress& progress) {
+  std::vector<TaskProgress*> tasks;
+  for (auto& [number, steps] : progress.occurrences) {
+    for (StepProgress& step : steps) {
+      for (auto& [index, task] : step) {
+        if (!task.done && !task.saved.empty()) tasks.push_back(&task);
+      }
     }
   }
+  return tasks;
 }
 
 // Done tasks are written as indices, tasks with failures or a checkpoint as
@@ -219,14 +223,15 @@
   if (out.text.size() <= max_bytes) return out;
   std::size_t excess = out.text.size() - max_bytes;
   JobProgress smaller = progress;
-  ForEachTaskFromTheLast(smaller, [&](TaskProgress& task) {
-    if (excess == 0 || task.done || task.saved.empty()) return;
+  std::vector<TaskProgress*> tasks = TasksWithCheckpoint(smaller);
+  for (; excess > 0 && !tasks.empty(); tasks.pop_back()) {
+    TaskProgress& task = *tasks.back();
     std::size_t freed = task.saved.size() + kCheckpointMemberBytes;
     task.saved.clear();
     if (task.empty()) freed += kLeastOpenTaskBytes;  // it is not written at all
     excess -= std::min(excess, freed);
     ++out.checkpoints_left_out;
-  });
+  }
   out.text = EncodeJobProgress(smaller);
   return out;
 }
