A host that does not know its processor time keeps the lease

Cause: found by reading the settings: the processor share is 0 where it is not given, and any connected host counted as twice as strong as 0. Two busy hosts without that setting would have handed the lease to each other every few seconds.

LeaseHandoverTest: OwnTimeIsNotKnown and NoTimeIsKnown failed before, 9 of 9 pass.

--- a/src/cluster/lease_handover.cc
+++ b/src/cluster/lease_handover.cc
@@ -35,7 +35,9 @@
 bool LeaseHandover::IsDue(TimePoint now, bool dispatching,
                           std::int64_t own_milli,
                           std::int64_t strongest_peer_milli) {
-  if (!dispatching || strongest_peer_milli < kStrongerFactor * own_milli) {
+  const bool stronger =
+      own_milli > 0 && strongest_peer_milli >= kStrongerFactor * own_milli;
+  if (!dispatching || !stronger) {
     stronger_since_ = TimePoint{};
     return false;
   }
--- a/src/cluster/lease_handover.h
+++ b/src/cluster/lease_handover.h
@@ -18,7 +18,7 @@
   // True if the lease should be handed over. To be called once a turn:
   // `dispatching` tells whether this host dispatches, and
   // `strongest_peer_milli` the processor time of the strongest connected host,
-  // in thousandths of a core like `own_milli`.
+  // in thousandths of a core like `own_milli`, which is 0 if it is not known.
   bool IsDue(TimePoint now, bool dispatching, std::int64_t own_milli,
              std::int64_t strongest_peer_milli);
 
--- a/tests/cluster/lease_handover_test.cc
+++ b/tests/cluster/lease_handover_test.cc
@@ -18,6 +18,7 @@
   std::int64_t peer_milli = 0;
   bool dispatching = true;
   bool due = false;
+  std::int64_t own_milli = kOwnMilli;
 };
 
 class LeaseHandoverTest : public testing::TestWithParam<HandoverCase> {};
@@ -34,7 +35,7 @@
     handover.OnTurn(now + turn,
                     std::chrono::duration_cast<Duration>(
                         std::chrono::duration<double>(turn) * each.busy_part));
-    due |= handover.IsDue(now + turn, each.dispatching, kOwnMilli,
+    due |= handover.IsDue(now + turn, each.dispatching, each.own_milli,
                           each.peer_milli);
   }
   EXPECT_EQ(due, each.due);
@@ -48,6 +49,8 @@
         HandoverCase{"BusyBesideEquals", 0.9, 120, true, false},
         HandoverCase{"BusyBesideALittleStronger", 0.9, 200, true, false},
         HandoverCase{"BusyAndAlone", 0.9, 0, true, false},
+        HandoverCase{"OwnTimeIsNotKnown", 0.9, 500, true, false, 0},
+        HandoverCase{"NoTimeIsKnown", 0.9, 0, true, false, 0},
         HandoverCase{"DoesNotDispatch", 0.9, 500, false, false}),
     [](const auto& param) { return param.param.name; });
 
