The lease is handed over only while it is held

While the table is away a dispatching host goes on without the lease; a busy weak one would have stopped dispatching for a stronger host that could not take the lease either, so nobody would have dispatched until the table was back.

Ruled out: a lease that is kept without dispatching after a release that could not be written; it has always run out before the 3 s are over.

--- a/src/cluster/dispatcher_runner.cc
+++ b/src/cluster/dispatcher_runner.cc
@@ -418,6 +418,7 @@
 }
 
 void DispatcherRunner::HandOver(TimePoint now) {
+  if (!lease_.IsHeld(now)) return;
   DropDispatcher(now, "a stronger host can dispatch");
   lease_.HandOver(now + kHandOverTime);
 }
--- a/src/cluster/dispatcher_runner.h
+++ b/src/cluster/dispatcher_runner.h
@@ -68,7 +68,8 @@
   // True while this host dispatches and its decisions take most of the time
   // that they may: callers should be refused rather than accepted.
   bool overloaded() const { return dispatcher_ && pacer_.overloaded(); }
-  // Stops dispatching and releases the lease for a stronger host.
+  // Stops dispatching and releases the lease for a stronger host. Without the
+  // lease it goes on: no other host can take it while the table is away.
   void HandOver(TimePoint now);
   // Graceful stop: stops dispatching and releases the lease.
   void Stop(TimePoint now);
--- a/tests/cluster/dispatcher_runner_test.cc
+++ b/tests/cluster/dispatcher_runner_test.cc
@@ -79,7 +79,8 @@
        .wake = [](LoopWork) {},
        .wall_clock = [] { return milliseconds(0); },
        .on_rows_committed = [](TimePoint, const std::vector<TableRow>&) {},
-       .request_advice = [](const AdviceRequest&) {}}};
+       .request_advice = [](const AdviceRequest&) {},
+       .drop_calls = [] {}}};
 };
 
 TEST_F(TakeOverTest, BeginsToDispatchOnceItHasCaughtUp) {
@@ -118,6 +119,17 @@
   EXPECT_FALSE(jobs.at(JobId("new")).uncertain);
 }
 
+// While the table is away nobody can take the lease: the host that dispatches
+// goes on without it.
+TEST_F(TakeOverTest, HandsOverOnlyALeaseThatItHolds) {
+  CatchUp();
+  ASSERT_TRUE(runner_.dispatching());
+  runner_.HandOver(BootClock::now() + seconds(60));
+  EXPECT_TRUE(runner_.dispatching()) << "the lease is over by then";
+  runner_.HandOver(BootClock::now());
+  EXPECT_FALSE(runner_.dispatching());
+}
+
 TEST_F(TakeOverTest, DoesNotBeginToDispatchAfterAnotherHostTookTheLease) {
   const LeaseRow other{HostId("h2"), 7, 99, seconds(1), 1};
   runner_.OnRow(BootClock::now(), {LeaseManager::RowKey(ZoneId("all")),
