A successor begins with rows that reach its own lease, or reads them again (TWICE)

Cause, found by reading: CatchUp compared times. The time of the turn in which a take-over begins is that of reads sent earlier in the same turn, so a read of all rows that was sent before the acquisition was written counted as one after it; and whatever a response lacked counted as unchanged. Change: CatchUp names the version that the acquisition has written. A read that ends before it is followed by one of all rows. Rows of jobs that arrive later are judged by the same version, too. Ruled out: reading all rows at each take-over, which grows with the rows. Tests: CatchUpWaitsForTheRevisionThatWasWritten, CatchUpWaitsForNoFeed. Two tests of take-overs answered with revision 9 to a host whose lease was written as 10, which no store does; they answer 10 now, all their checks stand.

--- a/src/cluster/dispatcher_runner.cc
+++ b/src/cluster/dispatcher_runner.cc
@@ -105,7 +105,7 @@
   if (!dispatcher_) return;
   if (row.key.starts_with(kJobRows)) {
     if (lease_.IsHeld(now)) {
-      AddJobRow(now, row, {});
+      AddJobRow(now, row);
     } else {
       deferred_job_rows_.push_back(row);
     }
@@ -115,8 +115,7 @@
   }
 }
 
-void DispatcherRunner::AddJobRow(TimePoint now, const TableRow& row,
-                                 const CertainFrom& certain_from) {
+void DispatcherRunner::AddJobRow(TimePoint now, const TableRow& row) {
   if (!row.value) return;
   const JobId id = JobOfRowKey(row.key, kJobRows);
   Result<JobRecord> record = DecodeJobRecord(id, *row.value);
@@ -138,9 +137,9 @@
   const TimePoint accepted_at = AcceptedAt(
       now, callbacks_.wall_clock(), table_watcher_.clock(), record.value());
   const bool is_certain =
-      row.version > certain_from.version ||
+      row.version > certain_from_.version ||
       AcceptedByTableClock(now, table_watcher_.clock(), record.value()) >=
-          certain_from.accepted_at;
+          certain_from_.accepted_at;
   dispatcher_->AddJob(now, accepted_at, std::move(record.value()), progress,
                       !is_certain);
   if (table_watcher_.cache().Find(CancelRowKey(id)) != nullptr) {
@@ -192,11 +191,13 @@
   take_over_->predecessor_ended_by = lease.predecessor_ended_by;
   take_over_->certain_from = {lease.fence.version,
                               lease.predecessor_ended_by + kAcceptedAtMargin};
-  table_watcher_.CatchUp(now, [this, epoch](TimePoint then) {
-    if (!take_over_ || take_over_->epoch != epoch) return;
-    take_over_->rows_read = true;
-    ContinueTakeOver(then);
-  });
+  table_watcher_.CatchUp(now, lease.fence.version,
+                         [this, epoch](TimePoint then) {
+                           if (!take_over_ || take_over_->epoch != epoch)
+                             return;
+                           take_over_->rows_read = true;
+                           ContinueTakeOver(then);
+                         });
   workers_revision_ = 0;
   ReadWorkers(now);
 }
@@ -290,7 +291,8 @@
     }
   });
   ApplyWorkerUpdate(now, take_over.workers);
-  AddKnownJobs(now, take_over.certain_from);
+  certain_from_ = take_over.certain_from;
+  AddKnownJobs(now);
   dispatcher_->EndTakeOver();
   LogTakeOver(now, take_over);
 }
@@ -337,17 +339,15 @@
 
 // A holder takes no jobs once its lease is over, so the one before may have
 // started tasks only of jobs that were accepted earlier.
-void DispatcherRunner::AddKnownJobs(TimePoint now,
-                                    const CertainFrom& certain_from) {
-  table_watcher_.cache().ForEach(kJobRows, [&](const TableRow& row) {
-    AddJobRow(now, row, certain_from);
-  });
+void DispatcherRunner::AddKnownJobs(TimePoint now) {
+  table_watcher_.cache().ForEach(
+      kJobRows, [&](const TableRow& row) { AddJobRow(now, row); });
 }
 
 void DispatcherRunner::AddDeferredJobs(TimePoint now) {
   const std::vector<TableRow> waiting = std::move(deferred_job_rows_);
   deferred_job_rows_.clear();
-  for (const TableRow& row : waiting) AddJobRow(now, row, {});
+  for (const TableRow& row : waiting) AddJobRow(now, row);
 }
 
 void DispatcherRunner::DropDispatcher(TimePoint /*now*/,
--- a/src/cluster/dispatcher_runner.h
+++ b/src/cluster/dispatcher_runner.h
@@ -104,9 +104,8 @@
   void ContinueTakeOver(TimePoint now);
   void LogTakeOver(TimePoint now, const TakeOver& take_over) const;
   void AbandonTakeOver();
-  void AddKnownJobs(TimePoint now, const CertainFrom& certain_from);
-  void AddJobRow(TimePoint now, const TableRow& row,
-                 const CertainFrom& certain_from);
+  void AddKnownJobs(TimePoint now);
+  void AddJobRow(TimePoint now, const TableRow& row);
   void AddDeferredJobs(TimePoint now);
   void DropDispatcher(TimePoint now, const std::string& why);
 
@@ -142,6 +141,7 @@
   TimePoint next_clock_update_{};
   std::optional<TakeOver> take_over_;
   std::unique_ptr<Dispatcher> dispatcher_;
+  CertainFrom certain_from_{};  // of that dispatcher
   // Rises with each dispatcher; responses to an earlier one are dropped.
   std::uint64_t generation_ = 0;
   std::set<HostId> advice_hosts_;
--- a/src/cluster/table_watcher.cc
+++ b/src/cluster/table_watcher.cc
@@ -32,7 +32,8 @@
   if (now < next_read_) return next_read_;
   if (!ready_ && !knows_hosts_) {
     ReadHosts();
-  } else if (!ready_ && !needs_all_rows_ && now < feed_wait_until_) {
+  } else if (!ready_ && !needs_all_rows_ && catch_up_waiters_.empty() &&
+             now < feed_wait_until_) {
     waits_for_feed_ = true;
     return feed_wait_until_;
   } else if (MustReadAll()) {
@@ -92,8 +93,9 @@
   if (cache_.Apply(row)) on_row_(now, row);
 }
 
-void TableWatcher::CatchUp(TimePoint now, std::function<void(TimePoint)> done) {
-  catch_up_waiters_.emplace_back(now, std::move(done));
+void TableWatcher::CatchUp(TimePoint now, std::uint64_t revision,
+                           std::function<void(TimePoint)> done) {
+  catch_up_waiters_.push_back({now, revision, std::move(done)});
   fed_until_ = TimePoint{};
   // The read in flight may wait for a change that never comes.
   if (ready_) DropRead();
@@ -252,16 +254,32 @@
     return;
   }
   next_read_ = std::max(now, read_sent_at_ + min_poll_interval_);
-  auto waiting = std::move(catch_up_waiters_);
-  catch_up_waiters_.clear();
-  for (auto& [since, done] : waiting) {
-    if (read_sent_at_ >= since) {
-      done(now);
-    } else {
-      catch_up_waiters_.emplace_back(since, std::move(done));
+  EndCatchUps(now);
+}
+
+void TableWatcher::EndCatchUps(TimePoint now) {
+  const std::vector<CatchUpWaiter> waiting =
+      std::exchange(catch_up_waiters_, {});
+  for (const CatchUpWaiter& each : waiting) {
+    if (read_sent_at_ < each.since) {
+      catch_up_waiters_.push_back(each);
+      next_read_ = now;
+      continue;
+    }
+    if (cache_.revision() >= each.revision) {
+      each.done(now);
+      continue;
     }
+    LogWarning(
+        LogPart::kPlatform,
+        "the table has answered with an older state than it has written; "
+        "reading all rows revision=" +
+            std::to_string(cache_.revision()) +
+            " written=" + std::to_string(each.revision));
+    catch_up_waiters_.push_back(each);
+    has_all_rows_ = false;
+    next_read_ = now + kInitialRetryDelay;
   }
-  if (!catch_up_waiters_.empty()) next_read_ = now;
 }
 
 void TableWatcher::OnReadError(TimePoint now) {
--- a/src/cluster/table_watcher.h
+++ b/src/cluster/table_watcher.h
@@ -57,9 +57,10 @@
   // The host that feeds this one, or the network, may be lost: reads the table
   // at once, to know soon whether it is in reach.
   void OnFeedSilent(TimePoint now);
-  // Calls `done` once all rows and all changes committed before `now` have been
-  // applied.
-  void CatchUp(TimePoint now, std::function<void(TimePoint)> done);
+  // Calls `done` once all rows and all changes committed before `now` and up to
+  // this revision of the table have been applied.
+  void CatchUp(TimePoint now, std::uint64_t revision,
+               std::function<void(TimePoint)> done);
 
   // True if the table has not responded for so long that it counts as
   // unreachable from this host.
@@ -77,6 +78,14 @@
   const TableClock& clock() const { return clock_; }
 
  private:
+  // A call of CatchUp: a read that starts at `since` or later must reach
+  // `revision`.
+  struct CatchUpWaiter {
+    TimePoint since{};
+    std::uint64_t revision = 0;
+    std::function<void(TimePoint)> done{};
+  };
+
   // Reads the rows that say who the other hosts are, and which one dispatches.
   void ReadHosts();
   void OnHostsResponse(TimePoint now, const ReadResponse& hosts,
@@ -91,6 +100,8 @@
   bool MustReadAll() const;
   void OnReadResponse(TimePoint now, const ChangesResponse& response,
                       bool complete);
+  // A complete read has been applied.
+  void EndCatchUps(TimePoint now);
   // Ignores the response to the read in flight, if there is one.
   void DropRead();
   void OnReadError(TimePoint now);
@@ -124,9 +135,7 @@
   int consecutive_errors_ = 0;
   TimePoint last_response_at_{};  // time of the last successful response
   TimePoint available_since_{};   // first response after the last error
-  // Callbacks of CatchUp, each with the time from which a read must start.
-  std::vector<std::pair<TimePoint, std::function<void(TimePoint)>>>
-      catch_up_waiters_;
+  std::vector<CatchUpWaiter> catch_up_waiters_;
 };
 
 }  // namespace chivewing
--- a/tests/cluster/dispatcher_runner_test.cc
+++ b/tests/cluster/dispatcher_runner_test.cc
@@ -101,7 +101,7 @@
   record.queue.service = "pool";
   record.queue.max_attempts = 1;
   record.spec.steps.emplace_back();
-  ChangesResponse rows{.ok = true, .revision = 9};
+  ChangesResponse rows{.ok = true, .revision = 10};
   rows.clock = clock;
   rows.rows.push_back(
       {WorkerRowKey(worker.worker), EncodeWorkerRow(worker), 5, "w"});
@@ -128,7 +128,7 @@
   record.queue.service = "pool";
   record.queue.max_attempts = 1;
   record.spec.steps.emplace_back();
-  ChangesResponse rows{.ok = true, .revision = 9};
+  ChangesResponse rows{.ok = true, .revision = 10};
   const JobId job("old");
   rows.rows = {
       {WorkerRowKey(worker.worker), EncodeWorkerRow(worker), 5, "w"},
@@ -142,7 +142,8 @@
        {"placer: progress row cannot be decoded; taking its job for one "
         "without progress key=progress/old why=",
         "placer: started dispatching fence=",
-        " jobs=1 jobs_uncertain=1 workers=1 workers_unsynced=1 rows_known_to=9 "
+        " jobs=1 jobs_uncertain=1 workers=1 workers_unsynced=1 "
+        "rows_known_to=10 "
         "certain_from_version=10 holder_before_ended_ms_ago=",
         " took_ms=", " all_rows_read_anew=0 all_rows_read_ms_ago="}) {
     EXPECT_NE(log.find(part), std::string::npos) << part << "\n" << log;
--- a/tests/cluster/model_host.cc
+++ b/tests/cluster/model_host.cc
@@ -200,7 +200,7 @@
   const std::uint64_t epoch = lease_state_.epoch;
   const std::uint64_t version = lease_state_.fence.version;
   take_over_epoch_ = epoch;
-  watcher_.CatchUp(now, [this, epoch, version](TimePoint then) {
+  watcher_.CatchUp(now, version, [this, epoch, version](TimePoint then) {
     if (take_over_epoch_ != epoch) return;
     EndTakeOver(then, epoch, version);
   });
--- a/tests/cluster/table_watcher_test.cc
+++ b/tests/cluster/table_watcher_test.cc
@@ -204,7 +204,7 @@
   Start();
   watcher_.OnFed(now_, 8);
   bool done = false;
-  watcher_.CatchUp(now_, [&](TimePoint) { done = true; });
+  watcher_.CatchUp(now_, 0, [&](TimePoint) { done = true; });
   watcher_.OnFed(now_, 12);
   EXPECT_LT(watcher_.cache().revision(), 12U);
   AdvanceTime(milliseconds(1));
@@ -224,7 +224,7 @@
   table_.change_reads.front().second(Rows(4));
   EXPECT_EQ(watcher_.all_rows_read_at(), first) << "changes alone";
   watcher_.OnFed(now_, 8);
-  watcher_.CatchUp(now_, [](TimePoint) {});
+  watcher_.CatchUp(now_, 0, [](TimePoint) {});
   AdvanceTime(milliseconds(1));
   ASSERT_EQ(table_.full_reads.size(), 2U);
   table_.full_reads.back()(ChangesResponse{});
@@ -298,7 +298,7 @@
   Start();
   AdvanceTime(milliseconds(300));
   bool done = false;
-  watcher_.CatchUp(now_, [&](TimePoint) { done = true; });
+  watcher_.CatchUp(now_, 0, [&](TimePoint) { done = true; });
   table_.change_reads.front().second(Rows(4));
   EXPECT_FALSE(done) << "asked for before";
   AdvanceTime(milliseconds(1));
@@ -307,6 +307,41 @@
   EXPECT_TRUE(done);
 }
 
+// A read that had begun before the lease was acquired, and one that was
+// answered with an older state, counted as whole: tasks that were done ran
+// again (TWICE).
+TEST_F(TableWatcherTest, CatchUpWaitsForTheRevisionThatWasWritten) {
+  Start();
+  AdvanceTime(milliseconds(300));
+  bool done = false;
+  watcher_.CatchUp(now_, 9, [&](TimePoint) { done = true; });
+  AdvanceTime(milliseconds(1));
+  ASSERT_EQ(table_.change_reads.size(), 2U);
+  table_.change_reads.back().second(Rows(8));
+  EXPECT_FALSE(done);
+  AdvanceTime(milliseconds(200));
+  ASSERT_EQ(table_.full_reads.size(), 2U) << "changes alone may have a gap";
+  table_.full_reads.back()(Rows(8));
+  EXPECT_FALSE(done);
+  AdvanceTime(milliseconds(200));
+  ASSERT_EQ(table_.full_reads.size(), 3U);
+  table_.full_reads.back()(Rows(9));
+  EXPECT_TRUE(done);
+}
+
+// A host that is about to dispatch is fed by nobody.
+TEST_F(TableWatcherTest, CatchUpWaitsForNoFeed) {
+  Start();
+  AdvanceTime(milliseconds(300));
+  watcher_.CatchUp(now_, 0, [](TimePoint) {});
+  AdvanceTime(milliseconds(1));
+  ChangesResponse lost;
+  lost.history_lost = true;
+  table_.change_reads.back().second(lost);
+  AdvanceTime(milliseconds(1));
+  EXPECT_EQ(table_.full_reads.size(), 2U);
+}
+
 // Of the changes up to its revision, a feed holds only what callers ask for.
 TEST_F(TableWatcherTest, AFeedDuringAReadOfAllRowsHidesNoChange) {
   ReadHosts();
@@ -318,7 +353,7 @@
   watcher_.set_needs_all_rows(false);
   watcher_.OnFed(now_, 9);
   table_.full_reads.back()(Rows(5));
-  watcher_.CatchUp(now_, [](TimePoint) {});
+  watcher_.CatchUp(now_, 0, [](TimePoint) {});
   AdvanceTime(milliseconds(1));
   // The rows are those of revision 5: what follows must be read.
   const bool reads_all = table_.full_reads.size() == 2;
