--- a/src/cluster/metrics_text.cc
+++ b/src/cluster/metrics_text.cc
@@ -153,6 +153,10 @@
   AddCounter(out, "full_end_lists_total",
              "polls whose worker may have more ends than it listed",
              counts.full_end_lists);
+  AddCounter(out, "unmet_incarnations_total",
+             "polls answered by workers that have started while another host "
+             "may have been dispatching",
+             counts.unmet_incarnations);
   AddCounter(out, "unlisted_runs_total",
              "runs counted as lost since their worker no longer listed them",
              counts.unlisted_runs);
--- a/src/dispatch/dispatch_state.cc
+++ b/src/dispatch/dispatch_state.cc
@@ -33,7 +33,7 @@
 }
 
 std::chrono::milliseconds DispatchState::GrantableLease(TimePoint now) const {
-  if (now <= exclusive_until) return options.lease;
+  if (IsExclusive(now)) return options.lease;
   return options.lease -
          std::chrono::ceil<std::chrono::milliseconds>(now - exclusive_until);
 }
--- a/src/dispatch/dispatch_state.h
+++ b/src/dispatch/dispatch_state.h
@@ -35,6 +35,9 @@
   std::uint64_t full_end_lists = 0;  // polls whose worker may have more ends
   // Counted as lost since whole lists of their worker lacked them.
   std::uint64_t unlisted_runs = 0;
+  // Responses of incarnations that were not taken note of, since another host
+  // may have been dispatching.
+  std::uint64_t unmet_incarnations = 0;
   std::uint64_t invariant_breaches = 0;
   // Runs that were stopped because their job had been cancelled or had ended
   // before their start was confirmed.
@@ -102,6 +105,8 @@
   // before this dispatcher reacquired its lease carries a lower fence than the
   // present one; its refusal does not prove that there is another dispatcher.
   void OnFencedResponse(std::uint64_t command_fence);
+  // True while no other host can be dispatching.
+  bool IsExclusive(TimePoint now) const { return now <= exclusive_until; }
   // The lease that a command sent at `now` may grant; none if 0 or less.
   std::chrono::milliseconds GrantableLease(TimePoint now) const;
   // Indices of the tasks of a step with `copies_allowed` whose only run is on
--- a/src/dispatch/worker_manager.cc
+++ b/src/dispatch/worker_manager.cc
@@ -27,6 +27,9 @@
 constexpr std::chrono::seconds kUnknownJobTimeout{3};
 // How soon a worker that has reported such ends is polled again.
 constexpr std::chrono::milliseconds kUnknownJobPollDelay{100};
+// How soon a worker is polled again that has started while another host may be
+// dispatching.
+constexpr std::chrono::milliseconds kUnmetIncarnationPollDelay{300};
 
 // True if `later` is a later incarnation of the worker under another id.
 bool IsSuccessor(const TrackedWorker& worker, const WorkerRegistration& later) {
@@ -85,6 +88,7 @@
 
 void WorkerManager::EndPredecessors(TimePoint now,
                                     const WorkerRegistration& registration) {
+  if (!state_.IsExclusive(now)) return;
   for (auto& [id, worker] : state_.workers) {
     if (!worker.IsUnresponsive() || !IsSuccessor(worker, registration))
       continue;
@@ -249,20 +253,27 @@
   return attention_.empty() ? TimePoint::max() : attention_.begin()->first;
 }
 
-void WorkerManager::OnPollFailure(TimePoint now, TrackedWorker& worker) {
+void WorkerManager::OnPollFailure(TimePoint now, TrackedWorker& worker,
+                                  const std::string& why) {
   if (!worker.IsUnresponsive()) {
     worker.unresponsive_since = now;
     state_.UpdateWorker(worker);
     if (!worker.has_drained) runs_.SuspectCrash(worker);
     EnableCopies(worker.registration().worker);
-    LogWarning(
-        LogPart::kWorker,
-        "worker did not respond to a poll; starting no tasks on it worker=" +
-            worker.registration().worker.value());
-    if (HasSuccessor(worker)) OnIncarnationEnded(now, worker);
+    LogWarning(LogPart::kWorker, why + "; starting no tasks on it worker=" +
+                                     worker.registration().worker.value());
+    if (state_.IsExclusive(now) && HasSuccessor(worker))
+      OnIncarnationEnded(now, worker);
   }
 }
 
+void WorkerManager::OnUnmetIncarnation(TimePoint now, TrackedWorker& worker) {
+  ++state_.counts.unmet_incarnations;
+  OnPollFailure(now, worker,
+                "worker has started while another host may be dispatching");
+  worker.next_poll = now + kUnmetIncarnationPollDelay;
+}
+
 // Lets the steps with tasks on the worker start copies of them elsewhere.
 void WorkerManager::EnableCopies(const WorkerId& id) {
   for (const std::uint64_t run_id : state_.runs.OnWorker(id)) {
@@ -285,7 +296,7 @@
 void WorkerManager::ApplyCommandResponse(TimePoint now, TrackedWorker& worker,
                                          const CommandResponse& response) {
   if (response.outcome == CommandOutcome::kWrongIncarnation) {
-    OnIncarnationEnded(now, worker);
+    if (state_.IsExclusive(now)) OnIncarnationEnded(now, worker);
     return;
   }
   if (response.outcome == CommandOutcome::kNotSent) {
@@ -294,7 +305,8 @@
   }
   if (!response.clock) return;
   if (worker.IsRestarted(now, *response.clock)) {
-    OnRestart(now, worker, {.clock = *response.clock});
+    if (state_.IsExclusive(now))
+      OnRestart(now, worker, {.clock = *response.clock});
     worker.next_poll = now;
     return;
   }
@@ -415,18 +427,28 @@
     return;
   }
   if (response.outcome == CommandOutcome::kWrongIncarnation) {
-    OnIncarnationEnded(now, worker);
+    if (state_.IsExclusive(now)) {
+      OnIncarnationEnded(now, worker);
+    } else {
+      OnUnmetIncarnation(now, worker);
+    }
     return;
   }
   if (response.outcome != CommandOutcome::kDone || !response.clock) {
-    OnPollFailure(now, worker);
+    OnPollFailure(now, worker, "worker did not respond to a poll");
     worker.next_poll = now + state_.options.poll_retry_delay;
     return;
   }
   const bool incarnation_changed =
       worker.incarnation_start.count() > 0 &&
       response.incarnation_start != worker.incarnation_start;
-  if (incarnation_changed || worker.IsRestarted(now, *response.clock)) {
+  const bool restarted =
+      incarnation_changed || worker.IsRestarted(now, *response.clock);
+  if ((restarted || !worker.synced) && !state_.IsExclusive(now)) {
+    OnUnmetIncarnation(now, worker);
+    return;
+  }
+  if (restarted) {
     OnRestart(now, worker,
               {.by_start = incarnation_changed,
                .incarnation_start = response.incarnation_start,
@@ -623,7 +645,7 @@
   if (!worker.IsUnresponsive()) return;
   // Another host may be dispatching: it may reach the worker, and may already
   // have recorded how these runs ended.
-  if (now > state_.exclusive_until) return;
+  if (!state_.IsExclusive(now)) return;
   const WorkerId id = worker.registration().worker;
   const bool may_have_runs =
       !state_.runs.OnWorker(id).empty() || state_.unsynced_workers.contains(id);
--- a/src/dispatch/worker_manager.h
+++ b/src/dispatch/worker_manager.h
@@ -59,7 +59,13 @@
                          const PollResponse& response);
   void ApplyCommandResponse(TimePoint now, TrackedWorker& worker,
                             const CommandResponse& response);
-  void OnPollFailure(TimePoint now, TrackedWorker& worker);
+  // Another host may be dispatching, and may not have met the incarnation that
+  // has responded, which then executes the commands of both: it gets none from
+  // here.
+  void OnUnmetIncarnation(TimePoint now, TrackedWorker& worker);
+  // `why` is the beginning of the log line.
+  void OnPollFailure(TimePoint now, TrackedWorker& worker,
+                     const std::string& why);
   void OnIncarnationEnded(TimePoint now, TrackedWorker& worker);
   // What told that the worker has restarted; its former readings are those of
   // the tracked worker.
--- a/tests/dispatch/single_worker_harness.h
+++ b/tests/dispatch/single_worker_harness.h
@@ -87,6 +87,9 @@
   void set_poll_outcome(std::optional<CommandOutcome> outcome) {
     poll_outcome_ = outcome;
   }
+  // Another host may be dispatching from now on, or may not.
+  void EndLease() { dispatcher_.set_sole_until(now_); }
+  void RegainLease() { dispatcher_.set_sole_until(TimePoint::max()); }
   // The worker's clock reads so much less from now on.
   void SetClockBack(std::chrono::milliseconds by) { clock_back_ += by; }
   // The platform's list no longer holds the worker.
