--- a/src/cluster/cluster_host.cc
+++ b/src/cluster/cluster_host.cc
@@ -82,7 +82,7 @@
                [this](TimePoint now) {
                  return desired_state_.TimeSinceLastRead(now);
                }}),
-      worker_calls_(platform,
+      worker_calls_(platform, incarnation_,
                     {.send =
                          [this](const HostId& to, const PeerMessage& message) {
                            return mesh_->Send(to, message);
--- a/src/cluster/worker_call_forwarder.cc
+++ b/src/cluster/worker_call_forwarder.cc
@@ -25,6 +25,9 @@
 constexpr std::size_t kMaxBatchBytes = 1UL << 20;
 constexpr std::size_t kMaxBatchCalls = 2048;
 constexpr std::size_t kCallBytes = 200;  // of a call without its texts
+// Each incarnation of this host, a time in milliseconds, has its own range of
+// call ids, so that responses to the process before are not taken for its own.
+constexpr int kCallIdBitsPerIncarnation = 22;
 
 milliseconds TimeLimitOf(const PollWorker& poll) {
   return poll.wait + kWorkerPollTimeoutMargin;
@@ -58,8 +61,12 @@
 }  // namespace
 
 WorkerCallForwarder::WorkerCallForwarder(const PlatformInterface& direct,
+                                         std::uint64_t incarnation,
                                          Callbacks callbacks)
-    : direct_(direct), callbacks_(std::move(callbacks)), interface_(direct) {
+    : direct_(direct),
+      callbacks_(std::move(callbacks)),
+      interface_(direct),
+      last_id_(incarnation << kCallIdBitsPerIncarnation) {
   interface_.start_run = [this](const StartRun& command, auto done) {
     Queue(command, std::move(done));
   };
--- a/src/cluster/worker_call_forwarder.h
+++ b/src/cluster/worker_call_forwarder.h
@@ -38,8 +38,10 @@
     std::function<ZoneId(const WorkerId&)> zone_of{};
   };
 
-  // `direct` must outlive the forwarder.
-  WorkerCallForwarder(const PlatformInterface& direct, Callbacks callbacks);
+  // `direct` must outlive the forwarder. `incarnation` is that of this process;
+  // it rises with each process of the host.
+  WorkerCallForwarder(const PlatformInterface& direct,
+                      std::uint64_t incarnation, Callbacks callbacks);
   WorkerCallForwarder(const WorkerCallForwarder&) = delete;
   WorkerCallForwarder& operator=(const WorkerCallForwarder&) = delete;
 
@@ -119,7 +121,7 @@
   std::map<std::uint64_t, Call> calls_;  // sent to gateways, by id
   std::set<std::pair<TimePoint, std::uint64_t>> expiries_;  // of calls_
   std::map<HostId, Gateway> gateways_;
-  std::uint64_t last_id_ = 0;
+  std::uint64_t last_id_;
   // After this host's loop has stood still, responses wait to be read: until
   // then no gateway is blamed.
   TimePoint last_flush_{};
--- a/src/peer/messages.h
+++ b/src/peer/messages.h
@@ -135,7 +135,9 @@
 // A call to a worker that the receiver makes on behalf of the dispatching host.
 // `run_id` and `poll_id` of the commands are not sent.
 struct ForwardedStart {
-  std::uint64_t call_id = 0;  // unique in the sender's process
+  // Unique among all processes of the sender's host: a response may arrive
+  // after the host has started again.
+  std::uint64_t call_id = 0;
   // The receiver does not send the call after it has waited this long there.
   std::chrono::milliseconds time_limit{0};
   StartRun command;
--- a/tests/cluster/worker_call_forwarder_test.cc
+++ b/tests/cluster/worker_call_forwarder_test.cc
@@ -33,9 +33,9 @@
 
 // A forwarder with fakes in place of the workers and of the peers.
 struct Harness {
-  Harness()
+  explicit Harness(std::uint64_t incarnation = 1)
       : platform(workers.interface()),
-        forwarder(platform,
+        forwarder(platform, incarnation,
                   {.send =
                        [this](const HostId& to, const PeerMessage& message) {
                          if (refuse) return false;
@@ -264,6 +264,28 @@
   EXPECT_EQ(test.polled.size(), 1U);
 }
 
+// A gateway addresses a host by its name. Its response to the process before
+// was taken for that of another worker, whose runs then counted as lost
+// (TWICE).
+TEST(WorkerCallForwarder, ResponsesToTheProcessBeforeAreIgnored) {
+  Harness before(/*incarnation=*/1'780'000'000'000);
+  before.SetGateways({kA});
+  before.Poll("w1");
+  before.Start("w1");
+  before.forwarder.Flush(before.now);
+  const WorkerCalls& late = before.sent.front().second;
+  Harness test(/*incarnation=*/1'780'000'000'001);
+  test.SetGateways({kA});
+  test.Poll("w2");
+  test.Start("w2");
+  test.forwarder.Flush(test.now);
+  test.AnswerPoll(kA, late.polls.front().call_id, CommandOutcome::kDone);
+  test.AnswerCommand(kA, late.starts.front().call_id, CommandOutcome::kDone);
+  EXPECT_TRUE(test.polled.empty());
+  EXPECT_TRUE(test.started.empty());
+  EXPECT_EQ(test.forwarder.outstanding(), 2U);
+}
+
 TEST(WorkerCallForwarder, APauseOfThisHostIsNotBlamedOnTheGateways) {
   Harness test;
   test.SetGateways({kA});
