--- a/src/cluster/cluster_host.cc
+++ b/src/cluster/cluster_host.cc
@@ -8,6 +8,7 @@
 #include "base/log.h"
 #include "cluster/lease_rank.h"
 #include "cluster/metrics_text.h"
+#include "cluster/verified_starts.h"
 
 namespace chivewing {
 namespace {
@@ -38,7 +39,8 @@
           ProcessorMilli(settings),
           /*takes_worker_calls=*/true,
           /*takes_job_feed=*/true,
-          /*takes_poll_incarnations=*/true};
+          /*takes_poll_incarnations=*/true,
+          /*takes_start_incarnations=*/true};
 }
 
 }  // namespace
@@ -47,6 +49,7 @@
                          const PlatformInterface& platform)
     : settings_(std::move(settings)),
       platform_(platform),
+      verified_platform_(WithVerifiedStarts(platform)),
       incarnation_(static_cast<std::uint64_t>(WallClockNow().count())),
       own_row_(MakeHostRow(settings_, incarnation_)),
       desired_state_(
@@ -82,7 +85,7 @@
                [this](TimePoint now) {
                  return desired_state_.TimeSinceLastRead(now);
                }}),
-      worker_calls_(platform, incarnation_,
+      worker_calls_(verified_platform_, incarnation_,
                     {.send =
                          [this](const HostId& to, const PeerMessage& message) {
                            return mesh_->Send(to, message);
@@ -92,7 +95,7 @@
                            return ZoneOfWorker(worker);
                          }}),
       worker_gateway_(
-          platform,
+          verified_platform_,
           {.post = [this](auto run) { Post(LoopWork::kPeers, std::move(run)); },
            .send =
                [this](const HostId& to, const PeerMessage& message) {
--- a/src/cluster/cluster_host.h
+++ b/src/cluster/cluster_host.h
@@ -93,6 +93,7 @@
 
   const ClusterSettings settings_;
   const PlatformInterface& platform_;
+  const PlatformInterface verified_platform_;
   const std::uint64_t incarnation_;
   const HostRow own_row_;
   JobStatusIndex job_status_;
--- a/src/cluster/gateway_assigner.h
+++ b/src/cluster/gateway_assigner.h
@@ -16,8 +16,9 @@
   HostId host{};
   ZoneId zone{};
   double processor_share = 1.0;  // of one core
-  // See HostRow::takes_poll_incarnations.
+  // See HostRow.
   bool takes_poll_incarnations = false;
+  bool takes_start_incarnations = false;
 };
 
 // Decides which host makes the calls to which worker: spread by processor
--- a/src/cluster/host_row.cc
+++ b/src/cluster/host_row.cc
@@ -19,7 +19,8 @@
       {"processor_milli", row.processor_milli},
       {"takes_worker_calls", row.takes_worker_calls},
       {"takes_job_feed", row.takes_job_feed},
-      {"takes_poll_incarnations", row.takes_poll_incarnations}};
+      {"takes_poll_incarnations", row.takes_poll_incarnations},
+      {"takes_start_incarnations", row.takes_start_incarnations}};
   return out.dump();
 }
 
@@ -37,6 +38,7 @@
   out.takes_worker_calls = reader.Flag("takes_worker_calls", false);
   out.takes_job_feed = reader.Flag("takes_job_feed", false);
   out.takes_poll_incarnations = reader.Flag("takes_poll_incarnations", false);
+  out.takes_start_incarnations = reader.Flag("takes_start_incarnations", false);
   if (!reader.good()) return Error{ResultCode::kBadRequest, reader.problem()};
   return out;
 }
--- a/src/cluster/host_row.h
+++ b/src/cluster/host_row.h
@@ -26,6 +26,9 @@
   // True if the host takes polls that name an incarnation of the worker, and
   // lets no other one discard ends; older builds do not.
   bool takes_poll_incarnations = false;
+  // True if the host takes starts that name an incarnation of the worker, and
+  // lets them reach no other one; older builds do not.
+  bool takes_start_incarnations = false;
 };
 
 std::string HostRowKey(const HostId& host);
--- a/src/cluster/incarnation_connections.cc
+++ b/src/cluster/incarnation_connections.cc
@@ -11,8 +11,25 @@
 
 }  // namespace
 
-void IncarnationConnections::OnOpened(const std::string& address,
-                                      int local_port) {
+IncarnationConnections::Connection* IncarnationConnections::Find(
+    const std::string& address, int local_port) {
+  const auto found = connections_.find(address);
+  if (found == connections_.end()) return nullptr;
+  const auto connection = std::find_if(
+      found->second.begin(), found->second.end(),
+      [&](const Connection& each) { return each.local_port == local_port; });
+  return connection == found->second.end() ? nullptr : &*connection;
+}
+
+void IncarnationConnections::Add(const std::string& address,
+                                 Connection connection) {
+  Connections& known = connections_[address];
+  known.push_back(connection);
+  if (known.size() > kMaxConnectionsPerAddress) known.pop_front();
+}
+
+void IncarnationConnections::Forget(const std::string& address,
+                                    int local_port) {
   const auto found = connections_.find(address);
   if (found == connections_.end()) return;
   std::erase_if(found->second, [local_port](const Connection& each) {
@@ -21,24 +38,72 @@
   if (found->second.empty()) connections_.erase(found);
 }
 
+void IncarnationConnections::OnOpened(const std::string& address,
+                                      int local_port) {
+  const std::lock_guard lock(mutex_);
+  Forget(address, local_port);
+  Add(address, {.local_port = local_port, .busy = true});
+}
+
+void IncarnationConnections::OnReused(const std::string& address,
+                                      int local_port) {
+  const std::lock_guard lock(mutex_);
+  if (Connection* const known = Find(address, local_port)) known->busy = true;
+}
+
+void IncarnationConnections::OnNoneIdle(const std::string& address) {
+  const std::lock_guard lock(mutex_);
+  const auto found = connections_.find(address);
+  if (found == connections_.end()) return;
+  std::erase_if(found->second,
+                [](const Connection& each) { return !each.busy; });
+  if (found->second.empty()) connections_.erase(found);
+}
+
+void IncarnationConnections::OnEnded(const std::string& address, int local_port,
+                                     bool answered) {
+  const std::lock_guard lock(mutex_);
+  if (!answered) {
+    Forget(address, local_port);
+  } else if (Connection* const known = Find(address, local_port)) {
+    known->busy = false;
+  }
+}
+
 void IncarnationConnections::OnAnswer(const std::string& address,
                                       int local_port, Incarnation incarnation) {
-  if (incarnation.count() <= 0 || LeadsTo(address, local_port, incarnation))
-    return;
-  OnOpened(address, local_port);
-  std::deque<Connection>& known = connections_[address];
-  known.push_back({local_port, incarnation});
-  if (known.size() > kMaxConnectionsPerAddress) known.pop_front();
+  const std::lock_guard lock(mutex_);
+  if (incarnation.count() <= 0) return;
+  if (Connection* const known = Find(address, local_port)) {
+    known->incarnation = incarnation;
+  } else {
+    Add(address, {.local_port = local_port, .incarnation = incarnation});
+  }
 }
 
 bool IncarnationConnections::LeadsTo(const std::string& address, int local_port,
                                      Incarnation incarnation) const {
+  const std::lock_guard lock(mutex_);
   const auto found = connections_.find(address);
-  if (found == connections_.end()) return false;
+  if (found == connections_.end() || incarnation.count() <= 0) return false;
   return std::any_of(
       found->second.begin(), found->second.end(), [&](const Connection& each) {
         return each.local_port == local_port && each.incarnation == incarnation;
       });
 }
 
+bool IncarnationConnections::IsWithinReach(const std::string& address,
+                                           Incarnation incarnation) const {
+  const std::lock_guard lock(mutex_);
+  const auto found = connections_.find(address);
+  if (found == connections_.end()) return false;
+  std::size_t leading = 0;
+  for (const Connection& each : found->second) {
+    if (each.incarnation != incarnation) continue;
+    if (!each.busy) return true;
+    ++leading;
+  }
+  return leading >= max_connections_;
+}
+
 }  // namespace chivewing
--- a/src/cluster/incarnation_connections.h
+++ b/src/cluster/incarnation_connections.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <deque>
 #include <map>
+#include <mutex>
 #include <string>
 
 namespace chivewing {
@@ -11,27 +12,50 @@
 // Which incarnation of a worker has answered over which open connection. A
 // connection ends with the process at its other end, so a request that is meant
 // for one incarnation, and is sent over a connection on which that incarnation
-// has answered, reaches no later one. Does no I/O; not thread-safe.
+// has answered, reaches no later one. Does no I/O; thread-safe.
 class IncarnationConnections {
  public:
   using Incarnation = std::chrono::milliseconds;  // its start, since 1970
 
-  // A connection to the address has been opened.
+  // `max_connections` are opened to one address at a time.
+  explicit IncarnationConnections(std::size_t max_connections)
+      : max_connections_(max_connections) {}
+
+  // A connection to the address has been opened for a request.
   void OnOpened(const std::string& address, int local_port);
+  // A request is about to be written to a connection opened for an earlier one.
+  void OnReused(const std::string& address, int local_port);
+  // The client has found no idle connection to the address.
+  void OnNoneIdle(const std::string& address);
+  // The request has ended, with a whole response if `answered`; otherwise the
+  // connection is closed.
+  void OnEnded(const std::string& address, int local_port, bool answered);
   // The incarnation has answered over the connection.
   void OnAnswer(const std::string& address, int local_port,
                 Incarnation incarnation);
   // False if the connection may lead to another incarnation.
   bool LeadsTo(const std::string& address, int local_port,
                Incarnation incarnation) const;
+  // True if a request is likely to be given a connection that leads to the
+  // incarnation: one is idle, or no further connection may be opened.
+  bool IsWithinReach(const std::string& address, Incarnation incarnation) const;
 
  private:
   struct Connection {
     int local_port = 0;
-    Incarnation incarnation{0};
+    Incarnation incarnation{0};  // 0: none has answered yet
+    bool busy = false;
   };
+  using Connections = std::deque<Connection>;
+
+  Connection* Find(const std::string& address, int local_port);
+  void Add(const std::string& address, Connection connection);
+  void Forget(const std::string& address, int local_port);
+
+  const std::size_t max_connections_;
+  mutable std::mutex mutex_;
   // Those of an address, the one that was noted first at the front.
-  std::map<std::string, std::deque<Connection>> connections_;
+  std::map<std::string, Connections> connections_;
 };
 
 }  // namespace chivewing
--- a/src/cluster/peer_directory.cc
+++ b/src/cluster/peer_directory.cc
@@ -63,6 +63,7 @@
     const HostRow& row = rows_.at(host);
     GatewayOption option{host, row.zone};
     option.takes_poll_incarnations = row.takes_poll_incarnations;
+    option.takes_start_incarnations = row.takes_start_incarnations;
     if (row.processor_milli > 0) {
       option.processor_share =
           static_cast<double>(row.processor_milli) / kMilliPerCore;
--- /dev/null
+++ b/src/cluster/verified_starts.cc
@@ -0,0 +1,70 @@
+#include "cluster/verified_starts.h"
+
+#include <utility>
+
+namespace chivewing {
+namespace {
+
+using Done = std::function<void(CommandResponse)>;
+
+// Reads who answers, and neither renews its lease nor lets it discard ends.
+PollWorker Identify(const StartRun& command) {
+  PollWorker poll;
+  poll.worker = command.worker;
+  poll.address = command.address;
+  poll.fence = command.fence;
+  poll.fresh_connection = command.fresh_connection;
+  return poll;
+}
+
+// What the answer to Identify says of a start that has not been sent.
+CommandOutcome OutcomeOfUnsent(const PollResponse& answer) {
+  const bool is_final = answer.outcome == CommandOutcome::kFenced ||
+                        answer.outcome == CommandOutcome::kWrongIncarnation;
+  return is_final ? answer.outcome : CommandOutcome::kNotSent;
+}
+
+// The connection over which the worker has just answered may be taken by
+// another call: then the start is left to the dispatcher.
+void StartOnceVerified(const PlatformInterface& direct, const StartRun& command,
+                       const Done& done) {
+  direct.start_run(command, [done](CommandResponse response) {
+    if (response.outcome == CommandOutcome::kUnverified)
+      response.outcome = CommandOutcome::kNotSent;
+    done(response);
+  });
+}
+
+void VerifyAndStart(const PlatformInterface& direct, const StartRun& command,
+                    const Done& done) {
+  const auto identified = [&direct, command, done](const PollResponse& answer) {
+    if (answer.outcome == CommandOutcome::kDone &&
+        answer.incarnation_start == command.incarnation_start) {
+      StartRun verified = command;
+      verified.fresh_connection = false;
+      StartOnceVerified(direct, verified, done);
+      return;
+    }
+    done(CommandResponse{.outcome = OutcomeOfUnsent(answer)});
+  };
+  direct.poll_worker(Identify(command), identified);
+}
+
+}  // namespace
+
+PlatformInterface WithVerifiedStarts(const PlatformInterface& direct) {
+  PlatformInterface out = direct;
+  out.start_run = [&direct](const StartRun& command, const Done& done) {
+    direct.start_run(command,
+                     [&direct, command, done](const CommandResponse& response) {
+                       if (response.outcome != CommandOutcome::kUnverified) {
+                         done(response);
+                         return;
+                       }
+                       VerifyAndStart(direct, command, done);
+                     });
+  };
+  return out;
+}
+
+}  // namespace chivewing
--- a/src/cluster/worker_call_forwarder.cc
+++ b/src/cluster/worker_call_forwarder.cc
@@ -106,11 +106,20 @@
     gateways_.erase(host);
   }
   for (const GatewayOption& option : options) {
-    gateways_[option.host].takes_poll_incarnations =
-        option.takes_poll_incarnations;
+    Gateway& gateway = gateways_[option.host];
+    gateway.takes_poll_incarnations = option.takes_poll_incarnations;
+    gateway.takes_start_incarnations = option.takes_start_incarnations;
   }
 }
 
+bool WorkerCallForwarder::TakesCall(const HostId& gateway,
+                                    const Call& call) const {
+  const auto* const start = std::get_if<StartRun>(&call.command);
+  const bool is_bound =
+      start != nullptr && start->incarnation_start.count() > 0;
+  return !is_bound || gateways_.at(gateway).takes_start_incarnations;
+}
+
 void WorkerCallForwarder::DropAll() {
   const std::vector<Call> queued = std::exchange(queued_, {});
   const std::map<std::uint64_t, Call> open = std::exchange(calls_, {});
@@ -145,7 +154,7 @@
         std::visit([](const auto& each) { return each.worker; }, call.command);
     const std::optional<HostId> gateway =
         assigner_.GatewayOf(now, worker, callbacks_.zone_of(worker));
-    if (gateway) {
+    if (gateway && TakesCall(*gateway, call)) {
       Forward(now, *gateway, std::move(call), batches);
     } else {
       MakeDirectly(std::move(call));
--- a/src/cluster/worker_call_forwarder.h
+++ b/src/cluster/worker_call_forwarder.h
@@ -80,6 +80,7 @@
     std::set<std::uint64_t> commands{};  // outstanding, oldest first
     std::set<std::uint64_t> polls{};     // outstanding
     bool takes_poll_incarnations = false;
+    bool takes_start_incarnations = false;
   };
   // Calls of one message to a gateway, and their ids.
   struct Batch {
@@ -88,6 +89,8 @@
     std::size_t bytes = 0;  // estimate
   };
 
+  // False if the gateway would send the start to any incarnation.
+  bool TakesCall(const HostId& gateway, const Call& call) const;
   static void EndWithoutResponse(const Call& call);
   void Queue(Command command, std::function<void(CommandResponse)> done);
   void MakeDirectly(Call call);
--- a/src/dispatch/run_manager.cc
+++ b/src/dispatch/run_manager.cc
@@ -67,9 +67,12 @@
   if (length.count() <= 0) return;
   const auto lease = worker->GrantLease(now, length);
   if (!lease) return;
-  // Retries carry the deadline of the first attempt, so that no copy of the
-  // command can start the run after it.
-  if (run.send_count == 0) run.deadline = *lease;
+  // Retries carry the deadline and the incarnation of the first attempt, so
+  // that no copy of the command can start the run later or elsewhere.
+  if (run.send_count == 0) {
+    run.deadline = *lease;
+    run.incarnation_start = worker->incarnation_start;
+  }
   const std::size_t doublings = std::min(run.send_count, kMaxBackoffDoublings);
   run.next_send = now + state_.options.start_retry_delay * (1 << doublings);
   ++run.send_count;
@@ -99,6 +102,7 @@
   command.fence = state_.fence;
   command.saved = run.saved;
   command.ticket = run.ticket;
+  command.incarnation_start = run.incarnation_start;
   command.fresh_connection = run.send_count > 1;
   if (job == nullptr) return command;
   command.payload = job->record.spec.payload;
--- a/src/dispatch/run_table.h
+++ b/src/dispatch/run_table.h
@@ -34,6 +34,8 @@
   std::string ticket{};
   std::string saved{};
   WorkerTimestamp deadline{0};
+  // The incarnation that the first attempt was meant for; 0: not known.
+  std::chrono::milliseconds incarnation_start{0};
   TimePoint started_at{};     // when it was decided; unset for adopted runs
   bool acknowledged = false;  // true once the worker is known to have it
   TimePoint acknowledged_at{};
--- a/src/dispatch/worker_messages.h
+++ b/src/dispatch/worker_messages.h
@@ -57,6 +57,9 @@
   std::string saved{};            // checkpoint to resume from; may be empty
   std::string ticket{};           // from the advice service; may be empty
   bool fresh_connection = false;  // true if it must not reuse a connection
+  // The incarnation that is to start the run; another one under the same id
+  // must not. 0: not known.
+  std::chrono::milliseconds incarnation_start{0};
   // For the log: the job row on which the start was decided, and the time since
   // the job was accepted.
   std::uint64_t job_row_version = 0;
@@ -76,6 +79,9 @@
   kRefused,           // malformed
   kNoResponse,        // may have been executed, or may still be
   kNotSent,           // certainly not executed
+  // Not sent: no connection is known to lead to the incarnation it is meant
+  // for.
+  kUnverified,
 };
 
 // Response to a start, stop or pace command.
@@ -114,8 +120,9 @@
   std::optional<WorkerTimestamp> deadline{};  // lease expiry; absent: no lease
   std::chrono::milliseconds wait{0};          // longest wait for a run to end
   bool fresh_connection = false;  // true if it must not reuse a connection
-  // The incarnation whose ends persisted_end counts; another one under the same
-  // id must not discard any. 0: not known.
+  // The incarnation whose ends persisted_end counts and whose lease is renewed;
+  // another one under the same id discards no ends and is given no lease. 0:
+  // not known.
   std::chrono::milliseconds incarnation_start{0};
 };
 
--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -52,6 +52,8 @@
       return "too_large";
     case HttpError::kStopped:
       return "stopped";
+    case HttpError::kRejected:
+      return "rejected";
   }
   return "unlisted";
 }
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -13,6 +13,13 @@
 
 namespace chivewing {
 
+// What is written to the connection that has been found for a request.
+enum class ConnectionUse {
+  kBody,
+  kBodyElsewhere,
+  kNothing,  // the connection is closed, and another one is looked for
+};
+
 // A request to an HTTP server that is addressed by IP address.
 struct HttpRequest {
   std::string method = "GET";
@@ -21,8 +28,8 @@
   std::string body{};
   // Called on the client's thread with the local port of the connection before
   // the request is written to it; `is_new` if it was opened for this request.
-  // Returns false if `body_elsewhere` is to be sent in place of `body`.
-  std::function<bool(int local_port, bool is_new)> on_connection{};
+  // A request whose new connection is not to be used ends with kRejected.
+  std::function<ConnectionUse(int local_port, bool is_new)> on_connection{};
   std::string body_elsewhere{};  // of the same size as `body`
   // Time limit for opening a connection.
   std::chrono::milliseconds connect_timeout{1000};
@@ -43,6 +50,7 @@
   kConnectionLost,  // closed early, or the response is not HTTP
   kTooLarge,        // response over max_response_bytes
   kStopped,         // the client was stopped
+  kRejected,        // `on_connection` has turned a new connection down
 };
 
 // Returns the snake_case name of an error, for logs and state dumps.
--- a/src/http/http_transfer.cc
+++ b/src/http/http_transfer.cc
@@ -66,6 +66,7 @@
   written_ = false;
   reused_connection_ = false;
   reuse_rejected_ = false;
+  new_rejected_ = false;
   local_port_ = 0;
   too_large_ = false;
   curl_easy_setopt(handle_, CURLOPT_URL, request_.url.c_str());
@@ -161,12 +162,16 @@
 
 // libcurl has taken the address and the size of the body by then, so the other
 // body is copied into its place.
-void HttpTransfer::ChooseBody() {
-  if (!request_.on_connection) return;
-  if (request_.on_connection(local_port_, !reused_connection_)) return;
+bool HttpTransfer::ChooseBody() {
+  if (!request_.on_connection) return true;
+  const ConnectionUse use =
+      request_.on_connection(local_port_, !reused_connection_);
+  if (use == ConnectionUse::kNothing) return false;
+  if (use == ConnectionUse::kBody) return true;
   std::copy_n(request_.body_elsewhere.begin(),
               std::min(request_.body.size(), request_.body_elsewhere.size()),
               request_.body.begin());
+  return true;
 }
 
 // Called each time before libcurl writes the request to a connection. When a
@@ -187,7 +192,12 @@
     return CURL_PREREQFUNC_ABORT;
   }
   transfer->local_port_ = local_port;
-  transfer->ChooseBody();
+  if (!transfer->ChooseBody()) {
+    transfer->local_port_ = 0;
+    (transfer->reused_connection_ ? transfer->reuse_rejected_
+                                  : transfer->new_rejected_) = true;
+    return CURL_PREREQFUNC_ABORT;
+  }
   transfer->written_ = true;
   return CURL_PREREQFUNC_OK;
 }
@@ -211,6 +221,7 @@
         answer_.status >= kFirstFinalStatus && HasVerifiableLength();
     return whole ? HttpError::kNone : HttpError::kConnectionLost;
   }
+  if (new_rejected_) return HttpError::kRejected;
   if (!written_) return HttpError::kConnect;
   if (code == CURLE_OPERATION_TIMEDOUT) return HttpError::kTimeout;
   return HttpError::kConnectionLost;
--- a/src/http/http_transfer.h
+++ b/src/http/http_transfer.h
@@ -54,7 +54,8 @@
   bool HasVerifiableLength() const;
   HttpError ToHttpError(CURLcode code) const;
   bool Admit(std::size_t bytes);
-  void ChooseBody();
+  // Returns false if nothing may be written to the connection.
+  bool ChooseBody();
 
   static std::size_t OnBody(char* data, std::size_t size, std::size_t count,
                             void* self);
@@ -74,6 +75,7 @@
   bool written_ = false;  // the request may have been written
   bool reused_connection_ = false;
   bool reuse_rejected_ = false;
+  bool new_rejected_ = false;  // a connection opened for the request
   int local_port_ = 0;
   bool too_large_ = false;
 };
--- a/src/peer/message_codec.cc
+++ b/src/peer/message_codec.cc
@@ -91,6 +91,9 @@
         run.task.job, run.task.occurrence, run.task.step, run.task.index,
         run.number, m.command.payload, m.command.deadline, m.command.fence,
         m.command.saved, m.command.ticket, m.command.fresh_connection);
+  auto start = static_cast<std::uint64_t>(m.command.incarnation_start.count());
+  visit.Optional(start);
+  m.command.incarnation_start = std::chrono::milliseconds(start);
 }
 template <typename Visitor>
 void Fields(Visitor& visit, ForwardedStop& m) {
--- a/tests/cluster/incarnation_connections_test.cc
+++ b/tests/cluster/incarnation_connections_test.cc
@@ -13,9 +13,10 @@
 constexpr milliseconds kSecond{2000};
 constexpr int kPort = 40000;
 constexpr int kManyPorts = 1000;
+constexpr std::size_t kMost = 2;
 
 TEST(IncarnationConnections, AConnectionLeadsToTheIncarnationThatAnswered) {
-  IncarnationConnections connections;
+  IncarnationConnections connections(kMost);
   EXPECT_FALSE(connections.LeadsTo(kAddress, kPort, kFirst));
   connections.OnAnswer(kAddress, kPort, kFirst);
   EXPECT_TRUE(connections.LeadsTo(kAddress, kPort, kFirst));
@@ -26,7 +27,7 @@
 
 // The port of a closed connection is used again for one to a later incarnation.
 TEST(IncarnationConnections, ANewConnectionOfTheSamePortLeadsNowhereYet) {
-  IncarnationConnections connections;
+  IncarnationConnections connections(kMost);
   connections.OnAnswer(kAddress, kPort, kFirst);
   connections.OnOpened(kAddress, kPort);
   EXPECT_FALSE(connections.LeadsTo(kAddress, kPort, kFirst));
@@ -35,18 +36,50 @@
 }
 
 TEST(IncarnationConnections, AnAnswerWithoutAnIncarnationIsNotNoted) {
-  IncarnationConnections connections;
+  IncarnationConnections connections(kMost);
   connections.OnAnswer(kAddress, kPort, milliseconds(0));
   EXPECT_FALSE(connections.LeadsTo(kAddress, kPort, milliseconds(0)));
 }
 
 TEST(IncarnationConnections, OldConnectionsOfAnAddressAreForgotten) {
-  IncarnationConnections connections;
+  IncarnationConnections connections(kMost);
   for (int port = kPort; port < kPort + kManyPorts; ++port)
     connections.OnAnswer(kAddress, port, kFirst);
   EXPECT_FALSE(connections.LeadsTo(kAddress, kPort, kFirst));
   EXPECT_TRUE(connections.LeadsTo(kAddress, kPort + kManyPorts - 1, kFirst));
 }
 
+TEST(IncarnationConnections, AnIdleConnectionBringsItsIncarnationWithinReach) {
+  IncarnationConnections connections(kMost);
+  EXPECT_FALSE(connections.IsWithinReach(kAddress, kFirst));
+  connections.OnOpened(kAddress, kPort);
+  connections.OnEnded(kAddress, kPort, /*answered=*/true);
+  connections.OnAnswer(kAddress, kPort, kFirst);
+  EXPECT_TRUE(connections.IsWithinReach(kAddress, kFirst));
+  EXPECT_FALSE(connections.IsWithinReach(kAddress, kSecond));
+  connections.OnReused(kAddress, kPort);
+  EXPECT_FALSE(connections.IsWithinReach(kAddress, kFirst)) << "it is busy";
+  connections.OnEnded(kAddress, kPort, /*answered=*/false);
+  EXPECT_FALSE(connections.LeadsTo(kAddress, kPort, kFirst)) << "it is closed";
+}
+
+TEST(IncarnationConnections, BusyConnectionsAreWithinReachIfThereAreNoOthers) {
+  IncarnationConnections connections(kMost);
+  for (int port = kPort; port < kPort + static_cast<int>(kMost); ++port) {
+    EXPECT_FALSE(connections.IsWithinReach(kAddress, kFirst));
+    connections.OnOpened(kAddress, port);
+    connections.OnAnswer(kAddress, port, kFirst);
+  }
+  EXPECT_TRUE(connections.IsWithinReach(kAddress, kFirst));
+}
+
+TEST(IncarnationConnections, ClosedConnectionsAreOutOfReach) {
+  IncarnationConnections connections(kMost);
+  connections.OnAnswer(kAddress, kPort, kFirst);
+  connections.OnNoneIdle(kAddress);
+  EXPECT_FALSE(connections.IsWithinReach(kAddress, kFirst));
+  EXPECT_FALSE(connections.LeadsTo(kAddress, kPort, kFirst));
+}
+
 }  // namespace
 }  // namespace chivewing
--- a/tests/cluster/worker_call_forwarder_test.cc
+++ b/tests/cluster/worker_call_forwarder_test.cc
@@ -286,6 +286,34 @@
   EXPECT_EQ(test.forwarder.outstanding(), 2U);
 }
 
+struct StartForGateway {
+  milliseconds incarnation;
+  bool gateway_takes_it;
+  bool forwarded;
+};
+
+class StartForGatewayTest : public testing::TestWithParam<StartForGateway> {};
+
+// An older build sends a start to whichever incarnation answers.
+TEST_P(StartForGatewayTest, AStartOfAnIncarnationGoesToNoOlderGateway) {
+  Harness test;
+  GatewayOption gateway{kA, ZoneId("z")};
+  gateway.takes_start_incarnations = GetParam().gateway_takes_it;
+  test.forwarder.SetGateways({gateway});
+  StartRun start = MakeStart("w1");
+  start.incarnation_start = GetParam().incarnation;
+  test.forwarder.interface().start_run(start, [](const CommandResponse&) {});
+  test.forwarder.Flush(test.now);
+  EXPECT_EQ(test.sent.size(), GetParam().forwarded ? 1U : 0U);
+  EXPECT_EQ(test.workers.starts.size(), GetParam().forwarded ? 0U : 1U);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Builds, StartForGatewayTest,
+    testing::Values(StartForGateway{milliseconds(0), false, true},
+                    StartForGateway{milliseconds(1000), false, false},
+                    StartForGateway{milliseconds(1000), true, true}));
+
 TEST(WorkerCallForwarder, APauseOfThisHostIsNotBlamedOnTheGateways) {
   Harness test;
   test.SetGateways({kA});
