--- a/src/cluster/dispatcher_runner.cc
+++ b/src/cluster/dispatcher_runner.cc
@@ -104,7 +104,7 @@
   }
   if (!dispatcher_) return;
   if (row.key.starts_with(kJobRows)) {
-    if (lease_.IsHeld(now)) {
+    if (IsDispatcherLease(now, lease_.state())) {
       AddJobRow(now, row);
     } else {
       deferred_job_rows_.push_back(row);
@@ -363,14 +363,18 @@
   callbacks_.drop_calls();
 }
 
+bool DispatcherRunner::IsDispatcherLease(
+    TimePoint now, const LeaseKeeper::State& lease) const {
+  return lease.held && now < lease.valid_until &&
+         lease.epoch == dispatcher_->fence();
+}
+
 TimePoint DispatcherRunner::SaveProgress(TimePoint now) {
   const TimePoint next = progress_writer_.Tick(now);
   if (progress_writer_.busy() || !dispatcher_ || !dispatcher_->HasDirty())
     return next;
   const LeaseKeeper::State lease = lease_.state();
-  const bool is_current = lease.held && now < lease.valid_until &&
-                          lease.epoch == dispatcher_->fence();
-  if (!is_current) return next;
+  if (!IsDispatcherLease(now, lease)) return next;
   ProgressWriteBatch batch = dispatcher_->TakeBatch(kMaxRowsPerTransaction);
   if (batch.empty()) {
     dispatcher_->OnSaved(now, batch);
@@ -401,7 +405,8 @@
     // fence.
     lease_.Relinquish();
   }
-  if (dispatcher_ && !deferred_job_rows_.empty() && lease_.IsHeld(now)) {
+  if (dispatcher_ && !deferred_job_rows_.empty() &&
+      IsDispatcherLease(now, lease_.state())) {
     AddDeferredJobs(now);
   }
   if ((dispatcher_ || take_over_) && !workers_read_in_flight_ &&
@@ -414,7 +419,10 @@
   if (dispatcher_ && !decided_) next = std::min(next, pacer_.next_decision());
   if (decided_) {
     DispatchEffects effects;
-    dispatcher_->set_sole_until(lease_.state().valid_until);
+    // The lease may just have been acquired anew, after another host held it.
+    const LeaseKeeper::State lease = lease_.state();
+    const bool is_current = lease.epoch == dispatcher_->fence();
+    dispatcher_->set_sole_until(is_current ? lease.valid_until : TimePoint{});
     const milliseconds time_of_day = time_of_day_.At(
         table_watcher_.clock().At(now), callbacks_.wall_clock());
     next = std::min(next, dispatcher_->Decide(now, time_of_day, effects));
--- a/src/cluster/dispatcher_runner.h
+++ b/src/cluster/dispatcher_runner.h
@@ -108,6 +108,9 @@
   void AddJobRow(TimePoint now, const TableRow& row);
   void AddDeferredJobs(TimePoint now);
   void DropDispatcher(TimePoint now, const std::string& why);
+  // True if this is a lease that is held, of the epoch under which the
+  // dispatcher acts.
+  bool IsDispatcherLease(TimePoint now, const LeaseKeeper::State& lease) const;
 
   void OnWorkers(TimePoint now, const WorkerListUpdate& update);
   void ApplyWorkerUpdate(TimePoint now, const WorkerListUpdate& update);
