--- a/src/cluster/job_age.h
+++ b/src/cluster/job_age.h
@@ -10,7 +10,8 @@
 namespace chivewing {
 
 // When a job was accepted, on this host's clock, not after `now`, by the clock
-// that all hosts share through the table; nullopt if it was accepted without.
+// that all hosts share through the table; nullopt if it was accepted without,
+// or at a time that this clock has not reached: it has started again since.
 std::optional<TimePoint> AcceptedByTableClock(TimePoint now,
                                               const TableClock& table_clock,
                                               const JobRecord& record);
--- a/src/lease/lease_manager.cc
+++ b/src/lease/lease_manager.cc
@@ -52,6 +52,7 @@
         LogPart::kLease,
         "the renewal row cannot be decoded; the lease row's length counts");
   renewal_ = parsed.value_or(LeaseRow{});
+  DropUnsteadyTime(renewal_);
   renewal_version_ = row.version;
   row_seen_at_ = now;
 }
@@ -65,6 +66,7 @@
              "the lease row cannot be decoded; treating it as released");
   const std::uint64_t epoch = row_.epoch;
   row_ = parsed.value_or(LeaseRow{});
+  DropUnsteadyTime(row_);
   row_.epoch = std::max(row_.epoch, epoch);
   row_version_ = row.version;
   row_seen_at_ = now;
@@ -73,6 +75,19 @@
   if (held_ && !(IsHeldByThisProcess() && row_.epoch == epoch_)) MarkLost(out);
 }
 
+void LeaseManager::DropUnsteadyTime(LeaseRow& row) {
+  if (!row.sent_at_table) return;
+  if (!newest_sent_at_table_) newest_sent_at_table_ = row.sent_at_table;
+  if (*row.sent_at_table + kTableClockMargin < *newest_sent_at_table_) {
+    LogWarning(LogPart::kLease,
+               "the table's clock has started again; the lease is reckoned by "
+               "when its rows are seen");
+    row.sent_at_table.reset();
+    return;
+  }
+  newest_sent_at_table_ = std::max(*newest_sent_at_table_, *row.sent_at_table);
+}
+
 bool LeaseManager::IsHeldByThisProcess() const {
   return row_.host == settings_.host &&
          row_.incarnation == settings_.incarnation;
--- a/src/lease/lease_manager.h
+++ b/src/lease/lease_manager.h
@@ -184,6 +184,9 @@
   std::string NewWriteId();
   void ApplyRow(TimePoint now, const TableRow& row, Effects& out);
   void ApplyRenewalRow(TimePoint now, const TableRow& row);
+  // Drops the time at which a row was sent if the table's clock has started
+  // again since an earlier row: the times cannot be compared.
+  void DropUnsteadyTime(LeaseRow& row);
   void OnCommitted(TimePoint now, const InFlightCommit& commit,
                    std::uint64_t version, Effects& out);
 
@@ -204,6 +207,8 @@
   std::size_t rank_ = 0;
   std::optional<TimePoint> table_available_since_ = TimePoint{};
   TableClock table_clock_;
+  // The latest time of sending in a row that has been seen.
+  std::optional<std::chrono::milliseconds> newest_sent_at_table_;
   Duration last_commit_duration_{0};  // that the newest commit took
   std::optional<InFlightCommit> in_flight_;
   std::uint64_t next_write_number_ = 1;
--- a/tests/cluster/job_age_test.cc
+++ b/tests/cluster/job_age_test.cc
@@ -41,6 +41,18 @@
   }
 }
 
+// All jobs counted as accepted just now, and so as unknown to the dispatching
+// host before (TWICE).
+TEST(JobAgeTest, ATimeThatTheClockHasNotReachedIsNotKnown) {
+  TableClock started_again;
+  started_again.OnReading(kStart, milliseconds(0));
+  JobRecord record;
+  record.accepted_at_table = kTableStart;
+  EXPECT_FALSE(AcceptedByTableClock(kStart, started_again, record));
+  record.accepted_at_table = milliseconds(0);
+  EXPECT_EQ(AcceptedByTableClock(kStart, started_again, record), kStart);
+}
+
 TEST(JobAgeTest, FallsBackToTheTimeOfDayButNeverAhead) {
   const TableClock unknown;
   JobRecord record;
--- a/tests/lease/lease_manager_test.cc
+++ b/tests/lease/lease_manager_test.cc
@@ -631,6 +631,30 @@
             kStart + settings.lease + milliseconds(500));
 }
 
+// A store that had started again had a clock that read less. The lease before
+// counted as over since long, and with it the leases of all workers (TWICE).
+TEST(LeaseManagerPredecessor, AClockThatHasStartedAgainEndsNoLeaseEarlier) {
+  constexpr milliseconds table_at_start{50'000};
+  LeaseSettings settings;
+  settings.host = HostId("b");
+  settings.zone = kZone;
+  LeaseManager b(kStart, settings);
+  TableClock clock;
+  clock.OnReading(kStart, table_at_start);
+  b.set_table_clock(clock);
+  LeaseManager::Effects out;
+  const auto see = [&](TimePoint now, std::uint64_t epoch, milliseconds sent) {
+    const LeaseRow row{HostId("a"), epoch, epoch, settings.lease, epoch, sent};
+    b.OnRow(now, {LeaseManager::RowKey(kZone), EncodeLeaseRow(row), epoch, "w"},
+            out);
+  };
+  see(kStart, 1, table_at_start);
+  const TimePoint seen = kStart + seconds(1);
+  see(seen, 2, milliseconds(100));
+  b.Tick(kStart + seconds(60), out);
+  EXPECT_EQ(b.predecessor_ended_by(), seen + settings.lease);
+}
+
 TEST(LeaseManagerPredecessor, ThisHostItselfMayHaveHeldItUntilNow) {
   LeaseSettings settings;
   settings.host = HostId("a");
