--- a/tests/cluster/take_over_model.cc
+++ b/tests/cluster/take_over_model.cc
@@ -28,6 +28,7 @@
 constexpr milliseconds kMostJobInterval{80};
 constexpr milliseconds kMostStartDelay{500};
 constexpr milliseconds kMostSlowTurn{1500};
+constexpr milliseconds kSilence{1000};
 constexpr double kLostShare = 0.02;
 constexpr double kSlowTurnShare = 0.1;
 constexpr double kLateShare = 0.4;
@@ -252,7 +253,7 @@
     const std::shared_ptr<Call>& call, std::uint64_t since, TimePoint until,
     const std::function<void(ChangesResponse)>& done) {
   if (call->finished) return;
-  ChangesResponse response = table_.ChangesSince(since);
+  ChangesResponse response = ChangesHeard(since);
   response.clock = TableTime();
   if (response.ok && response.rows.empty() && now_ < until) {
     At(now_ + kFeedLookInterval, [this, call, since, until, done] {
@@ -268,6 +269,16 @@
   Respond(call, [done, response] { done(response); });
 }
 
+ChangesResponse TakeOverModel::ChangesHeard(std::uint64_t since) const {
+  ChangesResponse response = table_.ChangesSince(since);
+  if (now_ >= silent_until_ || !response.ok) return response;
+  std::erase_if(response.rows, [this](const TableRow& row) {
+    return row.version > heard_revision_;
+  });
+  response.revision = std::min(response.revision, heard_revision_);
+  return response;
+}
+
 void TakeOverModel::ReadRows(std::size_t host,
                              const std::function<ReadResponse()>& read,
                              const std::function<void(ReadResponse)>& done) {
@@ -392,9 +403,26 @@
       table_.DiscardHistory(table_.newest() - kept);
     });
   }
+  if (faults.silent_changes)
+    possible.emplace_back([this] { SilenceChanges(); });
   if (!possible.empty()) possible.at(Choose(possible.size()))();
 }
 
+void TakeOverModel::SilenceChanges() {
+  if (now_ < silent_until_) return;
+  Note("changes are silent from " + std::to_string(table_.newest()));
+  heard_revision_ = table_.newest();
+  silent_until_ = now_ + kSilence;
+  At(silent_until_, [this] {
+    Note("history lost, all cut off");
+    table_.DiscardHistory(table_.newest());
+    const std::vector<std::shared_ptr<Call>> calls = calls_;
+    for (const auto& call : calls) {
+      if (!call->finished) Finish(call, call->fail);
+    }
+  });
+}
+
 void TakeOverModel::InjectTableFault() {
   const TimePoint until = now_ + Between(kLeastFault, kMostFault);
   if (Chance(kAllShare)) {
--- a/tests/cluster/take_over_model.h
+++ b/tests/cluster/take_over_model.h
@@ -22,7 +22,10 @@
   bool table = false;       // outages, refusals and slow spells, for one or all
   bool lost_calls = false;  // requests and responses lost, commits late
   bool resets = false;      // all calls under way of one or all hosts fail
-  bool lost_history = false;    // reads of changes answer 410
+  bool lost_history = false;  // reads of changes answer 410
+  // Reads of changes hear nothing for a while, though there are changes; then
+  // the history is lost and they are cut off.
+  bool silent_changes = false;
   bool pauses = false;          // hosts stand still and go on
   bool slow_turns = false;      // time passes within a turn
   bool restarts = false;        // hosts end and start anew under their name
@@ -111,6 +114,9 @@
                   const std::function<void(ModelHost&)>& deliver);
   void InjectFault();
   void InjectTableFault();
+  void SilenceChanges();
+  // What a read of changes is told now.
+  ChangesResponse ChangesHeard(std::uint64_t since) const;
   void Reset(std::size_t host);
   void Pause(std::size_t host);
   void Restart(std::size_t host);
@@ -141,6 +147,8 @@
   std::vector<std::shared_ptr<Call>> calls_;
   std::map<std::pair<std::size_t, std::size_t>, TimePoint> peer_arrivals_;
   TimePoint outage_until_{};
+  TimePoint silent_until_{};
+  std::uint64_t heard_revision_ = 0;  // the newest before the silence
   TimePoint slow_until_{};
   std::size_t next_job_ = 0;
   std::vector<std::string> violations_;
