Ends that show that a task was started again are counted and logged (TWICE)

Nothing told when an end `done` came for a task that had been started again. The end took its effect, and the second run was stopped or ended without a line.

RepeatedEndMonitor sees each listed end before it takes effect and decides nothing. It counts an end whose task has another run (chivewing_ends_of_restarted_tasks_total), and one whose task was done by another run (chivewing_ends_of_done_tasks_total), with a warning that names both runs, their workers and whether this dispatcher or an earlier one started each (by the run's number, and the number of the first run started here). At most ten lines a second, with the number of those left out.

Workers list ends again after a take-over and behind ends of unknown jobs, so the task keeps the run by which it was done first: number, worker and start of the worker's life. The same run on the next life is another one. Tasks that the table or a gang shows as done take the first listed end for that run. Steps that allow copies and tasks that last are left out.

--- a/src/cluster/metrics_text.cc
+++ b/src/cluster/metrics_text.cc
@@ -165,6 +165,12 @@
   AddCounter(out, "unconfirmed_runs_stopped_total",
              "runs stopped with their job before their start was confirmed",
              counts.unconfirmed_runs_stopped);
+  AddCounter(out, "ends_of_done_tasks_total",
+             "ends as done of tasks that another run had done",
+             state.repeated_ends.of_done_tasks());
+  AddCounter(out, "ends_of_restarted_tasks_total",
+             "ends as done of tasks that have another run",
+             state.repeated_ends.of_restarted_tasks());
   AddCounter(out, "adopted_runs_stopped_total",
              "runs of an earlier dispatcher that were not needed",
              counts.adopted_runs_stopped);
--- a/src/dispatch/dispatch_state.h
+++ b/src/dispatch/dispatch_state.h
@@ -14,6 +14,7 @@
 #include "dispatch/dispatch_options.h"
 #include "dispatch/free_worker_index.h"
 #include "dispatch/ready_steps.h"
+#include "dispatch/repeated_end_monitor.h"
 #include "dispatch/run_table.h"
 #include "dispatch/start_guard.h"
 #include "dispatch/tracked_job.h"
@@ -93,6 +94,7 @@
   std::uint64_t last_poll = 0;
   DispatchCounters counts{};
   StartGuard start_guard{};
+  RepeatedEndMonitor repeated_ends{};
   // Time from a job's acceptance to its first acknowledged start.
   LatencyHistogram first_start{};
 
--- a/src/dispatch/run_manager.cc
+++ b/src/dispatch/run_manager.cc
@@ -51,6 +51,7 @@
   jobs_.SetNotedWorker(job, state, worker);
   state.runs.push_back(added.id);
   state.highest_run = std::max(state.highest_run, number);
+  if (state.first_run_here == 0) state.first_run_here = number;
   job.highest_run = std::max(job.highest_run, number);
   ++state_.counts.starts;
   SendStart(now, added, out);
--- a/src/dispatch/tracked_job.h
+++ b/src/dispatch/tracked_job.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -15,6 +17,15 @@
 
 namespace chivewing {
 
+// The run whose end `done` has been read first.
+struct DoneRun {
+  std::uint64_t number = 0;
+  WorkerId worker{};
+  std::chrono::milliseconds incarnation_start{0};  // of the worker
+
+  friend bool operator==(const DoneRun&, const DoneRun&) = default;
+};
+
 // One task: its progress and the ids of its runs that may still be executing.
 struct TrackedTask {
   TaskProgress progress{};
@@ -23,6 +34,10 @@
   std::vector<std::uint64_t> runs{};
   // Its next start is noted in `progress`, by this dispatcher.
   bool next_start_noted = false;
+  // For RepeatedEndMonitor: the number of the first run that this dispatcher
+  // has started, 0 if none, and the run by which the task was seen to be done.
+  std::uint64_t first_run_here = 0;
+  std::optional<DoneRun> done_by{};
 };
 
 // One step of one occurrence.
--- a/src/dispatch/worker_manager.cc
+++ b/src/dispatch/worker_manager.cc
@@ -521,9 +521,12 @@
            " how=" + std::to_string(static_cast<int>(end.how)) +
            " worker=" + worker.registration().worker.value();
   });
+  TrackedJob* const job = state_.FindJob(end.run.task.job);
+  if (job != nullptr)
+    state_.repeated_ends.OnEnd(now, worker, end, *job, state_.runs);
   if (run != nullptr) {
     runs_.End(now, run->id, end.how, end.saved);
-  } else if (TrackedJob* const job = state_.FindJob(end.run.task.job)) {
+  } else if (job != nullptr) {
     runs_.OnUntrackedRunEnd(*job, end);
   }
 }
--- a/tests/cluster/cluster_host_test.cc
+++ b/tests/cluster/cluster_host_test.cc
@@ -134,7 +134,9 @@
        {"chivewing_dispatching 1", "chivewing_starts_total 5",
         "chivewing_runs_done_total 5", "chivewing_first_start_seconds_count 1",
         "chivewing_invariant_breaches_total 0",
-        "chivewing_unlisted_runs_total 0"}) {
+        "chivewing_unlisted_runs_total 0",
+        "chivewing_ends_of_done_tasks_total 0",
+        "chivewing_ends_of_restarted_tasks_total 0"}) {
     EXPECT_NE(metrics.find(line), std::string::npos) << line << "\n" << metrics;
   }
   EXPECT_EQ(host.Call("GET", "0000000000000000"), 410);
--- a/tests/dispatch/single_worker_harness.h
+++ b/tests/dispatch/single_worker_harness.h
@@ -39,12 +39,13 @@
   }
 
   // A job of one step.
-  void AddJob(const StepSpec& step, bool uncertain) {
+  void AddJob(const StepSpec& step, bool uncertain,
+              const std::optional<JobProgress>& progress = std::nullopt) {
     JobRecord record;
     record.id = JobId(kJob);
     record.queue.max_attempts = 3;
     record.spec.steps = {step};
-    dispatcher_.AddJob(now_, now_, record, std::nullopt, uncertain);
+    dispatcher_.AddJob(now_, now_, record, progress, uncertain);
   }
   JobPhase job_state() const {
     return dispatcher_.state().jobs.at(JobId(kJob)).state;
@@ -61,6 +62,7 @@
     end.how = RunEndReason::kDone;
     ended_.push_back(end);
   }
+  TaskRunKey LastRun() const { return running_.back().run; }
   // All runs of the worker end as done.
   void EndAllRuns() {
     for (const ActiveRunReport& run : running_) AddEnd(run.run);
