--- a/src/cluster/metrics_text.cc
+++ b/src/cluster/metrics_text.cc
@@ -99,6 +99,21 @@
   out.push_back(std::move(family));
 }
 
+void AddSurplusRuns(Families& out, const SurplusRunCounts& counts) {
+  prometheus::MetricFamily family = MakeFamily(
+      "adopted_runs_stopped_total",
+      "runs of an earlier dispatcher that were not needed, by reason",
+      prometheus::MetricType::Counter);
+  family.metric.clear();
+  for (std::size_t i = 1; i < kSurplusReasons; ++i) {
+    prometheus::ClientMetric& metric = family.metric.emplace_back();
+    metric.label.push_back(
+        {"reason", std::string(Name(static_cast<SurplusReason>(i)))});
+    metric.counter.value = static_cast<double>(counts.at(i));
+  }
+  out.push_back(std::move(family));
+}
+
 void AddStepWaits(Families& out, const DispatchState& state) {
   std::array<std::size_t, kStepWaits> steps{};
   for (const StepKey& key : state.ready.Steps()) {
@@ -171,9 +186,7 @@
   AddCounter(out, "ends_of_restarted_tasks_total",
              "ends as done of tasks that have another run",
              state.repeated_ends.of_restarted_tasks());
-  AddCounter(out, "adopted_runs_stopped_total",
-             "runs of an earlier dispatcher that were not needed",
-             counts.adopted_runs_stopped);
+  AddSurplusRuns(out, state.surplus_runs);
   AddCounter(out, "runs_moved_total",
              "runs stopped because their worker leaves", counts.runs_moved);
   AddCounter(out, "orphans_stopped_total", "runs whose job stayed unknown",
--- a/src/dispatch/dispatch_state.h
+++ b/src/dispatch/dispatch_state.h
@@ -17,6 +17,7 @@
 #include "dispatch/repeated_end_monitor.h"
 #include "dispatch/run_table.h"
 #include "dispatch/start_guard.h"
+#include "dispatch/surplus_run.h"
 #include "dispatch/tracked_job.h"
 #include "dispatch/tracked_worker.h"
 
@@ -40,9 +41,8 @@
   // Runs that were stopped because their job had been cancelled or had ended
   // before their start was confirmed.
   std::uint64_t unconfirmed_runs_stopped = 0;
-  std::uint64_t adopted_runs_stopped = 0;  // of a predecessor, not needed
-  std::uint64_t runs_moved = 0;            // stopped since their worker leaves
-  std::uint64_t orphans_stopped = 0;       // their job stayed unknown
+  std::uint64_t runs_moved = 0;       // stopped since their worker leaves
+  std::uint64_t orphans_stopped = 0;  // their job stayed unknown
   // Crashes of workers counted at a task, and tasks given up for them.
   std::uint64_t suspected_crashes = 0;
   std::uint64_t tasks_given_up = 0;
@@ -95,6 +95,7 @@
   DispatchCounters counts{};
   StartGuard start_guard{};
   RepeatedEndMonitor repeated_ends{};
+  SurplusRunCounts surplus_runs{};  // stopped, of an earlier dispatcher
   // Time from a job's acceptance to its first acknowledged start.
   LatencyHistogram first_start{};
 
--- a/src/dispatch/run_manager.cc
+++ b/src/dispatch/run_manager.cc
@@ -167,15 +167,15 @@
   }
   job.OpenReportedOccurrence(key.occurrence);
   TrackedTask* const task = job.FindTask(key);
-  const bool needed = task != nullptr && job.IsActive() &&
-                      !task->progress.done && task->runs.empty() &&
-                      !run.stop_requested;
+  const SurplusReason reason = FindSurplusReason(run, job, task);
+  const bool needed = reason == SurplusReason::kNone;
   if (!needed) {
     LogRequest(LogPart::kPlacer, key.job.value(), [&] {
       return "stopping an adopted run that is not needed task=" +
-             Describe(run.key) + " worker=" + run.worker.value();
+             Describe(run.key) + " worker=" + run.worker.value() +
+             " reason=" + std::string(Name(reason));
     });
-    ++state_.counts.adopted_runs_stopped;
+    ++state_.surplus_runs.at(static_cast<std::size_t>(reason));
     state_.runs.RequestStop(run);
   }
   if (task == nullptr) return;
--- a/tests/dispatch/single_worker_harness.h
+++ b/tests/dispatch/single_worker_harness.h
@@ -62,6 +62,8 @@
     end.how = RunEndReason::kDone;
     ended_.push_back(end);
   }
+  // The worker lists a run that this dispatcher has not started.
+  void AddRun(const TaskRunKey& run) { running_.push_back({run, "", 0, 0}); }
   TaskRunKey LastRun() const { return running_.back().run; }
   // All runs of the worker end as done.
   void EndAllRuns() {
