--- a/src/cluster/metrics_text.cc
+++ b/src/cluster/metrics_text.cc
@@ -186,6 +186,12 @@
   AddCounter(out, "ends_of_restarted_tasks_total",
              "ends as done of tasks that have another run",
              state.repeated_ends.of_restarted_tasks());
+  AddCounter(out, "ends_after_their_job_total",
+             "ends of runs whose job or occurrence is over",
+             counts.ends_after_their_job);
+  AddCounter(out, "ends_of_unknown_tasks_total",
+             "ends of runs of tasks that their job does not have here",
+             counts.ends_of_unknown_tasks);
   AddSurplusRuns(out, state.surplus_runs);
   AddCounter(out, "runs_moved_total",
              "runs stopped because their worker leaves", counts.runs_moved);
--- a/src/dispatch/dispatch_state.h
+++ b/src/dispatch/dispatch_state.h
@@ -31,6 +31,10 @@
   std::uint64_t runs_done = 0;
   std::uint64_t runs_failed = 0;
   std::uint64_t runs_lost = 0;  // ended other than as done or failed
+  // Ends that change no task: of a job or occurrence that is over, and of a
+  // task that its job does not have here.
+  std::uint64_t ends_after_their_job = 0;
+  std::uint64_t ends_of_unknown_tasks = 0;
   std::uint64_t asks = 0;
   std::uint64_t asks_failed = 0;
   std::uint64_t polls = 0;
--- a/src/dispatch/run_manager.cc
+++ b/src/dispatch/run_manager.cc
@@ -407,7 +407,10 @@
   const TaskKey key = run.task;
   TrackedStep* const step = job.FindStep(key.occurrence, key.step);
   TrackedTask* const task = job.FindTask(key);
-  if (step == nullptr || task == nullptr) return;
+  if (step == nullptr || task == nullptr) {
+    ReportEndWithoutTask(job, run, reason);
+    return;
+  }
   const StepSpec& spec = job.spec(key.step);
   task->highest_run = std::max(task->highest_run, run.number);
   job.highest_run = std::max(job.highest_run, run.number);
@@ -445,6 +448,30 @@
   jobs_.RefreshReadySteps(job);
 }
 
+// The worker is told that the end has been read, though it changes no task.
+// Ends of jobs and occurrences that are over come after each take-over.
+void RunManager::ReportEndWithoutTask(const TrackedJob& job,
+                                      const TaskRunKey& run,
+                                      RunEndReason reason) {
+  const bool over =
+      !job.IsActive() || run.task.occurrence < job.finished_occurrences;
+  const auto line = [&] {
+    return std::string("the end of a run changes no task, ") +
+           (over ? "its job or occurrence is over"
+                 : "its job has no such task here") +
+           " task=" + Describe(run) +
+           " how=" + std::to_string(static_cast<int>(reason)) +
+           " finished_occurrences=" + std::to_string(job.finished_occurrences);
+  };
+  if (over) {
+    ++state_.counts.ends_after_their_job;
+    LogRequest(LogPart::kPlacer, run.task.job.value(), line);
+  } else {
+    ++state_.counts.ends_of_unknown_tasks;
+    LogWarning(LogPart::kPlacer, line());
+  }
+}
+
 // The members of a gang that is done end by themselves, but a start that is
 // still being repeated would begin its task anew.
 void RunManager::StopUnconfirmedRuns(const TrackedStep& step) {
--- a/src/dispatch/run_manager.h
+++ b/src/dispatch/run_manager.h
@@ -81,6 +81,8 @@
   void OnRefusal(TimePoint now, Run& run, CommandOutcome outcome);
   void RecordEnd(TrackedJob& job, const TaskRunKey& run, RunEndReason reason,
                  const std::string& saved);
+  void ReportEndWithoutTask(const TrackedJob& job, const TaskRunKey& run,
+                            RunEndReason reason);
   void StopUnconfirmedRuns(const TrackedStep& step);
   void StopTaskRuns(TrackedJob& job, const TaskKey& key, bool whole_step);
 
--- a/tests/cluster/cluster_host_test.cc
+++ b/tests/cluster/cluster_host_test.cc
@@ -136,6 +136,8 @@
         "chivewing_invariant_breaches_total 0",
         "chivewing_unlisted_runs_total 0",
         "chivewing_ends_of_done_tasks_total 0",
+        "chivewing_ends_after_their_job_total 0",
+        "chivewing_ends_of_unknown_tasks_total 0",
         R"(chivewing_adopted_runs_stopped_total{reason="task_done"} 0)",
         "chivewing_ends_of_restarted_tasks_total 0"}) {
     EXPECT_NE(metrics.find(line), std::string::npos) << line << "\n" << metrics;
--- a/tests/dispatch/repeated_end_test.cc
+++ b/tests/dispatch/repeated_end_test.cc
@@ -100,6 +100,27 @@
   EXPECT_EQ(ends().of_restarted_tasks(), 0U);
 }
 
+// Such an end is taken note of without any effect.
+TEST_F(RepeatedEndTest, AnEndOfATaskThatTheJobDoesNotHave) {
+  harness_.RegisterWorker();
+  harness_.AddJob(OneTask(), false);
+  harness_.AddEnd(SingleWorkerHarness::FirstRun("j", 5));
+  harness_.Pass(milliseconds(100));
+  EXPECT_EQ(harness_.state().counts.ends_of_unknown_tasks, 1U);
+  EXPECT_EQ(harness_.state().counts.ends_after_their_job, 0U);
+}
+
+TEST_F(RepeatedEndTest, AnEndOfAJobThatIsOver) {
+  JobProgress progress;
+  progress.state = JobPhase::kCompleted;
+  harness_.AdoptWorker();
+  harness_.AddJob(OneTask(), true, progress);
+  harness_.AddEnd(RunOfTask(1));
+  harness_.Pass(milliseconds(100));
+  EXPECT_EQ(harness_.state().counts.ends_of_unknown_tasks, 0U);
+  EXPECT_EQ(harness_.state().counts.ends_after_their_job, 1U);
+}
+
 TEST_F(RepeatedEndTest, CopiesThatTheStepAllowsDoNotCount) {
   StepSpec step = OneTask();
   step.copies_allowed = true;
--- a/tests/dispatch_log/repeated_end_log_test.cc
+++ b/tests/dispatch_log/repeated_end_log_test.cc
@@ -88,5 +88,16 @@
   EXPECT_EQ(CountOf(" lines_left_out=19\n", later), 1U) << later;
 }
 
+TEST_F(RepeatedEndLogTest, AnEndOfATaskThatTheJobDoesNotHave) {
+  AddEnd(kTasks, 1);
+  const std::string log = LogOf(milliseconds(100));
+  EXPECT_EQ(CountOf("WARNING placer: the end of a run changes no task, its job "
+                    "has no such task here task=j.0.0.30 run=1 how=0 "
+                    "finished_occurrences=0\n",
+                    log),
+            1U)
+      << log;
+}
+
 }  // namespace
 }  // namespace chivewing
