"started dispatching" tells how many jobs are certain by the clock alone (TWICE)

A successor holds no job back that is certain, by the version of its row or by the table's clock. With a clock that is wrong all jobs count as certain, and the line only shows that few are uncertain.

`jobs_certain_by_clock` counts the jobs that have not ended and whose row is not newer than the lease.

--- a/src/cluster/dispatcher_runner.cc
+++ b/src/cluster/dispatcher_runner.cc
@@ -143,6 +143,9 @@
           certain_from.accepted_at;
   dispatcher_->AddJob(now, accepted_at, std::move(record.value()), progress,
                       !is_certain);
+  if (is_certain && row.version <= certain_from.version &&
+      dispatcher_->state().active_jobs.contains(id))
+    ++jobs_certain_by_clock_;
   if (table_watcher_.cache().Find(CancelRowKey(id)) != nullptr) {
     dispatcher_->CancelJob(id);
   }
@@ -277,6 +280,7 @@
   options.max_worker_lease = settings_.max_worker_lease;
   dispatcher_ = std::make_unique<Dispatcher>(options, take_over.epoch);
   dispatcher_->set_advice_hosts(advice_hosts_);
+  jobs_certain_by_clock_ = 0;
   table_watcher_.cache().ForEach(kWorkerRowPrefix, [&](const TableRow& row) {
     const WorkerId id(row.key.substr(kWorkerRowPrefix.size()));
     const Result<WorkerRegistration> known = DecodeWorkerRow(id, *row.value);
@@ -314,6 +318,7 @@
       "started dispatching fence=" + std::to_string(take_over.epoch) +
           " jobs=" + std::to_string(state.jobs.size()) +
           " jobs_uncertain=" + std::to_string(uncertain) +
+          " jobs_certain_by_clock=" + std::to_string(jobs_certain_by_clock_) +
           " workers=" + std::to_string(state.workers.size()) +
           " workers_unsynced=" + std::to_string(state.unsynced_workers.size()) +
           " rows_known_to=" +
--- a/src/cluster/dispatcher_runner.h
+++ b/src/cluster/dispatcher_runner.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -142,6 +143,9 @@
   TimePoint next_clock_update_{};
   std::optional<TakeOver> take_over_;
   std::unique_ptr<Dispatcher> dispatcher_;
+  // Jobs with tasks to start that count as certain since the take-over by the
+  // table's clock alone, not by the version of their row.
+  std::size_t jobs_certain_by_clock_ = 0;
   // Rises with each dispatcher; responses to an earlier one are dropped.
   std::uint64_t generation_ = 0;
   std::set<HostId> advice_hosts_;
--- a/tests/cluster/dispatcher_runner_test.cc
+++ b/tests/cluster/dispatcher_runner_test.cc
@@ -112,7 +112,12 @@
   };
   add("old", clock - seconds(10));
   add("new", clock);
+  testing::internal::CaptureStdout();
   catch_up_(rows);
+  const std::string log = testing::internal::GetCapturedStdout();
+  EXPECT_NE(log.find(" jobs=2 jobs_uncertain=1 jobs_certain_by_clock=1 "),
+            std::string::npos)
+      << log;
   ASSERT_TRUE(runner_.dispatching());
   const auto& jobs = runner_.dispatcher()->state().jobs;
   EXPECT_TRUE(jobs.at(JobId("old")).uncertain);
@@ -142,8 +147,9 @@
        {"placer: progress row cannot be decoded; taking its job for one "
         "without progress key=progress/old why=",
         "placer: started dispatching fence=",
-        " jobs=1 jobs_uncertain=1 workers=1 workers_unsynced=1 rows_known_to=9 "
-        "certain_from_version=10 holder_before_ended_ms_ago=",
+        " jobs=1 jobs_uncertain=1 jobs_certain_by_clock=0 workers=1 "
+        "workers_unsynced=1 rows_known_to=9 certain_from_version=10 "
+        "holder_before_ended_ms_ago=",
         " took_ms=", " all_rows_read_anew=0 all_rows_read_ms_ago="}) {
     EXPECT_NE(log.find(part), std::string::npos) << part << "\n" << log;
   }
