--- a/src/cluster/cluster_host.cc
+++ b/src/cluster/cluster_host.cc
@@ -184,6 +184,7 @@
   metrics.peers_up = peers_.connected().size();
   metrics.callers = &caller_requests_.counters();
   metrics.dispatcher = dispatcher_runner_.dispatcher();
+  metrics.late_rows = dispatcher_runner_.late_rows();
   return WriteMetrics(metrics);
 }
 
--- a/src/cluster/dispatcher_runner.cc
+++ b/src/cluster/dispatcher_runner.cc
@@ -103,6 +103,7 @@
     return;
   }
   if (!dispatcher_) return;
+  late_rows_.OnRow(now, row);
   if (row.key.starts_with(kJobRows)) {
     if (lease_.IsHeld(now)) {
       AddJobRow(now, row, {});
@@ -296,6 +297,8 @@
   ApplyWorkerUpdate(now, take_over.workers);
   AddKnownJobs(now, take_over.certain_from);
   dispatcher_->EndTakeOver();
+  late_rows_.Begin(take_over.certain_from.version,
+                   table_watcher_.cache().revision());
   LogTakeOver(now, take_over);
 }
 
--- a/src/cluster/dispatcher_runner.h
+++ b/src/cluster/dispatcher_runner.h
@@ -13,6 +13,7 @@
 #include "base/time.h"
 #include "cluster/cluster_settings.h"
 #include "cluster/decision_pacer.h"
+#include "cluster/late_row_monitor.h"
 #include "cluster/lease_keeper.h"
 #include "cluster/loop_monitor.h"
 #include "cluster/platform_interface.h"
@@ -77,6 +78,8 @@
   bool IsStopped() const { return lease_.state().stopped; }
   bool dispatching() const { return dispatcher_ != nullptr; }
   const Dispatcher* dispatcher() const { return dispatcher_.get(); }
+  // Rows that were in the table before the lease, and came after the take-over.
+  std::uint64_t late_rows() const { return late_rows_.count(); }
   // The dispatcher's queues and the rest of its lease, for the log.
   std::string LoadSummary(TimePoint now) const;
 
@@ -146,6 +149,7 @@
   // Jobs with tasks to start that count as certain since the take-over by the
   // table's clock alone, not by the version of their row.
   std::size_t jobs_certain_by_clock_ = 0;
+  LateRowMonitor late_rows_;
   // Rises with each dispatcher; responses to an earlier one are dropped.
   std::uint64_t generation_ = 0;
   std::set<HostId> advice_hosts_;
--- a/src/cluster/metrics_text.cc
+++ b/src/cluster/metrics_text.cc
@@ -235,6 +235,9 @@
   AddGauge(out, "peers_up", "entry hosts connected", metrics.peers_up);
   AddGauge(out, "dispatching", "whether this host dispatches",
            metrics.dispatcher == nullptr ? 0 : 1);
+  AddCounter(out, "late_rows_total",
+             "rows older than the lease that came after dispatching began",
+             metrics.late_rows);
   if (metrics.callers != nullptr) AddCallers(out, *metrics.callers);
   if (metrics.dispatcher != nullptr) {
     AddDispatcher(out, metrics.dispatcher->state());
--- a/tests/cluster/cluster_host_test.cc
+++ b/tests/cluster/cluster_host_test.cc
@@ -134,7 +134,7 @@
        {"chivewing_dispatching 1", "chivewing_starts_total 5",
         "chivewing_runs_done_total 5", "chivewing_first_start_seconds_count 1",
         "chivewing_invariant_breaches_total 0",
-        "chivewing_unlisted_runs_total 0",
+        "chivewing_unlisted_runs_total 0", "chivewing_late_rows_total 0",
         "chivewing_ends_of_done_tasks_total 0",
         "chivewing_ends_after_their_job_total 0",
         "chivewing_ends_of_unknown_tasks_total 0",
--- a/tests/cluster/dispatcher_runner_test.cc
+++ b/tests/cluster/dispatcher_runner_test.cc
@@ -155,6 +155,35 @@
   }
 }
 
+// The successor began with rows older than its lease, of version 10.
+TEST_F(TakeOverTest, CountsRowsOlderThanItsLeaseThatComeLate) {
+  const auto row = [](const std::string& key, std::uint64_t version) {
+    return TableRow{key, "nonsense", version, "w"};
+  };
+  runner_.OnRow(BootClock::now(), row("progress/early", 3));
+  EXPECT_EQ(runner_.late_rows(), 0U);
+  CatchUp();
+  ASSERT_TRUE(runner_.dispatching());
+  const TimePoint now = BootClock::now();
+  testing::internal::CaptureStdout();
+  runner_.OnRow(now, row("progress/a", 9));
+  runner_.OnRow(now, row("progress/b", 10));
+  runner_.OnRow(now, row("progress/c", 11));
+  runner_.OnRow(now, row("host/d", 9));
+  runner_.OnRow(now + seconds(1), row("worker/e", 8));
+  const std::string log = testing::internal::GetCapturedStdout();
+  EXPECT_EQ(runner_.late_rows(), 3U);
+  for (const char* part :
+       {"placer: a row that is older than the lease has come after "
+        "dispatching began key=progress/a version=9 lease_version=10 "
+        "rows_known_to=50 late_rows=1 lines_left_out=0",
+        "key=worker/e version=8 lease_version=10 rows_known_to=50 late_rows=3 "
+        "lines_left_out=1"}) {
+    EXPECT_NE(log.find(part), std::string::npos) << part << "\n" << log;
+  }
+  EXPECT_EQ(log.find("progress/b"), std::string::npos) << log;
+}
+
 // While the table is away nobody can take the lease: the host that dispatches
 // goes on without it.
 TEST_F(TakeOverTest, HandsOverOnlyALeaseThatItHolds) {
