--- a/src/cluster/dispatcher_runner.h
+++ b/src/cluster/dispatcher_runner.h
@@ -108,9 +108,8 @@
   void ContinueTakeOver(TimePoint now);
   void LogTakeOver(TimePoint now, const TakeOver& take_over) const;
   void AbandonTakeOver();
-  void AddKnownJobs(TimePoint now, const CertainFrom& certain_from);
-  void AddJobRow(TimePoint now, const TableRow& row,
-                 const CertainFrom& certain_from);
+  void AddKnownJobs(TimePoint now);
+  void AddJobRow(TimePoint now, const TableRow& row);
   void AddDeferredJobs(TimePoint now);
   void DropDispatcher(TimePoint now, const std::string& why);
 
@@ -146,6 +145,7 @@
   TimePoint next_clock_update_{};
   std::optional<TakeOver> take_over_;
   std::unique_ptr<Dispatcher> dispatcher_;
+  CertainFrom certain_from_{};  // of that dispatcher
   // Jobs with tasks to start that count as certain since the take-over by the
   // table's clock alone, not by the version of their row.
   std::size_t jobs_certain_by_clock_ = 0;
--- a/tests/cluster/worker_call_forwarder_test.cc
+++ b/tests/cluster/worker_call_forwarder_test.cc
@@ -33,9 +33,9 @@
 
 // A forwarder with fakes in place of the workers and of the peers.
 struct Harness {
-  Harness()
+  explicit Harness(std::uint64_t incarnation = 1)
       : platform(workers.interface()),
-        forwarder(platform,
+        forwarder(platform, incarnation,
                   {.send =
                        [this](const HostId& to, const PeerMessage& message) {
                          if (refuse) return false;
@@ -264,6 +264,56 @@
   EXPECT_EQ(test.polled.size(), 1U);
 }
 
+// A gateway addresses a host by its name. Its response to the process before
+// was taken for that of another worker, whose runs then counted as lost
+// (TWICE).
+TEST(WorkerCallForwarder, ResponsesToTheProcessBeforeAreIgnored) {
+  Harness before(/*incarnation=*/1'780'000'000'000);
+  before.SetGateways({kA});
+  before.Poll("w1");
+  before.Start("w1");
+  before.forwarder.Flush(before.now);
+  const WorkerCalls& late = before.sent.front().second;
+  Harness test(/*incarnation=*/1'780'000'000'001);
+  test.SetGateways({kA});
+  test.Poll("w2");
+  test.Start("w2");
+  test.forwarder.Flush(test.now);
+  test.AnswerPoll(kA, late.polls.front().call_id, CommandOutcome::kDone);
+  test.AnswerCommand(kA, late.starts.front().call_id, CommandOutcome::kDone);
+  EXPECT_TRUE(test.polled.empty());
+  EXPECT_TRUE(test.started.empty());
+  EXPECT_EQ(test.forwarder.outstanding(), 2U);
+}
+
+struct StartForGateway {
+  milliseconds incarnation;
+  bool gateway_takes_it;
+  bool forwarded;
+};
+
+class StartForGatewayTest : public testing::TestWithParam<StartForGateway> {};
+
+// An older build sends a start to whichever incarnation answers.
+TEST_P(StartForGatewayTest, AStartOfAnIncarnationGoesToNoOlderGateway) {
+  Harness test;
+  GatewayOption gateway{kA, ZoneId("z")};
+  gateway.takes_start_incarnations = GetParam().gateway_takes_it;
+  test.forwarder.SetGateways({gateway});
+  StartRun start = MakeStart("w1");
+  start.incarnation_start = GetParam().incarnation;
+  test.forwarder.interface().start_run(start, [](const CommandResponse&) {});
+  test.forwarder.Flush(test.now);
+  EXPECT_EQ(test.sent.size(), GetParam().forwarded ? 1U : 0U);
+  EXPECT_EQ(test.workers.starts.size(), GetParam().forwarded ? 0U : 1U);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Builds, StartForGatewayTest,
+    testing::Values(StartForGateway{milliseconds(0), false, true},
+                    StartForGateway{milliseconds(1000), false, false},
+                    StartForGateway{milliseconds(1000), true, true}));
+
 TEST(WorkerCallForwarder, APauseOfThisHostIsNotBlamedOnTheGateways) {
   Harness test;
   test.SetGateways({kA});
