--- a/src/cluster/dispatcher_runner.cc
+++ b/src/cluster/dispatcher_runner.cc
@@ -30,6 +30,17 @@
 // How long a lease that is handed over is left to the other hosts.
 constexpr milliseconds kHandOverTime{3000};
 
+// Adds changes to the list that they follow.
+void AddTo(WorkerListUpdate& list, const WorkerListUpdate& changes) {
+  for (const WorkerId& id : changes.removed) {
+    std::erase_if(list.changed, [&id](const WorkerRegistration& each) {
+      return each.worker == id;
+    });
+  }
+  list.changed.insert(list.changed.end(), changes.changed.begin(),
+                      changes.changed.end());
+}
+
 LeaseSettings MakeLeaseSettings(const ClusterSettings& settings,
                                 std::uint64_t incarnation) {
   LeaseSettings out;
@@ -238,7 +249,7 @@
   workers_revision_ = std::max<std::uint64_t>(update.revision, 1);
   next_workers_read_ = now + kMinWorkersReadInterval;
   if (take_over_) {
-    take_over_->workers = update;
+    AddTo(take_over_->workers, update);
     take_over_->workers_read = true;
     ContinueTakeOver(now);
     return;
@@ -371,6 +382,17 @@
   callbacks_.drop_calls();
 }
 
+// A renewal may shorten the lease. The lease may also have been acquired anew
+// since, after another host held it.
+void DispatcherRunner::UpdateExclusivity() {
+  const LeaseKeeper::State lease = lease_.state();
+  const std::uint64_t fence = dispatcher_->fence();
+  const bool is_uninterrupted =
+      lease.epoch == fence || lease.epoch == fence + 1;
+  dispatcher_->set_sole_until(is_uninterrupted ? lease.valid_until
+                                               : TimePoint{});
+}
+
 bool DispatcherRunner::IsDispatcherLease(
     TimePoint now, const LeaseKeeper::State& lease) const {
   return lease.held && now < lease.valid_until &&
@@ -427,10 +449,7 @@
   if (dispatcher_ && !decided_) next = std::min(next, pacer_.next_decision());
   if (decided_) {
     DispatchEffects effects;
-    // The lease may just have been acquired anew, after another host held it.
-    const LeaseKeeper::State lease = lease_.state();
-    const bool is_current = lease.epoch == dispatcher_->fence();
-    dispatcher_->set_sole_until(is_current ? lease.valid_until : TimePoint{});
+    UpdateExclusivity();
     const milliseconds time_of_day = time_of_day_.At(
         table_watcher_.clock().At(now), callbacks_.wall_clock());
     next = std::min(next, dispatcher_->Decide(now, time_of_day, effects));
@@ -494,8 +513,9 @@
     response.fence = fence;
     callbacks_.post(LoopWork::kWorkers,
                     [this, generation, function, response](TimePoint now) {
-                      if (generation == generation_ && dispatcher_)
-                        function(now, response);
+                      if (generation != generation_ || !dispatcher_) return;
+                      UpdateExclusivity();
+                      function(now, response);
                     });
   };
 }
--- a/src/cluster/dispatcher_runner.h
+++ b/src/cluster/dispatcher_runner.h
@@ -112,6 +112,9 @@
   void AddJobRow(TimePoint now, const TableRow& row);
   void AddDeferredJobs(TimePoint now);
   void DropDispatcher(TimePoint now, const std::string& why);
+  // Tells the dispatcher until when no other host can be dispatching. To be
+  // called before it is told of a response and before it decides.
+  void UpdateExclusivity();
   // True if this is a lease that is held, of the epoch under which the
   // dispatcher acts.
   bool IsDispatcherLease(TimePoint now, const LeaseKeeper::State& lease) const;
--- a/src/cluster/table_watcher.cc
+++ b/src/cluster/table_watcher.cc
@@ -154,7 +154,7 @@
   table_.read_all([this, read_number](const ChangesResponse& response) {
     post_([this, read_number, response](TimePoint now) {
       if (read_number != read_number_) return;
-      has_all_rows_ |= response.ok;
+      has_all_rows_ |= response.ok && response.revision >= cache_.revision();
       if (response.ok) all_rows_read_at_ = now;
       OnReadResponse(now, response, true);
     });
--- a/src/cluster/verified_starts.cc
+++ b/src/cluster/verified_starts.cc
@@ -20,7 +20,8 @@
 // What the answer to Identify says of a start that has not been sent.
 CommandOutcome OutcomeOfUnsent(const PollResponse& answer) {
   const bool is_final = answer.outcome == CommandOutcome::kFenced ||
-                        answer.outcome == CommandOutcome::kWrongIncarnation;
+                        answer.outcome == CommandOutcome::kWrongIncarnation ||
+                        answer.outcome == CommandOutcome::kUnhealthy;
   return is_final ? answer.outcome : CommandOutcome::kNotSent;
 }
 
--- a/src/lease/lease_manager.cc
+++ b/src/lease/lease_manager.cc
@@ -304,6 +304,8 @@
 void LeaseManager::OnCommitted(TimePoint now, const InFlightCommit& commit,
                                std::uint64_t version, Effects& out) {
   if (version < row_version_) return;  // a newer row has already been applied
+  newest_sent_at_table_ =
+      std::max(newest_sent_at_table_, commit.written_row.sent_at_table);
   if (settings_.separate_renewals) {
     renewal_version_ = std::max(renewal_version_, version);
     renewal_ = commit.written_row;
--- a/tests/cluster/dispatcher_runner_test.cc
+++ b/tests/cluster/dispatcher_runner_test.cc
@@ -16,6 +16,8 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+const char* const kListed = "i-listed";
+
 // A dispatcher runner on a table that holds back the read with which a
 // take-over catches up.
 class TakeOverTest : public testing::Test {
@@ -53,8 +55,11 @@
     out.commit_lease = [](const TableTransaction&, const auto& done) {
       done({.status = CommitStatus::kCommitted, .revision = 10});
     };
-    out.watch_workers = [](auto /*after*/, auto /*wait*/, const auto& done) {
-      done({.ok = true, .revision = 1});
+    // One worker in the full list, none among the changes.
+    out.watch_workers = [](auto after, auto /*wait*/, const auto& done) {
+      WorkerListUpdate update{.ok = true, .revision = 1};
+      if (after == 0) update.changed.emplace_back().worker = WorkerId(kListed);
+      done(update);
     };
     return out;
   }
@@ -89,6 +94,17 @@
   EXPECT_TRUE(runner_.dispatching());
 }
 
+// Changes that were read while the rows were still being read took the place of
+// the list: no worker got tasks before its entry changed again.
+TEST_F(TakeOverTest, KeepsTheListOfWorkersThatItHasRead) {
+  const TimePoint later = BootClock::now() + milliseconds(250);
+  runner_.Tick(later);
+  CatchUp();
+  ASSERT_TRUE(runner_.dispatching());
+  EXPECT_TRUE(
+      runner_.dispatcher()->state().workers.contains(WorkerId(kListed)));
+}
+
 // Jobs accepted since the lease before was over waited, like older ones, for
 // each worker that could not be reached.
 TEST_F(TakeOverTest, OnlyJobsThatTheHolderBeforeMayKnowWaitForItsWorkers) {
@@ -147,7 +163,7 @@
        {"placer: progress row cannot be decoded; taking its job for one "
         "without progress key=progress/old why=",
         "placer: started dispatching fence=",
-        " jobs=1 jobs_uncertain=1 jobs_certain_by_clock=0 workers=1 "
+        " jobs=1 jobs_uncertain=1 jobs_certain_by_clock=0 workers=2 "
         "workers_unsynced=1 rows_known_to=10 certain_from_version=10 "
         "holder_before_ended_ms_ago=",
         " took_ms=", " all_rows_read_anew=0 all_rows_read_ms_ago="}) {
--- a/tests/cluster/verified_starts_test.cc
+++ b/tests/cluster/verified_starts_test.cc
@@ -98,7 +98,7 @@
                    CommandOutcome::kWrongIncarnation},
         AnswerCase{CommandOutcome::kNoResponse, CommandOutcome::kNotSent},
         AnswerCase{CommandOutcome::kNotSent, CommandOutcome::kNotSent},
-        AnswerCase{CommandOutcome::kUnhealthy, CommandOutcome::kNotSent}));
+        AnswerCase{CommandOutcome::kUnhealthy, CommandOutcome::kUnhealthy}));
 
 TEST_F(VerifiedStartsTest, AStartThatFindsNoConnectionTwiceIsNotSent) {
   Start();
--- a/tests/lease/lease_manager_test.cc
+++ b/tests/lease/lease_manager_test.cc
@@ -655,6 +655,29 @@
   EXPECT_EQ(b.predecessor_ended_by(), seen + settings.lease);
 }
 
+// The times of this host's own renewals count, too.
+TEST(LeaseManagerPredecessor, AHolderNoticesAClockThatHasStartedAgain) {
+  LeaseSettings settings;
+  settings.host = HostId("b");
+  settings.zone = kZone;
+  LeaseManager b(kStart, settings);
+  TableClock clock;
+  clock.OnReading(kStart, milliseconds(50'000));
+  b.set_table_clock(clock);
+  LeaseManager::Effects out;
+  b.Tick(kStart, out);
+  const auto sent = std::get<CommitLease>(out.back()).transaction;
+  b.OnCommit(kStart, sent.write_id,
+             {.status = CommitStatus::kCommitted, .revision = 1}, out);
+  const TimePoint seen = kStart + seconds(20);
+  const LeaseRow row{HostId("a"), 1, 2, settings.lease, 2, milliseconds(100)};
+  b.OnRow(seen, {LeaseManager::RowKey(kZone), EncodeLeaseRow(row), 2, "w"},
+          out);
+  out.clear();
+  b.Tick(kStart + seconds(60), out);
+  EXPECT_EQ(b.predecessor_ended_by(), seen + settings.lease);
+}
+
 TEST(LeaseManagerPredecessor, ThisHostItselfMayHaveHeldItUntilNow) {
   LeaseSettings settings;
   settings.host = HostId("a");
--- a/tests/store/table_clock_test.cc
+++ b/tests/store/table_clock_test.cc
@@ -51,5 +51,15 @@
   }
 }
 
+// Times noted by the clock before then lie ahead of it.
+TEST(TableClockTest, FollowsAClockThatHasStartedAgain) {
+  TableClock clock;
+  const TimePoint start{std::chrono::hours(1)};
+  clock.OnReading(start, std::chrono::hours(2));
+  const TimePoint later = start + std::chrono::seconds(5);
+  clock.OnReading(later, std::chrono::milliseconds(700));
+  EXPECT_EQ(clock.At(later), std::chrono::milliseconds(700));
+}
+
 }  // namespace
 }  // namespace chivewing
