--- a/src/cluster/dispatcher_runner.h
+++ b/src/cluster/dispatcher_runner.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -12,6 +13,7 @@
 #include "base/time.h"
 #include "cluster/cluster_settings.h"
 #include "cluster/decision_pacer.h"
+#include "cluster/late_row_monitor.h"
 #include "cluster/lease_keeper.h"
 #include "cluster/loop_monitor.h"
 #include "cluster/platform_interface.h"
@@ -76,6 +78,8 @@
   bool IsStopped() const { return lease_.state().stopped; }
   bool dispatching() const { return dispatcher_ != nullptr; }
   const Dispatcher* dispatcher() const { return dispatcher_.get(); }
+  // Rows that were in the table before the lease, and came after the take-over.
+  std::uint64_t late_rows() const { return late_rows_.count(); }
   // The dispatcher's queues and the rest of its lease, for the log.
   std::string LoadSummary(TimePoint now) const;
 
@@ -104,11 +108,16 @@
   void ContinueTakeOver(TimePoint now);
   void LogTakeOver(TimePoint now, const TakeOver& take_over) const;
   void AbandonTakeOver();
-  void AddKnownJobs(TimePoint now, const CertainFrom& certain_from);
-  void AddJobRow(TimePoint now, const TableRow& row,
-                 const CertainFrom& certain_from);
+  void AddKnownJobs(TimePoint now);
+  void AddJobRow(TimePoint now, const TableRow& row);
   void AddDeferredJobs(TimePoint now);
   void DropDispatcher(TimePoint now, const std::string& why);
+  // Tells the dispatcher until when no other host can be dispatching. To be
+  // called before it is told of a response and before it decides.
+  void UpdateExclusivity();
+  // True if this is a lease that is held, of the epoch under which the
+  // dispatcher acts.
+  bool IsDispatcherLease(TimePoint now, const LeaseKeeper::State& lease) const;
 
   void OnWorkers(TimePoint now, const WorkerListUpdate& update);
   void ApplyWorkerUpdate(TimePoint now, const WorkerListUpdate& update);
@@ -142,6 +151,11 @@
   TimePoint next_clock_update_{};
   std::optional<TakeOver> take_over_;
   std::unique_ptr<Dispatcher> dispatcher_;
+  CertainFrom certain_from_{};  // of that dispatcher
+  // Jobs with tasks to start that count as certain since the take-over by the
+  // table's clock alone, not by the version of their row.
+  std::size_t jobs_certain_by_clock_ = 0;
+  LateRowMonitor late_rows_;
   // Rises with each dispatcher; responses to an earlier one are dropped.
   std::uint64_t generation_ = 0;
   std::set<HostId> advice_hosts_;
--- a/src/dispatch/dispatch_state.h
+++ b/src/dispatch/dispatch_state.h
@@ -14,8 +14,10 @@
 #include "dispatch/dispatch_options.h"
 #include "dispatch/free_worker_index.h"
 #include "dispatch/ready_steps.h"
+#include "dispatch/repeated_end_monitor.h"
 #include "dispatch/run_table.h"
 #include "dispatch/start_guard.h"
+#include "dispatch/surplus_run.h"
 #include "dispatch/tracked_job.h"
 #include "dispatch/tracked_worker.h"
 
@@ -29,19 +31,25 @@
   std::uint64_t runs_done = 0;
   std::uint64_t runs_failed = 0;
   std::uint64_t runs_lost = 0;  // ended other than as done or failed
+  // Ends that change no task: of a job or occurrence that is over, and of a
+  // task that its job does not have here.
+  std::uint64_t ends_after_their_job = 0;
+  std::uint64_t ends_of_unknown_tasks = 0;
   std::uint64_t asks = 0;
   std::uint64_t asks_failed = 0;
   std::uint64_t polls = 0;
   std::uint64_t full_end_lists = 0;  // polls whose worker may have more ends
   // Counted as lost since whole lists of their worker lacked them.
   std::uint64_t unlisted_runs = 0;
+  // Responses of incarnations that were not taken note of, since another host
+  // may have been dispatching.
+  std::uint64_t unmet_incarnations = 0;
   std::uint64_t invariant_breaches = 0;
   // Runs that were stopped because their job had been cancelled or had ended
   // before their start was confirmed.
   std::uint64_t unconfirmed_runs_stopped = 0;
-  std::uint64_t adopted_runs_stopped = 0;  // of a predecessor, not needed
-  std::uint64_t runs_moved = 0;            // stopped since their worker leaves
-  std::uint64_t orphans_stopped = 0;       // their job stayed unknown
+  std::uint64_t runs_moved = 0;       // stopped since their worker leaves
+  std::uint64_t orphans_stopped = 0;  // their job stayed unknown
   // Crashes of workers counted at a task, and tasks given up for them.
   std::uint64_t suspected_crashes = 0;
   std::uint64_t tasks_given_up = 0;
@@ -93,6 +101,8 @@
   std::uint64_t last_poll = 0;
   DispatchCounters counts{};
   StartGuard start_guard{};
+  RepeatedEndMonitor repeated_ends{};
+  SurplusRunCounts surplus_runs{};  // stopped, of an earlier dispatcher
   // Time from a job's acceptance to its first acknowledged start.
   LatencyHistogram first_start{};
 
@@ -102,6 +112,8 @@
   // before this dispatcher reacquired its lease carries a lower fence than the
   // present one; its refusal does not prove that there is another dispatcher.
   void OnFencedResponse(std::uint64_t command_fence);
+  // True while no other host can be dispatching.
+  bool IsExclusive(TimePoint now) const { return now <= exclusive_until; }
   // The lease that a command sent at `now` may grant; none if 0 or less.
   std::chrono::milliseconds GrantableLease(TimePoint now) const;
   // Indices of the tasks of a step with `copies_allowed` whose only run is on
--- a/src/dispatch/run_manager.cc
+++ b/src/dispatch/run_manager.cc
@@ -51,6 +51,7 @@
   jobs_.SetNotedWorker(job, state, worker);
   state.runs.push_back(added.id);
   state.highest_run = std::max(state.highest_run, number);
+  if (state.first_run_here == 0) state.first_run_here = number;
   job.highest_run = std::max(job.highest_run, number);
   ++state_.counts.starts;
   SendStart(now, added, out);
@@ -67,9 +68,12 @@
   if (length.count() <= 0) return;
   const auto lease = worker->GrantLease(now, length);
   if (!lease) return;
-  // Retries carry the deadline of the first attempt, so that no copy of the
-  // command can start the run after it.
-  if (run.send_count == 0) run.deadline = *lease;
+  // Retries carry the deadline and the incarnation of the first attempt, so
+  // that no copy of the command can start the run later or elsewhere.
+  if (run.send_count == 0) {
+    run.deadline = *lease;
+    run.incarnation_start = worker->incarnation_start;
+  }
   const std::size_t doublings = std::min(run.send_count, kMaxBackoffDoublings);
   run.next_send = now + state_.options.start_retry_delay * (1 << doublings);
   ++run.send_count;
@@ -99,6 +103,7 @@
   command.fence = state_.fence;
   command.saved = run.saved;
   command.ticket = run.ticket;
+  command.incarnation_start = run.incarnation_start;
   command.fresh_connection = run.send_count > 1;
   if (job == nullptr) return command;
   command.payload = job->record.spec.payload;
@@ -166,15 +171,15 @@
   }
   job.OpenReportedOccurrence(key.occurrence);
   TrackedTask* const task = job.FindTask(key);
-  const bool needed = task != nullptr && job.IsActive() &&
-                      !task->progress.done && task->runs.empty() &&
-                      !run.stop_requested;
+  const SurplusReason reason = FindSurplusReason(run, job, task);
+  const bool needed = reason == SurplusReason::kNone;
   if (!needed) {
     LogRequest(LogPart::kPlacer, key.job.value(), [&] {
       return "stopping an adopted run that is not needed task=" +
-             Describe(run.key) + " worker=" + run.worker.value();
+             Describe(run.key) + " worker=" + run.worker.value() +
+             " reason=" + std::string(Name(reason));
     });
-    ++state_.counts.adopted_runs_stopped;
+    ++state_.surplus_runs.at(static_cast<std::size_t>(reason));
     state_.runs.RequestStop(run);
   }
   if (task == nullptr) return;
@@ -406,7 +411,10 @@
   const TaskKey key = run.task;
   TrackedStep* const step = job.FindStep(key.occurrence, key.step);
   TrackedTask* const task = job.FindTask(key);
-  if (step == nullptr || task == nullptr) return;
+  if (step == nullptr || task == nullptr) {
+    ReportEndWithoutTask(job, run, reason);
+    return;
+  }
   const StepSpec& spec = job.spec(key.step);
   task->highest_run = std::max(task->highest_run, run.number);
   job.highest_run = std::max(job.highest_run, run.number);
@@ -444,6 +452,30 @@
   jobs_.RefreshReadySteps(job);
 }
 
+// The worker is told that the end has been read, though it changes no task.
+// Ends of jobs and occurrences that are over come after each take-over.
+void RunManager::ReportEndWithoutTask(const TrackedJob& job,
+                                      const TaskRunKey& run,
+                                      RunEndReason reason) {
+  const bool over =
+      !job.IsActive() || run.task.occurrence < job.finished_occurrences;
+  const auto line = [&] {
+    return std::string("the end of a run changes no task, ") +
+           (over ? "its job or occurrence is over"
+                 : "its job has no such task here") +
+           " task=" + Describe(run) +
+           " how=" + std::to_string(static_cast<int>(reason)) +
+           " finished_occurrences=" + std::to_string(job.finished_occurrences);
+  };
+  if (over) {
+    ++state_.counts.ends_after_their_job;
+    LogRequest(LogPart::kPlacer, run.task.job.value(), line);
+  } else {
+    ++state_.counts.ends_of_unknown_tasks;
+    LogWarning(LogPart::kPlacer, line());
+  }
+}
+
 // The members of a gang that is done end by themselves, but a start that is
 // still being repeated would begin its task anew.
 void RunManager::StopUnconfirmedRuns(const TrackedStep& step) {
--- a/tests/dispatch/single_worker_harness.h
+++ b/tests/dispatch/single_worker_harness.h
@@ -39,12 +39,13 @@
   }
 
   // A job of one step.
-  void AddJob(const StepSpec& step, bool uncertain) {
+  void AddJob(const StepSpec& step, bool uncertain,
+              const std::optional<JobProgress>& progress = std::nullopt) {
     JobRecord record;
     record.id = JobId(kJob);
     record.queue.max_attempts = 3;
     record.spec.steps = {step};
-    dispatcher_.AddJob(now_, now_, record, std::nullopt, uncertain);
+    dispatcher_.AddJob(now_, now_, record, progress, uncertain);
   }
   JobPhase job_state() const {
     return dispatcher_.state().jobs.at(JobId(kJob)).state;
@@ -61,6 +62,9 @@
     end.how = RunEndReason::kDone;
     ended_.push_back(end);
   }
+  // The worker lists a run that this dispatcher has not started.
+  void AddRun(const TaskRunKey& run) { running_.push_back({run, "", 0, 0}); }
+  TaskRunKey LastRun() const { return running_.back().run; }
   // All runs of the worker end as done.
   void EndAllRuns() {
     for (const ActiveRunReport& run : running_) AddEnd(run.run);
@@ -87,6 +91,9 @@
   void set_poll_outcome(std::optional<CommandOutcome> outcome) {
     poll_outcome_ = outcome;
   }
+  // Another host may be dispatching from now on, or may not.
+  void EndLease() { dispatcher_.set_sole_until(now_ - Duration(1)); }
+  void RegainLease() { dispatcher_.set_sole_until(TimePoint::max()); }
   // The worker's clock reads so much less from now on.
   void SetClockBack(std::chrono::milliseconds by) { clock_back_ += by; }
   // The platform's list no longer holds the worker.
