--- a/tests/dispatch/cluster_model.cc
+++ b/tests/dispatch/cluster_model.cc
@@ -34,6 +34,17 @@
 constexpr milliseconds kConnectionsLost{300};  // after an outage of the table
 constexpr seconds kRegistrationsReturn{2};
 constexpr milliseconds kReplacedAfterOutage{400};
+// A dispatcher's own lease lasts so long after its last renewal at most, and is
+// taken by another one so much after that renewal at the earliest.
+constexpr milliseconds kOwnLease{600};
+constexpr milliseconds kEarliestTakeOver{700};
+constexpr milliseconds kRestartsAroundStallEnd{300};
+constexpr std::size_t kFewestRestarts = 4;
+constexpr std::size_t kRestartChoices = 7;  // 4 to 10 workers restart
+// What was decided before a stall is sent within this time after it.
+constexpr milliseconds kSentAfterStall{20};
+constexpr milliseconds kShortestHold{500};
+constexpr seconds kLongestHold{6};
 // Stands between a worker's first id and the number of its crashes.
 constexpr char kCrashMark = '~';
 
@@ -197,7 +208,8 @@
     if (active.lease_lost) continue;
     active.retired_at = now_;
     active.lease_lost = true;
-    active.dispatcher->set_sole_until(now_);
+    active.sole_until = std::min(active.sole_until, now_);
+    active.dispatcher->set_sole_until(active.sole_until);
   }
   if (!options_.faults.old_dispatcher_continues) dispatchers_.clear();
   if (options_.faults.split_workers && !dispatchers_.empty()) {
@@ -235,6 +247,7 @@
   next_crash_ = now_ + options_.faults.crash_interval;
   next_fast_restart_ = now_ + options_.faults.fast_restart_interval;
   next_replace_ = now_ + options_.faults.replace_interval;
+  next_replaced_stall_ = now_ + options_.faults.replaced_while_stalled_interval;
   next_cancel_ = now_ + options_.faults.cancel_interval;
   next_stall_ = now_ + options_.faults.stall_interval;
   next_leave_ = now_ + options_.faults.leave_interval;
@@ -292,6 +305,8 @@
     BeginOutage(RandomDuration(seconds(1), seconds(5)));
   if (is_due(next_replace_, faults.replace_interval) && !IsTableAway())
     ReplaceDispatcher();
+  if (is_due(next_replaced_stall_, faults.replaced_while_stalled_interval))
+    ReplaceWhileStalled();
   if (is_due(next_stall_, faults.stall_interval)) {
     dispatchers_.back().stalled_until =
         now_ + RandomDuration(faults.max_stall / 10, faults.max_stall);
@@ -310,6 +325,7 @@
   worker.down_until = now_ + down;
   worker.running.clear();
   worker.ended.clear();
+  worker.ended_at.clear();
   worker.highest_ended_run.clear();
   worker.last_end = 0;
   worker.forgotten = 0;
@@ -345,6 +361,34 @@
   });
 }
 
+void ClusterModel::ReplaceWhileStalled() {
+  ActiveDispatcher& newest = dispatchers_.back();
+  if (IsTableAway() || now_ < newest.stalled_until) return;
+  const Duration span = RandomDuration(seconds(1), seconds(5));
+  newest.stalled_until = now_ + span;
+  newest.sends_nothing_until = now_ + span;
+  newest.sole_until = now_ + RandomDuration(Duration(0), kOwnLease);
+  newest.dispatcher->set_sole_until(newest.sole_until);
+  RunAfter(RandomDuration(kEarliestTakeOver, span), [this, term = newest.term] {
+    if (term == fence_) ReplaceDispatcher();
+  });
+  RestartSomeAround(now_ + span);
+}
+
+void ClusterModel::RestartSomeAround(TimePoint moment) {
+  std::set<std::size_t> chosen;
+  const std::size_t wanted = kFewestRestarts + random_() % kRestartChoices;
+  while (chosen.size() < std::min(wanted, workers_.size()))
+    chosen.insert(random_() % workers_.size());
+  for (const std::size_t index : chosen) {
+    const Duration offset =
+        RandomDuration(-kRestartsAroundStallEnd, kRestartsAroundStallEnd);
+    RunAfter(moment + offset - now_, [this, index] {
+      Crash(worker(index), RandomDuration(Duration(0), kMostFastRestart));
+    });
+  }
+}
+
 void ClusterModel::Shrink(ModelWorker& worker, Duration span) {
   if (worker.shrunk_at != TimePoint::max()) return;
   Resources& capacity = worker.registration.capacity;
@@ -523,6 +567,7 @@
   std::uint64_t& highest_ended_run = worker.highest_ended_run[run.task];
   highest_ended_run = std::max(highest_ended_run, run.number);
   worker.ended.push_back(end);
+  worker.ended_at[end.number] = now_;
   if (how == RunEndReason::kDone) ++done_[run.task];
   ForgetEnds(worker, 0);
 }
@@ -532,6 +577,7 @@
     if (now_ < worker.down_until) continue;
     const bool lease_expired =
         worker.deadline.count() > 0 && ClockOf(worker) > worker.deadline;
+    if (lease_expired) worker.lapsed_at = now_;
     std::vector<std::pair<TaskRunKey, RunEndReason>> ended;
     for (auto& [run, execution] : worker.running) {
       CheckOverstay(run, execution);
@@ -603,9 +649,7 @@
                                const DispatchEffects& effects) {
   const milliseconds longest = options_.faults.max_command_delay;
   for (const DispatchEffect& effect : effects) {
-    const auto send = [this, term, effect] {
-      std::visit([&](const auto& each) { CarryOut(term, each); }, effect);
-    };
+    const auto send = [this, term, effect] { Send(term, effect); };
     if (longest.count() == 0 || !AreFaultsActive()) {
       send();
     } else {
@@ -614,6 +658,17 @@
   }
 }
 
+void ClusterModel::Send(std::uint64_t term, const DispatchEffect& effect) {
+  const ActiveDispatcher* const sender = FindDispatcher(term);
+  if (sender != nullptr && now_ < sender->sends_nothing_until) {
+    const Duration rest = sender->sends_nothing_until - now_;
+    RunAfter(rest + RandomDuration(Duration(0), kSentAfterStall),
+             [this, term, effect] { Send(term, effect); });
+    return;
+  }
+  std::visit([&](const auto& each) { CarryOut(term, each); }, effect);
+}
+
 // During a split the newest dispatcher reaches about two thirds of the workers
 // and the one before it the others.
 bool ClusterModel::IsSplitFrom(std::uint64_t term,
@@ -623,33 +678,50 @@
   return (term == fence_) == old_side;
 }
 
+template <typename Command>
+void ClusterModel::ExecuteLate(const Command& command, Duration delay,
+                               bool reaches_next_life) {
+  const milliseconds born =
+      Find(command.worker)->registration.incarnation_start;
+  RunAfter(delay, [this, command, born, reaches_next_life] {
+    const ModelWorker& worker = *Find(command.worker);
+    const bool same_life = worker.registration.incarnation_start == born;
+    // The header that names the intended life names only its id.
+    const bool same_id = worker.registration.worker == command.worker;
+    if (now_ >= worker.down_until &&
+        (same_life || (reaches_next_life && same_id)))
+      Execute(command);
+  });
+}
+
 // Delivers a command to its worker and the response back, with the faults of
 // the schedule.
 template <typename Command, typename Respond>
 void ClusterModel::Deliver(std::uint64_t term, const Command& command,
                            Respond respond) {
   using Response = decltype(Execute(command));
+  constexpr bool is_start = std::is_same_v<Command, StartRun>;
+  constexpr bool is_poll = std::is_same_v<Command, PollWorker>;
+  const ModelFaults& faults = options_.faults;
   const double draw = AreFaultsActive() ? RandomFraction() : 1.0;
   const auto fail = [this, respond] {
     RunAfter(kCommandTimeout, [respond] { respond(Response{}); });
   };
-  if (draw < options_.faults.late_command_rate) {
+  if (draw < faults.late_command_rate) {
     fail();
     // The command arrives late, unless the worker has restarted by then and
     // the faults let it reach no later life.
-    const milliseconds born =
-        Find(command.worker)->registration.incarnation_start;
-    RunAfter(RandomDuration(seconds(2), seconds(12)), [this, command, born] {
-      const ModelWorker* const worker = Find(command.worker);
-      const bool same_life = worker->registration.incarnation_start == born;
-      // The header that names the intended life names only its id.
-      const bool reaches_next_life =
-          std::is_same_v<Command, PollWorker> &&
-          options_.faults.late_polls_reach_next_life &&
-          worker->registration.worker == command.worker;
-      if ((same_life || reaches_next_life) && now_ >= worker->down_until)
-        Execute(command);
-    });
+    const bool reaches_next_life =
+        (is_poll && faults.late_polls_reach_next_life) ||
+        (is_start && faults.late_starts_reach_next_life);
+    ExecuteLate(command, RandomDuration(seconds(2), seconds(12)),
+                reaches_next_life);
+    return;
+  }
+  if (is_start && faults.held_start_rate > 0 && AreFaultsActive() &&
+      RandomFraction() < faults.held_start_rate) {
+    fail();
+    ExecuteLate(command, RandomDuration(kShortestHold, kLongestHold), true);
     return;
   }
   RunAfter(kMessageDelay, [this, term, command, respond, fail, draw] {
@@ -873,6 +945,7 @@
     }
     if (IsDonePersisted(task))
       Report("TWICE", name + " starts although it is done");
+    last_start_[task] = now_;
   }
   CheckDue(job, task, name);
   CheckDeadlyStart(task, name);
@@ -906,7 +979,7 @@
     return response;
   }
   worker.fence = command.fence;
-  worker.deadline = std::max(worker.deadline, command.deadline);
+  ExtendLease(worker, command.deadline);
   response.outcome = CommandOutcome::kDone;
   if (worker.running.contains(command.run)) return response;
   const auto highest_ended_run =
@@ -983,9 +1056,7 @@
     return response;
   }
   worker.fence = command.fence;
-  if (command.deadline) {
-    worker.deadline = std::max(worker.deadline, *command.deadline);
-  }
+  if (command.deadline) ExtendLease(worker, *command.deadline);
   // The client of the workers sends the number to no other incarnation.
   const bool is_meant =
       command.incarnation_start == worker.registration.incarnation_start;
@@ -999,6 +1070,28 @@
   return response;
 }
 
+void ClusterModel::ExtendLease(ModelWorker& worker,
+                               WorkerTimestamp deadline) const {
+  const WorkerTimestamp longest =
+      ClockOf(worker) + options_.dispatch.max_worker_lease;
+  worker.deadline = std::max(worker.deadline, std::min(deadline, longest));
+}
+
+void ClusterModel::NoteEnd(const ModelWorker& worker,
+                           const EndedRunReport& end) {
+  const TimePoint ended = worker.ended_at.at(end.number);
+  // Ends before a lapse of the worker's lease don't count.
+  const auto last_start = last_start_.find(end.run.task);
+  if (worker.lapsed_at >= ended || last_start == last_start_.end()) return;
+  if (last_start->second > ended) {
+    Report("TWICE", end.run.task.job.value() + "." +
+                        std::to_string(end.run.task.step) + "." +
+                        std::to_string(end.run.task.index) +
+                        " has started after its end on " +
+                        worker.registration.worker.value());
+  }
+}
+
 void ClusterModel::ForgetEnds(ModelWorker& worker,
                               std::uint64_t persisted_end) {
   if (options_.faults.keeps_highest_persisted_end) {
@@ -1007,7 +1100,10 @@
   }
   std::erase_if(worker.ended, [&](const EndedRunReport& end) {
     if (end.number > persisted_end) return false;
-    if (end.how == RunEndReason::kDone) persisted_done_.insert(end.run.task);
+    if (end.how == RunEndReason::kDone) {
+      NoteEnd(worker, end);
+      persisted_done_.insert(end.run.task);
+    }
     if (end.how == RunEndReason::kFailed) ++persisted_failures_[end.run.task];
     return true;
   });
--- a/tests/dispatch/cluster_model.h
+++ b/tests/dispatch/cluster_model.h
@@ -31,6 +31,10 @@
   seconds fast_restart_interval{0};
   // Late commands that are polls may reach the worker's next life under its id.
   bool late_polls_reach_next_life = false;
+  bool late_starts_reach_next_life = false;  // the same for starts
+  // Starts that wait at a paused gateway: no response, executed 0.5 to 6 s
+  // later by whichever life of the worker is there.
+  double held_start_rate = 0;
   // A worker forgets all ends up to the highest number that a poll of its life
   // has told it, those that it lists later among them.
   bool keeps_highest_persisted_end = false;
@@ -40,6 +44,11 @@
   seconds outage_interval{0};
   seconds replace_interval{0};            // the dispatcher is replaced
   bool old_dispatcher_continues = false;  // the replaced one runs for 12 s more
+  // The newest dispatcher's process stands still for 1 to 5 s. Its own lease
+  // ends meanwhile and it is replaced. When it goes on, what it had decided
+  // before is sent, and a number of workers are back under their ids within
+  // 0.3 s of that moment.
+  seconds replaced_while_stalled_interval{0};
   // While both run, each dispatcher reaches only a part of the workers.
   bool split_workers = false;
   double run_failure_rate = 0;  // runs that fail
@@ -102,6 +111,8 @@
   std::vector<EndedRunReport> ended{};
   std::uint64_t last_end = 0;
   std::uint64_t forgotten = 0;  // highest end that a poll has told it to forget
+  std::map<std::uint64_t, TimePoint> ended_at{};  // by the number of the end
+  TimePoint lapsed_at{};  // when its lease was last over
   std::map<TaskKey, std::uint64_t>
       highest_ended_run{};  // starts up to it are refused
   TimePoint started_at{};
@@ -159,6 +170,9 @@
     std::optional<ProgressWriteBatch> batch{};
     bool lease_lost = false;  // true once its writes are rejected
     TimePoint stalled_until{};
+    // Until then its process sends nothing, not even what has been decided.
+    TimePoint sends_nothing_until{};
+    TimePoint sole_until = TimePoint::max();  // end of its own lease
     milliseconds clock_error{0};  // of its time of day, while faults last
   };
   struct Event {
@@ -173,6 +187,10 @@
   // The worker ends with all that runs on it, and returns after `down` as
   // another incarnation.
   void Restart(ModelWorker& worker, Duration down);
+  // Stalls the newest dispatcher and replaces it before it goes on.
+  void ReplaceWhileStalled();
+  // Some workers end at a moment near `moment` and are back at once.
+  void RestartSomeAround(TimePoint moment);
   void Shrink(ModelWorker& worker, Duration span);
   void BeginOutage(Duration span);
   void EndOutage();
@@ -201,6 +219,8 @@
   // not stand still.
   void Notify(std::uint64_t term, std::function<void(Dispatcher&)> call);
   void SendEffects(std::uint64_t term, const DispatchEffects& effects);
+  // Carries the command out, once the process of the dispatcher goes on.
+  void Send(std::uint64_t term, const DispatchEffect& effect);
 
   void CarryOut(std::uint64_t term, const StartRun& command);
   void CarryOut(std::uint64_t term, const StopRun& command);
@@ -211,6 +231,12 @@
   CommandResponse Execute(const StartRun& command);
   CommandResponse Execute(const StopRun& command);
   PollResponse Execute(const PollWorker& command);
+  // The lease that the worker accepts: none longer than its longest one.
+  void ExtendLease(ModelWorker& worker, WorkerTimestamp deadline) const;
+  // Executes the command after `delay`, if a life that it can reach is there.
+  template <typename Command>
+  void ExecuteLate(const Command& command, Duration delay,
+                   bool reaches_next_life);
   template <typename Command, typename Respond>
   void Deliver(std::uint64_t term, const Command& command, Respond respond);
 
@@ -226,6 +252,8 @@
   void CheckDue(const JobRecord& job, const TaskKey& task,
                 const std::string& name);
   void CheckStart(const ModelWorker& worker, const StartRun& command);
+  // Reports starts that came after the end, which is taken note of only now.
+  void NoteEnd(const ModelWorker& worker, const EndedRunReport& end);
   void CheckUnasked(const StartRun& command, const std::string& name);
   void CheckOverstay(const TaskRunKey& run, ModelWorker::Execution& execution);
   std::string CheckpointName(const TaskKey& task) const;
@@ -256,6 +284,7 @@
   std::map<TaskKey, std::size_t> done_;  // successful ends, on any worker
   std::set<TaskKey> persisted_done_;     // of those, persisted
   std::map<TaskKey, std::size_t> persisted_failures_;
+  std::map<TaskKey, TimePoint> last_start_;
   struct DeadlyTask {
     std::size_t crashes = 0;
     std::size_t starts_after_third_crash = 0;
@@ -278,6 +307,7 @@
   TimePoint next_shrink_{};
   TimePoint next_outage_{};
   TimePoint next_replace_{};
+  TimePoint next_replaced_stall_{};
   TimePoint next_cancel_{};
   TimePoint next_clock_step_{};
   TimePoint next_stall_{};
--- a/tests/dispatch/schedule_test.cc
+++ b/tests/dispatch/schedule_test.cc
@@ -4,7 +4,9 @@
 #include <gtest/gtest.h>
 
 #include <cstdlib>
+#include <map>
 #include <string>
+#include <vector>
 
 #include "dispatch/cluster_model.h"
 
@@ -30,6 +32,17 @@
   return text == nullptr ? default_value : std::strtoull(text, nullptr, 10);
 }
 
+// How often each rule is violated; a violation begins with the rule's name.
+std::string CountsByRule(const std::vector<std::string>& violations) {
+  std::map<std::string, std::size_t> counts;
+  for (const std::string& each : violations)
+    ++counts[each.substr(0, each.find(' '))];
+  std::string out = " (all:";
+  for (const auto& [rule, count] : counts)
+    out += " " + rule + "=" + std::to_string(count);
+  return out + ")";
+}
+
 class ScheduleTest : public testing::TestWithParam<ScheduleCase> {};
 
 TEST_P(ScheduleTest, ViolatesNoRuleAndEndsAllJobs) {
@@ -52,7 +65,8 @@
       return list.empty() ? std::string() : list.front();
     };
     EXPECT_TRUE(model.violations().empty())
-        << "seed " << seed << ": " << front(model.violations());
+        << "seed " << seed << ": " << front(model.violations())
+        << CountsByRule(model.violations());
     EXPECT_TRUE(model.Unfinished().empty())
         << "seed " << seed << ": " << front(model.Unfinished());
     EXPECT_GT(model.started(), 100U);
@@ -108,6 +122,39 @@
                       .fast_restart_interval = seconds(1),
                       .late_polls_reach_next_life = true,
                       .keeps_highest_persisted_end = true}},
+        // Fresh decisions of a dispatcher that has been replaced, on workers
+        // that have not met its successor.
+        ScheduleCase{"StalledReplacedRestarted",
+                     {.old_dispatcher_continues = true,
+                      .replaced_while_stalled_interval = seconds(5)}},
+        // The same with commands that were decided before the stall.
+        ScheduleCase{"StalledReplacedRestartedSending",
+                     {.old_dispatcher_continues = true,
+                      .replaced_while_stalled_interval = seconds(5),
+                      .max_command_delay = milliseconds(300)}},
+        ScheduleCase{"StalledReplacedRestartedLate",
+                     {.lost_response_rate = 0.05,
+                      .late_command_rate = 0.05,
+                      .late_polls_reach_next_life = true,
+                      .late_starts_reach_next_life = true,
+                      .old_dispatcher_continues = true,
+                      .replaced_while_stalled_interval = seconds(5),
+                      .max_command_delay = milliseconds(300)}},
+        // Starts that outlive the life of the worker that they are meant for.
+        ScheduleCase{"FastRestartsLateStarts",
+                     {.lost_response_rate = 0.05,
+                      .late_command_rate = 0.05,
+                      .fast_restart_interval = seconds(4),
+                      .late_starts_reach_next_life = true}},
+        ScheduleCase{
+            "FastRestartsHeldStarts",
+            {.fast_restart_interval = seconds(4), .held_start_rate = 0.1}},
+        // Leases that outlive it, while the next life is cut off.
+        ScheduleCase{"FastRestartsLateLeases",
+                     {.late_command_rate = 0.1,
+                      .disconnect_interval = seconds(2),
+                      .fast_restart_interval = seconds(4),
+                      .late_polls_reach_next_life = true}},
         ScheduleCase{"OutagesOfTheTable", {.outage_interval = seconds(6)}},
         ScheduleCase{"OutagesAndOtherFaults",
                      {.lost_response_rate = 0.05,
