--- a/src/cluster/worker_call_forwarder.cc
+++ b/src/cluster/worker_call_forwarder.cc
@@ -25,6 +25,9 @@
 constexpr std::size_t kMaxBatchBytes = 1UL << 20;
 constexpr std::size_t kMaxBatchCalls = 2048;
 constexpr std::size_t kCallBytes = 200;  // of a call without its texts
+// Each incarnation of this host, a time in milliseconds, has its own range of
+// call ids, so that responses to the process before are not taken for its own.
+constexpr int kCallIdBitsPerIncarnation = 22;
 
 milliseconds TimeLimitOf(const PollWorker& poll) {
   return poll.wait + kWorkerPollTimeoutMargin;
@@ -58,8 +61,12 @@
 }  // namespace
 
 WorkerCallForwarder::WorkerCallForwarder(const PlatformInterface& direct,
+                                         std::uint64_t incarnation,
                                          Callbacks callbacks)
-    : direct_(direct), callbacks_(std::move(callbacks)), interface_(direct) {
+    : direct_(direct),
+      callbacks_(std::move(callbacks)),
+      interface_(direct),
+      last_id_(incarnation << kCallIdBitsPerIncarnation) {
   interface_.start_run = [this](const StartRun& command, auto done) {
     Queue(command, std::move(done));
   };
@@ -99,11 +106,20 @@
     gateways_.erase(host);
   }
   for (const GatewayOption& option : options) {
-    gateways_[option.host].takes_poll_incarnations =
-        option.takes_poll_incarnations;
+    Gateway& gateway = gateways_[option.host];
+    gateway.takes_poll_incarnations = option.takes_poll_incarnations;
+    gateway.takes_start_incarnations = option.takes_start_incarnations;
   }
 }
 
+bool WorkerCallForwarder::TakesCall(const HostId& gateway,
+                                    const Call& call) const {
+  const auto* const start = std::get_if<StartRun>(&call.command);
+  const bool is_bound =
+      start != nullptr && start->incarnation_start.count() > 0;
+  return !is_bound || gateways_.at(gateway).takes_start_incarnations;
+}
+
 void WorkerCallForwarder::DropAll() {
   const std::vector<Call> queued = std::exchange(queued_, {});
   const std::map<std::uint64_t, Call> open = std::exchange(calls_, {});
@@ -138,7 +154,7 @@
         std::visit([](const auto& each) { return each.worker; }, call.command);
     const std::optional<HostId> gateway =
         assigner_.GatewayOf(now, worker, callbacks_.zone_of(worker));
-    if (gateway) {
+    if (gateway && TakesCall(*gateway, call)) {
       Forward(now, *gateway, std::move(call), batches);
     } else {
       MakeDirectly(std::move(call));
