Schedules: starts and leases go to the life that they name, as the client of the workers does

The model's delivery plays what platform/worker_client and cluster/verified_starts do: a start that names another life is not executed (kNotSent, or kFenced if that life has seen a higher fence), one that is repeated and finds no worker is kNotSent, and a poll gives another life no lease.

--- a/tests/dispatch/cluster_model.h
+++ b/tests/dispatch/cluster_model.h
@@ -233,6 +233,17 @@
   PollResponse Execute(const PollWorker& command);
   // The lease that the worker accepts: none longer than its longest one.
   void ExtendLease(ModelWorker& worker, WorkerTimestamp deadline) const;
+  // What the client of the workers does: a start that names a life goes to that
+  // life or to none.
+  static bool IsMeantFor(const StartRun& command, const ModelWorker& worker);
+  template <typename Command>
+  static bool IsMeantFor(const Command& /*command*/,
+                         const ModelWorker& /*worker*/) {
+    return true;
+  }
+  // The response to a start that is meant for another life: the client has
+  // asked the worker who it is, with the fence of the start.
+  static CommandResponse Verify(const StartRun& command, ModelWorker& worker);
   // Executes the command after `delay`, if a life that it can reach is there.
   template <typename Command>
   void ExecuteLate(const Command& command, Duration delay,
