--- a/src/cluster/dispatcher_runner.cc
+++ b/src/cluster/dispatcher_runner.cc
@@ -30,6 +30,17 @@
 // How long a lease that is handed over is left to the other hosts.
 constexpr milliseconds kHandOverTime{3000};
 
+// Adds changes to the list that they follow.
+void AddTo(WorkerListUpdate& list, const WorkerListUpdate& changes) {
+  for (const WorkerId& id : changes.removed) {
+    std::erase_if(list.changed, [&id](const WorkerRegistration& each) {
+      return each.worker == id;
+    });
+  }
+  list.changed.insert(list.changed.end(), changes.changed.begin(),
+                      changes.changed.end());
+}
+
 LeaseSettings MakeLeaseSettings(const ClusterSettings& settings,
                                 std::uint64_t incarnation) {
   LeaseSettings out;
@@ -103,8 +114,9 @@
     return;
   }
   if (!dispatcher_) return;
+  late_rows_.OnRow(now, row);
   if (row.key.starts_with(kJobRows)) {
-    if (lease_.IsHeld(now)) {
+    if (IsDispatcherLease(now, lease_.state())) {
       AddJobRow(now, row);
     } else {
       deferred_job_rows_.push_back(row);
@@ -142,6 +154,9 @@
           certain_from_.accepted_at;
   dispatcher_->AddJob(now, accepted_at, std::move(record.value()), progress,
                       !is_certain);
+  if (is_certain && row.version <= certain_from_.version &&
+      dispatcher_->state().active_jobs.contains(id))
+    ++jobs_certain_by_clock_;
   if (table_watcher_.cache().Find(CancelRowKey(id)) != nullptr) {
     dispatcher_->CancelJob(id);
   }
@@ -234,7 +249,7 @@
   workers_revision_ = std::max<std::uint64_t>(update.revision, 1);
   next_workers_read_ = now + kMinWorkersReadInterval;
   if (take_over_) {
-    take_over_->workers = update;
+    AddTo(take_over_->workers, update);
     take_over_->workers_read = true;
     ContinueTakeOver(now);
     return;
@@ -278,6 +293,7 @@
   options.max_worker_lease = settings_.max_worker_lease;
   dispatcher_ = std::make_unique<Dispatcher>(options, take_over.epoch);
   dispatcher_->set_advice_hosts(advice_hosts_);
+  jobs_certain_by_clock_ = 0;
   table_watcher_.cache().ForEach(kWorkerRowPrefix, [&](const TableRow& row) {
     const WorkerId id(row.key.substr(kWorkerRowPrefix.size()));
     const Result<WorkerRegistration> known = DecodeWorkerRow(id, *row.value);
@@ -294,6 +310,8 @@
   certain_from_ = take_over.certain_from;
   AddKnownJobs(now);
   dispatcher_->EndTakeOver();
+  late_rows_.Begin(take_over.certain_from.version,
+                   table_watcher_.cache().revision());
   LogTakeOver(now, take_over);
 }
 
@@ -316,6 +334,7 @@
       "started dispatching fence=" + std::to_string(take_over.epoch) +
           " jobs=" + std::to_string(state.jobs.size()) +
           " jobs_uncertain=" + std::to_string(uncertain) +
+          " jobs_certain_by_clock=" + std::to_string(jobs_certain_by_clock_) +
           " workers=" + std::to_string(state.workers.size()) +
           " workers_unsynced=" + std::to_string(state.unsynced_workers.size()) +
           " rows_known_to=" +
@@ -363,14 +382,29 @@
   callbacks_.drop_calls();
 }
 
+// A renewal may shorten the lease. The lease may also have been acquired anew
+// since, after another host held it.
+void DispatcherRunner::UpdateExclusivity() {
+  const LeaseKeeper::State lease = lease_.state();
+  const std::uint64_t fence = dispatcher_->fence();
+  const bool is_uninterrupted =
+      lease.epoch == fence || lease.epoch == fence + 1;
+  dispatcher_->set_sole_until(is_uninterrupted ? lease.valid_until
+                                               : TimePoint{});
+}
+
+bool DispatcherRunner::IsDispatcherLease(
+    TimePoint now, const LeaseKeeper::State& lease) const {
+  return lease.held && now < lease.valid_until &&
+         lease.epoch == dispatcher_->fence();
+}
+
 TimePoint DispatcherRunner::SaveProgress(TimePoint now) {
   const TimePoint next = progress_writer_.Tick(now);
   if (progress_writer_.busy() || !dispatcher_ || !dispatcher_->HasDirty())
     return next;
   const LeaseKeeper::State lease = lease_.state();
-  const bool is_current = lease.held && now < lease.valid_until &&
-                          lease.epoch == dispatcher_->fence();
-  if (!is_current) return next;
+  if (!IsDispatcherLease(now, lease)) return next;
   ProgressWriteBatch batch = dispatcher_->TakeBatch(kMaxRowsPerTransaction);
   if (batch.empty()) {
     dispatcher_->OnSaved(now, batch);
@@ -401,7 +435,8 @@
     // fence.
     lease_.Relinquish();
   }
-  if (dispatcher_ && !deferred_job_rows_.empty() && lease_.IsHeld(now)) {
+  if (dispatcher_ && !deferred_job_rows_.empty() &&
+      IsDispatcherLease(now, lease_.state())) {
     AddDeferredJobs(now);
   }
   if ((dispatcher_ || take_over_) && !workers_read_in_flight_ &&
@@ -414,7 +449,7 @@
   if (dispatcher_ && !decided_) next = std::min(next, pacer_.next_decision());
   if (decided_) {
     DispatchEffects effects;
-    dispatcher_->set_sole_until(lease_.state().valid_until);
+    UpdateExclusivity();
     const milliseconds time_of_day = time_of_day_.At(
         table_watcher_.clock().At(now), callbacks_.wall_clock());
     next = std::min(next, dispatcher_->Decide(now, time_of_day, effects));
@@ -478,8 +513,9 @@
     response.fence = fence;
     callbacks_.post(LoopWork::kWorkers,
                     [this, generation, function, response](TimePoint now) {
-                      if (generation == generation_ && dispatcher_)
-                        function(now, response);
+                      if (generation != generation_ || !dispatcher_) return;
+                      UpdateExclusivity();
+                      function(now, response);
                     });
   };
 }
--- a/src/cluster/metrics_text.cc
+++ b/src/cluster/metrics_text.cc
@@ -99,6 +99,21 @@
   out.push_back(std::move(family));
 }
 
+void AddSurplusRuns(Families& out, const SurplusRunCounts& counts) {
+  prometheus::MetricFamily family = MakeFamily(
+      "adopted_runs_stopped_total",
+      "runs of an earlier dispatcher that were not needed, by reason",
+      prometheus::MetricType::Counter);
+  family.metric.clear();
+  for (std::size_t i = 1; i < kSurplusReasons; ++i) {
+    prometheus::ClientMetric& metric = family.metric.emplace_back();
+    metric.label.push_back(
+        {"reason", std::string(Name(static_cast<SurplusReason>(i)))});
+    metric.counter.value = static_cast<double>(counts.at(i));
+  }
+  out.push_back(std::move(family));
+}
+
 void AddStepWaits(Families& out, const DispatchState& state) {
   std::array<std::size_t, kStepWaits> steps{};
   for (const StepKey& key : state.ready.Steps()) {
@@ -169,9 +184,19 @@
   AddCounter(out, "unconfirmed_runs_stopped_total",
              "runs stopped with their job before their start was confirmed",
              counts.unconfirmed_runs_stopped);
-  AddCounter(out, "adopted_runs_stopped_total",
-             "runs of an earlier dispatcher that were not needed",
-             counts.adopted_runs_stopped);
+  AddCounter(out, "ends_of_done_tasks_total",
+             "ends as done of tasks that another run had done",
+             state.repeated_ends.of_done_tasks());
+  AddCounter(out, "ends_of_restarted_tasks_total",
+             "ends as done of tasks that have another run",
+             state.repeated_ends.of_restarted_tasks());
+  AddCounter(out, "ends_after_their_job_total",
+             "ends of runs whose job or occurrence is over",
+             counts.ends_after_their_job);
+  AddCounter(out, "ends_of_unknown_tasks_total",
+             "ends of runs of tasks that their job does not have here",
+             counts.ends_of_unknown_tasks);
+  AddSurplusRuns(out, state.surplus_runs);
   AddCounter(out, "runs_moved_total",
              "runs stopped because their worker leaves", counts.runs_moved);
   AddCounter(out, "orphans_stopped_total", "runs whose job stayed unknown",
@@ -214,6 +239,9 @@
   AddGauge(out, "peers_up", "entry hosts connected", metrics.peers_up);
   AddGauge(out, "dispatching", "whether this host dispatches",
            metrics.dispatcher == nullptr ? 0 : 1);
+  AddCounter(out, "late_rows_total",
+             "rows older than the lease that came after dispatching began",
+             metrics.late_rows);
   if (metrics.callers != nullptr) AddCallers(out, *metrics.callers);
   if (metrics.dispatcher != nullptr) {
     AddDispatcher(out, metrics.dispatcher->state());
--- a/tests/cluster/dispatcher_runner_test.cc
+++ b/tests/cluster/dispatcher_runner_test.cc
@@ -16,6 +16,8 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+const char* const kListed = "i-listed";
+
 // A dispatcher runner on a table that holds back the read with which a
 // take-over catches up.
 class TakeOverTest : public testing::Test {
@@ -53,8 +55,11 @@
     out.commit_lease = [](const TableTransaction&, const auto& done) {
       done({.status = CommitStatus::kCommitted, .revision = 10});
     };
-    out.watch_workers = [](auto /*after*/, auto /*wait*/, const auto& done) {
-      done({.ok = true, .revision = 1});
+    // One worker in the full list, none among the changes.
+    out.watch_workers = [](auto after, auto /*wait*/, const auto& done) {
+      WorkerListUpdate update{.ok = true, .revision = 1};
+      if (after == 0) update.changed.emplace_back().worker = WorkerId(kListed);
+      done(update);
     };
     return out;
   }
@@ -89,6 +94,17 @@
   EXPECT_TRUE(runner_.dispatching());
 }
 
+// Changes that were read while the rows were still being read took the place of
+// the list: no worker got tasks before its entry changed again.
+TEST_F(TakeOverTest, KeepsTheListOfWorkersThatItHasRead) {
+  const TimePoint later = BootClock::now() + milliseconds(250);
+  runner_.Tick(later);
+  CatchUp();
+  ASSERT_TRUE(runner_.dispatching());
+  EXPECT_TRUE(
+      runner_.dispatcher()->state().workers.contains(WorkerId(kListed)));
+}
+
 // Jobs accepted since the lease before was over waited, like older ones, for
 // each worker that could not be reached.
 TEST_F(TakeOverTest, OnlyJobsThatTheHolderBeforeMayKnowWaitForItsWorkers) {
@@ -112,7 +128,12 @@
   };
   add("old", clock - seconds(10));
   add("new", clock);
+  testing::internal::CaptureStdout();
   catch_up_(rows);
+  const std::string log = testing::internal::GetCapturedStdout();
+  EXPECT_NE(log.find(" jobs=2 jobs_uncertain=1 jobs_certain_by_clock=1 "),
+            std::string::npos)
+      << log;
   ASSERT_TRUE(runner_.dispatching());
   const auto& jobs = runner_.dispatcher()->state().jobs;
   EXPECT_TRUE(jobs.at(JobId("old")).uncertain);
@@ -142,14 +163,43 @@
        {"placer: progress row cannot be decoded; taking its job for one "
         "without progress key=progress/old why=",
         "placer: started dispatching fence=",
-        " jobs=1 jobs_uncertain=1 workers=1 workers_unsynced=1 "
-        "rows_known_to=10 "
-        "certain_from_version=10 holder_before_ended_ms_ago=",
+        " jobs=1 jobs_uncertain=1 jobs_certain_by_clock=0 workers=2 "
+        "workers_unsynced=1 rows_known_to=10 certain_from_version=10 "
+        "holder_before_ended_ms_ago=",
         " took_ms=", " all_rows_read_anew=0 all_rows_read_ms_ago="}) {
     EXPECT_NE(log.find(part), std::string::npos) << part << "\n" << log;
   }
 }
 
+// The successor began with rows older than its lease, of version 10.
+TEST_F(TakeOverTest, CountsRowsOlderThanItsLeaseThatComeLate) {
+  const auto row = [](const std::string& key, std::uint64_t version) {
+    return TableRow{key, "nonsense", version, "w"};
+  };
+  runner_.OnRow(BootClock::now(), row("progress/early", 3));
+  EXPECT_EQ(runner_.late_rows(), 0U);
+  CatchUp();
+  ASSERT_TRUE(runner_.dispatching());
+  const TimePoint now = BootClock::now();
+  testing::internal::CaptureStdout();
+  runner_.OnRow(now, row("progress/a", 9));
+  runner_.OnRow(now, row("progress/b", 10));
+  runner_.OnRow(now, row("progress/c", 11));
+  runner_.OnRow(now, row("host/d", 9));
+  runner_.OnRow(now + seconds(1), row("worker/e", 8));
+  const std::string log = testing::internal::GetCapturedStdout();
+  EXPECT_EQ(runner_.late_rows(), 3U);
+  for (const char* part :
+       {"placer: a row that is older than the lease has come after "
+        "dispatching began key=progress/a version=9 lease_version=10 "
+        "rows_known_to=50 late_rows=1 lines_left_out=0",
+        "key=worker/e version=8 lease_version=10 rows_known_to=50 late_rows=3 "
+        "lines_left_out=1"}) {
+    EXPECT_NE(log.find(part), std::string::npos) << part << "\n" << log;
+  }
+  EXPECT_EQ(log.find("progress/b"), std::string::npos) << log;
+}
+
 // While the table is away nobody can take the lease: the host that dispatches
 // goes on without it.
 TEST_F(TakeOverTest, HandsOverOnlyALeaseThatItHolds) {
