--- a/src/dispatch/tracked_worker.h
+++ b/src/dispatch/tracked_worker.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <deque>
 #include <optional>
+#include <string>
 
 #include "base/time.h"
 #include "dispatch/dispatch_options.h"
@@ -87,6 +88,7 @@
   TimePoint unknown_ends_since = TimePoint::max();
   std::uint64_t pending_poll = 0;  // 0: none
   TimePoint poll_sent{};
+  std::string polled_address{};  // by the newest poll
   TimePoint next_poll{};
   TimePoint last_response_at{};    // to a poll or a command
   TimePoint unresponsive_since{};  // first failed poll since the last good one
--- a/src/dispatch/worker_manager.cc
+++ b/src/dispatch/worker_manager.cc
@@ -158,6 +158,7 @@
   poll.fresh_connection = worker.IsUnresponsive();
   worker.pending_poll = poll.poll_id;
   worker.poll_sent = now;
+  worker.polled_address = poll.address;
   ++state_.counts.polls;
   out.emplace_back(std::move(poll));
 }
@@ -296,7 +297,8 @@
 void WorkerManager::ApplyCommandResponse(TimePoint now, TrackedWorker& worker,
                                          const CommandResponse& response) {
   if (response.outcome == CommandOutcome::kWrongIncarnation) {
-    if (state_.IsExclusive(now)) OnIncarnationEnded(now, worker);
+    // The command may have gone to an address that the worker has left since.
+    worker.next_poll = now;
     return;
   }
   if (response.outcome == CommandOutcome::kNotSent) {
@@ -427,7 +429,9 @@
     return;
   }
   if (response.outcome == CommandOutcome::kWrongIncarnation) {
-    if (state_.IsExclusive(now)) {
+    if (worker.polled_address != worker.registration().address) {
+      worker.next_poll = now;
+    } else if (state_.IsExclusive(now)) {
       OnIncarnationEnded(now, worker);
     } else {
       OnUnmetIncarnation(now, worker);
