--- a/tests/adapter/next_incarnation_test.cc
+++ b/tests/adapter/next_incarnation_test.cc
@@ -169,6 +169,7 @@
 // More at once than there may be connections.
 TEST_F(NextIncarnationTest, ManyStartsAtOnceReachTheIncarnation) {
   std::vector<std::future<CommandOutcome>> outcomes;
+  outcomes.reserve(kManyStarts);
   for (int i = 0; i < kManyStarts; ++i) outcomes.push_back(BeginStart(kFirst));
   std::size_t done = 0;
   for (auto& each : outcomes) {
