--- a/src/cluster/dispatcher_runner.cc
+++ b/src/cluster/dispatcher_runner.cc
@@ -249,7 +249,11 @@
   workers_revision_ = std::max<std::uint64_t>(update.revision, 1);
   next_workers_read_ = now + kMinWorkersReadInterval;
   if (take_over_) {
-    AddTo(take_over_->workers, update);
+    if (is_full_list) {
+      take_over_->workers = update;
+    } else {
+      AddTo(take_over_->workers, update);
+    }
     take_over_->workers_read = true;
     ContinueTakeOver(now);
     return;
