--- a/tests/dispatch/cluster_model.cc
+++ b/tests/dispatch/cluster_model.cc
@@ -711,6 +711,22 @@
   return response;
 }
 
+// A start that is repeated over a new connection is sent once its worker has
+// said who it is.
+template <typename Command, typename Respond, typename Fail>
+void ClusterModel::FailUnreached(const Command& command, Respond respond,
+                                 Fail fail) {
+  if constexpr (std::is_same_v<Command, StartRun>) {
+    if (command.fresh_connection && command.incarnation_start.count() > 0) {
+      CommandResponse unsent;
+      unsent.outcome = CommandOutcome::kNotSent;
+      RunAfter(kCommandTimeout, [respond, unsent] { respond(unsent); });
+      return;
+    }
+  }
+  fail();
+}
+
 // Delivers a command to its worker and the response back, with the faults of
 // the schedule.
 template <typename Command, typename Respond>
@@ -724,19 +740,6 @@
   const auto fail = [this, respond] {
     RunAfter(kCommandTimeout, [respond] { respond(Response{}); });
   };
-  // A start that is repeated over a new connection is sent once its worker has
-  // said who it is.
-  const auto fail_unreached = [this, respond, fail, command] {
-    if constexpr (is_start) {
-      if (command.fresh_connection && command.incarnation_start.count() > 0) {
-        Response unsent;
-        unsent.outcome = CommandOutcome::kNotSent;
-        RunAfter(kCommandTimeout, [respond, unsent] { respond(unsent); });
-        return;
-      }
-    }
-    fail();
-  };
   if (draw < faults.late_command_rate) {
     fail();
     // The command arrives late, unless the worker has restarted by then and
@@ -754,12 +757,11 @@
     ExecuteLate(command, RandomDuration(kShortestHold, kLongestHold), true);
     return;
   }
-  RunAfter(kMessageDelay, [this, term, command, respond, fail, fail_unreached,
-                           draw] {
+  RunAfter(kMessageDelay, [this, term, command, respond, fail, draw] {
     ModelWorker& worker = *Find(command.worker);
     const bool split = IsSplitFrom(term, command.worker);
     if (split || !IsReachable(worker)) {
-      fail_unreached();
+      FailUnreached(command, respond, fail);
       return;
     }
     if (worker.registration.worker != command.worker) {
--- a/tests/dispatch/cluster_model.h
+++ b/tests/dispatch/cluster_model.h
@@ -244,6 +244,9 @@
   // The response to a start that is meant for another life: the client has
   // asked the worker who it is, with the fence of the start.
   static CommandResponse Verify(const StartRun& command, ModelWorker& worker);
+  // Ends a command to a worker out of reach: `fail` ends it without a response.
+  template <typename Command, typename Respond, typename Fail>
+  void FailUnreached(const Command& command, Respond respond, Fail fail);
   // Executes the command after `delay`, if a life that it can reach is there.
   template <typename Command>
   void ExecuteLate(const Command& command, Duration delay,
