Starts that come at once are admitted by the connections that are idle

Cause: several starts to one worker in a turn each saw the same idle connection. All but one opened a new one, which was closed unused since it was not known to lead to the incarnation, and then asked the worker over yet another. Change: a start counts as on its way until it has found its connection, and as many are admitted as connections are idle. Ruled out: sending a start over a new connection while it is young, which a process may be paused after.

--- a/src/cluster/incarnation_connections.cc
+++ b/src/cluster/incarnation_connections.cc
@@ -92,18 +92,31 @@
       });
 }
 
-bool IncarnationConnections::IsWithinReach(const std::string& address,
-                                           Incarnation incarnation) const {
+bool IncarnationConnections::Admit(const std::string& address,
+                                   Incarnation incarnation) {
   const std::lock_guard lock(mutex_);
   const auto found = connections_.find(address);
   if (found == connections_.end()) return false;
   std::size_t leading = 0;
+  std::size_t idle = 0;
   for (const Connection& each : found->second) {
     if (each.incarnation != incarnation) continue;
-    if (!each.busy) return true;
     ++leading;
+    if (!each.busy) ++idle;
   }
-  return leading >= max_connections_;
+  const auto before = on_their_way_.find(address);
+  const std::size_t on_their_way =
+      before == on_their_way_.end() ? 0 : before->second;
+  if (idle <= on_their_way && leading < max_connections_) return false;
+  ++on_their_way_[address];
+  return true;
+}
+
+void IncarnationConnections::OnArrived(const std::string& address) {
+  const std::lock_guard lock(mutex_);
+  const auto found = on_their_way_.find(address);
+  if (found == on_their_way_.end()) return;
+  if (--found->second == 0) on_their_way_.erase(found);
 }
 
 }  // namespace chivewing
--- a/src/cluster/incarnation_connections.h
+++ b/src/cluster/incarnation_connections.h
@@ -36,9 +36,12 @@
   // False if the connection may lead to another incarnation.
   bool LeadsTo(const std::string& address, int local_port,
                Incarnation incarnation) const;
-  // True if a request is likely to be given a connection that leads to the
-  // incarnation: one is idle, or no further connection may be opened.
-  bool IsWithinReach(const std::string& address, Incarnation incarnation) const;
+  // Returns true, and counts the request as on its way, if it is likely to be
+  // given a connection that leads to the incarnation: more of them are idle
+  // than requests are on their way, or no further connection may be opened.
+  bool Admit(const std::string& address, Incarnation incarnation);
+  // An admitted request has found its connection, or has ended without one.
+  void OnArrived(const std::string& address);
 
  private:
   struct Connection {
@@ -56,6 +59,8 @@
   mutable std::mutex mutex_;
   // Those of an address, the one that was noted first at the front.
   std::map<std::string, Connections> connections_;
+  // Admitted requests that have not found a connection yet, by address.
+  std::map<std::string, std::size_t> on_their_way_;
 };
 
 }  // namespace chivewing
--- a/tests/cluster/incarnation_connections_test.cc
+++ b/tests/cluster/incarnation_connections_test.cc
@@ -49,35 +49,39 @@
   EXPECT_TRUE(connections.LeadsTo(kAddress, kPort + kManyPorts - 1, kFirst));
 }
 
-TEST(IncarnationConnections, AnIdleConnectionBringsItsIncarnationWithinReach) {
+TEST(IncarnationConnections, AnIdleConnectionAdmitsARequestOfItsIncarnation) {
   IncarnationConnections connections(kMost);
-  EXPECT_FALSE(connections.IsWithinReach(kAddress, kFirst));
+  EXPECT_FALSE(connections.Admit(kAddress, kFirst));
   connections.OnOpened(kAddress, kPort);
   connections.OnEnded(kAddress, kPort, /*answered=*/true);
   connections.OnAnswer(kAddress, kPort, kFirst);
-  EXPECT_TRUE(connections.IsWithinReach(kAddress, kFirst));
-  EXPECT_FALSE(connections.IsWithinReach(kAddress, kSecond));
+  EXPECT_FALSE(connections.Admit(kAddress, kSecond));
+  EXPECT_TRUE(connections.Admit(kAddress, kFirst));
+  EXPECT_FALSE(connections.Admit(kAddress, kFirst)) << "one is on its way";
   connections.OnReused(kAddress, kPort);
-  EXPECT_FALSE(connections.IsWithinReach(kAddress, kFirst)) << "it is busy";
+  connections.OnArrived(kAddress);
+  EXPECT_FALSE(connections.Admit(kAddress, kFirst)) << "it is busy";
+  connections.OnEnded(kAddress, kPort, /*answered=*/true);
+  EXPECT_TRUE(connections.Admit(kAddress, kFirst));
   connections.OnEnded(kAddress, kPort, /*answered=*/false);
   EXPECT_FALSE(connections.LeadsTo(kAddress, kPort, kFirst)) << "it is closed";
 }
 
-TEST(IncarnationConnections, BusyConnectionsAreWithinReachIfThereAreNoOthers) {
+TEST(IncarnationConnections, BusyConnectionsAdmitIfThereAreNoOthers) {
   IncarnationConnections connections(kMost);
   for (int port = kPort; port < kPort + static_cast<int>(kMost); ++port) {
-    EXPECT_FALSE(connections.IsWithinReach(kAddress, kFirst));
+    EXPECT_FALSE(connections.Admit(kAddress, kFirst));
     connections.OnOpened(kAddress, port);
     connections.OnAnswer(kAddress, port, kFirst);
   }
-  EXPECT_TRUE(connections.IsWithinReach(kAddress, kFirst));
+  EXPECT_TRUE(connections.Admit(kAddress, kFirst));
 }
 
-TEST(IncarnationConnections, ClosedConnectionsAreOutOfReach) {
+TEST(IncarnationConnections, ClosedConnectionsAdmitNothing) {
   IncarnationConnections connections(kMost);
   connections.OnAnswer(kAddress, kPort, kFirst);
   connections.OnNoneIdle(kAddress);
-  EXPECT_FALSE(connections.IsWithinReach(kAddress, kFirst));
+  EXPECT_FALSE(connections.Admit(kAddress, kFirst));
   EXPECT_FALSE(connections.LeadsTo(kAddress, kPort, kFirst));
 }
 
