--- a/review/standins-2/case_wide.cc
+++ b/review/standins-2/case_wide.cc
@@ -42,6 +42,7 @@
   for (const MinionEvent& event : events) {
     if (event.at_ms > at_ms) break;
     std::set<std::string>& tasks = running[event.minion];
+    if (event.what == "noted") continue;
     if (event.what == "killed") tasks.clear();
     if (event.what == "start") tasks.insert(event.task);
     if (event.what != "start") tasks.erase(event.task);
--- a/review/standins-2/cases.h
+++ b/review/standins-2/cases.h
@@ -20,5 +20,7 @@
 int RunTwin(const CaseSettings& settings);
 // An entry of another writer has a long key.
 int RunForeign(const CaseSettings& settings);
+// The store loses its history, and the dispatching host is killed meanwhile.
+int RunHistory(const CaseSettings& settings);
 
 }  // namespace review
--- a/review/standins-2/cluster.cc
+++ b/review/standins-2/cluster.cc
@@ -176,6 +176,13 @@
   kill(minions_[index].proxy, cut ? SIGSTOP : SIGCONT);
 }
 
+void Cluster::LoseHistory(std::int64_t silent_ms) {
+  Note("the store's feeds are silent for ms=" + std::to_string(silent_ms) +
+       ", then its history is lost");
+  chivewing::Post("http://" + store_ + "/standin/lose-history",
+                  Json({{"silentMs", silent_ms}}).dump());
+}
+
 void Cluster::PutEntry(const std::string& key, const std::string& value) {
   Note("another writer puts servers/" + key + " " + value);
   const Json row = {{"table", "servers"}, {"key", key}, {"value", value}};
@@ -237,6 +244,7 @@
 std::map<std::string, int> Cluster::RunningTasks() const {
   std::map<std::string, int> running;
   for (const MinionEvent& event : Events()) {
+    if (event.what == "noted") continue;
     if (event.what == "killed") {
       running[event.minion] = 0;
     } else {
--- a/review/standins-2/cluster.h
+++ b/review/standins-2/cluster.h
@@ -25,7 +25,9 @@
 struct MinionEvent {
   std::int64_t at_ms = 0;
   std::string minion;
-  std::string what;  // start, done, failed, stopped, lapsed, killed
+  // start, done, stopped, lapsed, killed, noted (a `done` that lastSeen
+  // reached)
+  std::string what;
   std::string task;
   std::uint64_t run = 0;
 };
@@ -51,6 +53,8 @@
   const std::string& AddressOf(std::size_t index) const {
     return minions_[index].address;
   }
+  // The store loses its history after this time in which its feeds are silent.
+  void LoseHistory(std::int64_t silent_ms);
   // Writes an entry under `servers/` in place of another writer.
   void PutEntry(const std::string& key, const std::string& value);
   void KillMinion(std::size_t index);
--- a/review/standins-2/main.cc
+++ b/review/standins-2/main.cc
@@ -33,7 +33,8 @@
       cases = {{"wide", review::RunWide},
                {"flap", review::RunFlap},
                {"twin", review::RunTwin},
-               {"foreign", review::RunForeign}};
+               {"foreign", review::RunForeign},
+               {"history", review::RunHistory}};
   const auto found = cases.find(name);
   if (found == cases.end() || words.size() < 4) return kCouldNotRun;
   const char* const trouble = std::getenv("TROUBLE");
--- a/review/standins-2/minion.cc
+++ b/review/standins-2/minion.cc
@@ -100,8 +100,11 @@
       reply = Stop(body);
     } else if (call.path == "/hold") {
       const std::uint64_t seen = body.value("lastSeen", std::uint64_t{0});
-      std::erase_if(ends_,
-                    [seen](const End& end) { return end.number <= seen; });
+      std::erase_if(ends_, [&](const End& end) {
+        if (end.number > seen) return false;
+        if (end.how == "done") Log("noted", end.task, end.run);
+        return true;
+      });
       ExtendLease(body);
       const std::int64_t wait =
           std::min(kMaxWaitMs, body.value("waitMs", std::int64_t{0}));
--- a/review/standins-2/store.h
+++ b/review/standins-2/store.h
@@ -37,8 +37,11 @@
       const chivewing::HttpServerRequest& call);
   chivewing::HttpServerResponse Feed(const chivewing::HttpServerRequest& call);
   bool HasChanges(const chivewing::HttpServerRequest& call) const;
+  bool IsSilent() const;
+  bool IsCut(const chivewing::HttpServerRequest& call) const;
   void AnswerFeeds();
   void EndWaits();
+  void LoseHistory(std::int64_t silent_ms);
   static bool HasLongName(const Json& rows);
   static Json ToJson(const Name& name, const Row& row);
 
@@ -47,6 +50,10 @@
   // The rows of each table in the order of their versions.
   std::map<std::pair<std::string, std::uint64_t>, std::map<Name, bool>> log_;
   std::uint64_t version_ = 0;
+  // Lost history: feeds hear nothing until the first time, and after it those
+  // from before the version are cut.
+  std::int64_t silent_until_ms_ = 0;
+  std::uint64_t history_from_ = 0;
   struct Wait {
     chivewing::HttpServerRequest call;
     std::int64_t until_ms = 0;
