--- a/review/standins-2/cluster.h
+++ b/review/standins-2/cluster.h
@@ -6,8 +6,8 @@
 #include <fstream>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
+#include <thread>
 #include <vector>
 
 namespace review {
@@ -25,8 +25,7 @@
 struct MinionEvent {
   std::int64_t at_ms = 0;
   std::string minion;
-  // start, done, stopped, lapsed, killed, noted (a `done` that lastSeen
-  // reached)
+  // start, done, stopped, lapsed, killed
   std::string what;
   std::string task;
   std::uint64_t run = 0;
@@ -53,22 +52,18 @@
   const std::string& AddressOf(std::size_t index) const {
     return minions_[index].address;
   }
-  // The store loses its history after this time in which its feeds are silent.
-  void LoseHistory(std::int64_t silent_ms);
-  // Writes an entry under `servers/` in place of another writer.
-  void PutEntry(const std::string& key, const std::string& value);
+  // Another writer puts an entry under `servers/`, at each heartbeatMs.
+  void KeepEntry(const std::string& key, const std::string& value);
   void KillMinion(std::size_t index);
   void StartMinion(std::size_t index);
-  void DropRegistration(std::size_t index);
   void KillHost(std::size_t index);
   void StartHost(std::size_t index);
   // Waits until `count` hosts report ready; false if they don't in time.
   bool AwaitReady(std::int64_t timeout_ms);
   // The host that has begun to dispatch last, by the hosts' logs.
   std::optional<std::size_t> DispatchingHost() const;
-  // Index of a minion without a running task, by the minions' logs.
-  std::optional<std::size_t> FreeMinion() const;
-  // Index of one that runs tasks.
+  std::vector<std::string> MinionIds() const;
+  // Index of a minion that runs tasks, by the minions' logs.
   std::optional<std::size_t> BusyMinion() const;
 
   // Hands a submission in, as a client with retries at other hosts. True if it
@@ -113,6 +108,7 @@
   std::vector<MinionProcess> minions_;
   std::vector<MinionEvent> kills_;
   std::size_t next_host_ = 0;
+  std::jthread writer_;  // the other writer
 };
 
 }  // namespace review
