A job that the table never takes is refused at once

Change: the caller gets "bad request" with the first such answer, and a line names the row and its bytes. Nothing has run, and nothing of it is stored.

--- a/src/cluster/caller_request_handler.cc
+++ b/src/cluster/caller_request_handler.cc
@@ -323,6 +323,17 @@
     FinishWrite(key, MakeResponse(write.success_kind));
     return;
   }
+  if (response.status == CommitStatus::kRejected) {
+    LogWarning(
+        LogPart::kPlatform,
+        "the table never takes this row; the caller's request is "
+        "refused row=" +
+            key + " bytes=" +
+            std::to_string(write.transaction.writes.front().value->size()));
+    FinishWrite(key, MakeBadRequestResponse(
+                         "the job is larger than one row of the table"));
+    return;
+  }
   write.unconfirmed |= response.status == CommitStatus::kUnknown;
   const int doublings = std::min(write.attempts - 1, 3);
   write.next_send_time = now + kInitialRetryDelay * (1 << doublings);
--- a/tests/cluster/caller_request_handler_test.cc
+++ b/tests/cluster/caller_request_handler_test.cc
@@ -150,6 +150,16 @@
   EXPECT_GT(responses_[call].retry_after.count(), 0);
 }
 
+// A job too large for a row was sent four times, and its caller was told to
+// come back.
+TEST_F(CallerRequestHandlerTest, RefusesAtOnceWhatTheTableNeverTakes) {
+  const std::uint64_t call = Request(CallerRequestKind::kSubmit, "/q/" + job_);
+  CompleteCommit(CommitStatus::kRejected);
+  EXPECT_EQ(ResponseKind(call), CallerResponseKind::kBadRequest);
+  AdvanceTime(milliseconds(500));
+  EXPECT_TRUE(table_.commits.empty());
+}
+
 TEST_F(CallerRequestHandlerTest, NeverRefusesWhatMayBeStored) {
   const std::uint64_t call = Request(CallerRequestKind::kSubmit, "/q/" + job_);
   CompleteCommit(CommitStatus::kUnknown);
