An entry that lacks what each worker says of itself names no worker

Cause: the decoder of registrations looked at some of the fields. An entry that became unreadable left its worker in use as if nothing had changed.

An entry that cannot be decoded is reported as removed: a worker that is known gets no new tasks until its entry comes right, and what runs there goes on.

--- a/src/schema/json_object_reader.cc
+++ b/src/schema/json_object_reader.cc
@@ -53,6 +53,11 @@
   return member == nullptr ? fallback : member->integer;
 }
 
+double JsonObjectReader::Number(std::string_view name) {
+  const JsonNode* const member = FindMember(name, JsonKind::kNumber, true);
+  return member == nullptr ? 0 : member->number;
+}
+
 double JsonObjectReader::Number(std::string_view name, double fallback) {
   const JsonNode* const member = FindMember(name, JsonKind::kNumber, false);
   return member == nullptr ? fallback : member->number;
--- a/src/schema/json_object_reader.h
+++ b/src/schema/json_object_reader.h
@@ -22,6 +22,7 @@
   std::string Text(std::string_view name, std::string_view fallback);
   std::int64_t Integer(std::string_view name);
   std::int64_t Integer(std::string_view name, std::int64_t fallback);
+  double Number(std::string_view name);
   double Number(std::string_view name, double fallback);
   bool Flag(std::string_view name, bool fallback);
   // The elements of a list; empty if the list is absent or of another type.
--- a/tests/adapter/codec_test.cc
+++ b/tests/adapter/codec_test.cc
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <map>
+#include <nlohmann/json.hpp>
 #include <string>
 
 #include "platform/caller_codec.h"
@@ -88,7 +89,8 @@
     [](const auto& info) { return info.param.name; });
 
 constexpr const char* kRegistration =
-    R"({"service":"s","addr":"10.1.0.1:80","zone":"z","state":"draining",
+    R"({"service":"s","addr":"10.1.0.1:80","zone":"z","version":"v1",
+        "slots":8,"state":"draining","coldLeftMs":0.5,
         "labels":["b","r1-3"],"capacity":{"cpu":16000,"memMb":32768},
         "remainingMs":1500,"born":99,"seq":4})";
 
@@ -110,19 +112,58 @@
   EXPECT_FALSE(DecodeRegistration(WorkerId("i-1"), GetParam().text));
 }
 
+INSTANTIATE_TEST_SUITE_P(Cases, BadRegistration,
+                         testing::Values(InvalidInput{"Bytes", "\xff\xfe"},
+                                         InvalidInput{"Empty", "{}"},
+                                         InvalidInput{"List", "[]"}),
+                         [](const auto& info) { return info.param.name; });
+
+// A good registration with other members.
+struct ChangedRegistration {
+  std::string name{};
+  std::string changes{};  // JSON object; a member that is null is removed
+};
+
+class ChangedRegistrationTest
+    : public testing::TestWithParam<ChangedRegistration> {};
+
+// An entry of another writer was taken for a worker though it lacked what each
+// worker says of itself, or said it in another type (review cases 7 and 8).
+TEST_P(ChangedRegistrationTest, NamesNoWorker) {
+  nlohmann::json entry = nlohmann::json::parse(kRegistration);
+  ASSERT_TRUE(DecodeRegistration(WorkerId("i-1"), entry.dump()));
+  entry.merge_patch(nlohmann::json::parse(GetParam().changes));
+  EXPECT_FALSE(DecodeRegistration(WorkerId("i-1"), entry.dump()));
+}
+
 INSTANTIATE_TEST_SUITE_P(
-    Cases, BadRegistration,
+    Cases, ChangedRegistrationTest,
     testing::Values(
-        InvalidInput{"Bytes", "\xff\xfe"}, InvalidInput{"Empty", "{}"},
-        InvalidInput{"StateNotKnown",
-                     R"({"service":"s","addr":"a","zone":"z","state":"odd",
-                    "capacity":{"cpu":1,"memMb":1}})"},
-        InvalidInput{
-            "CapacityMissing",
-            R"({"service":"s","addr":"a","zone":"z","state":"ready"})"},
-        InvalidInput{"CapacityText",
-                     R"({"service":"s","addr":"a","zone":"z","state":"ready",
-                    "capacity":{"cpu":"1","memMb":1}})"}),
+        ChangedRegistration{"NoService", R"({"service":null})"},
+        ChangedRegistration{"ServiceNumber", R"({"service":1})"},
+        ChangedRegistration{"NoAddress", R"({"addr":null})"},
+        ChangedRegistration{"AddressNumber", R"({"addr":80})"},
+        ChangedRegistration{"NoZone", R"({"zone":null})"},
+        ChangedRegistration{"ZoneList", R"({"zone":["z"]})"},
+        ChangedRegistration{"NoVersion", R"({"version":null})"},
+        ChangedRegistration{"VersionNumber", R"({"version":1})"},
+        ChangedRegistration{"NoSlots", R"({"slots":null})"},
+        ChangedRegistration{"SlotsText", R"({"slots":"8"})"},
+        ChangedRegistration{"NoState", R"({"state":null})"},
+        ChangedRegistration{"StateNotKnown", R"({"state":"odd"})"},
+        ChangedRegistration{"NoColdTime", R"({"coldLeftMs":null})"},
+        ChangedRegistration{"ColdTimeText", R"({"coldLeftMs":"0"})"},
+        ChangedRegistration{"NoSequence", R"({"seq":null})"},
+        ChangedRegistration{"SequenceFraction", R"({"seq":1.5})"},
+        ChangedRegistration{"NoLabels", R"({"labels":null})"},
+        ChangedRegistration{"LabelsText", R"({"labels":"b"})"},
+        ChangedRegistration{"OneLabel", R"({"labels":["b"]})"},
+        ChangedRegistration{"LabelNumber", R"({"labels":["b",3]})"},
+        ChangedRegistration{"NoCapacity", R"({"capacity":null})"},
+        ChangedRegistration{"CapacityText", R"({"capacity":{"cpu":"1"}})"},
+        ChangedRegistration{"NoMemory", R"({"capacity":{"memMb":null}})"},
+        ChangedRegistration{"StartFraction", R"({"born":1.5})"},
+        ChangedRegistration{"RemainingText", R"({"remainingMs":"9"})"}),
     [](const auto& info) { return info.param.name; });
 
 TEST(CallerCodec, ReadsAJob) {
--- a/tests/adapter/store_client_test.cc
+++ b/tests/adapter/store_client_test.cc
@@ -168,7 +168,8 @@
     return answer.get_future().get();
   };
   const std::string good =
-      R"({"service":"s","addr":"a","zone":"z","state":"ready",
+      R"({"service":"s","addr":"a","zone":"z","version":"v1","slots":8,
+          "state":"ready","coldLeftMs":0,"seq":1,"labels":["a","r1"],
           "capacity":{"cpu":1,"memMb":1}})";
   store_.Put("servers", "", "i-1", good);
   store_.Put("servers", "", "i-2", "\xff");
@@ -179,6 +180,15 @@
   const WorkerListUpdate second = watch(first.revision);
   ASSERT_EQ(second.removed.size(), 1U);
   EXPECT_EQ(second.removed[0], WorkerId("i-1"));
+  // An entry that another writer has overwritten names no worker any more.
+  store_.Put("servers", "", "i-3", good);
+  const WorkerListUpdate third = watch(second.revision);
+  ASSERT_EQ(third.changed.size(), 1U);
+  store_.Put("servers", "", "i-3", R"({"service":"s","addr":"a"})");
+  const WorkerListUpdate fourth = watch(third.revision);
+  EXPECT_TRUE(fourth.changed.empty());
+  ASSERT_EQ(fourth.removed.size(), 1U);
+  EXPECT_EQ(fourth.removed[0], WorkerId("i-3"));
 }
 
 }  // namespace
--- a/tests/fuzz/decoder_fuzz_test.cc
+++ b/tests/fuzz/decoder_fuzz_test.cc
@@ -43,12 +43,14 @@
 
 const char* const kRegistration =
     R"({"service":"pool","addr":"10.0.0.1:80","zone":"z1","version":"1",
-        "slots":8,"state":"ready","seq":3,"born":1767225600000,
+        "slots":8,"state":"ready","coldLeftMs":0,"seq":3,
+        "born":1767225600000,
         "capacity":{"cpu":16000,"memMb":65536,"gpu":8},
         "labels":["a","r1"]})";
 const char* const kLeavingRegistration =
-    R"({"service":"pool","addr":"10.0.0.1:80","zone":"z1","state":"draining",
-        "remainingMs":4000,"born":1767225600000,
+    R"({"service":"pool","addr":"10.0.0.1:80","zone":"z1","version":"1",
+        "slots":8,"state":"draining","coldLeftMs":0,"seq":4,
+        "remainingMs":4000,"born":1767225600000,"labels":["a","r1"],
         "capacity":{"cpu":16000,"memMb":65536}})";
 const char* const kBatchJob =
     R"({"spec":"text","steps":[{"count":4,"cpu":500,"memMb":256,"estMs":900,
