--- a/src/cluster/cluster_host.cc
+++ b/src/cluster/cluster_host.cc
@@ -188,6 +188,8 @@
   metrics.callers = &caller_requests_.counters();
   metrics.dispatcher = dispatcher_runner_.dispatcher();
   metrics.late_rows = dispatcher_runner_.late_rows();
+  metrics.registrations_held_back =
+      dispatcher_runner_.registrations_held_back();
   return WriteMetrics(metrics);
 }
 
@@ -235,6 +237,7 @@
   TimePoint next = now + kMaxTickInterval;
   next = std::min(next, feed_receiver_.silent_at());
   next = std::min(next, desired_state_.Tick(now));
+  dispatcher_runner_.OnDesiredState(now, desired_state_.cache().state());
   table_watcher_.set_min_poll_interval(TablePollInterval());
   table_watcher_.set_needs_all_rows(NeedsAllRows());
   next = std::min(next, table_watcher_.Tick(now));
--- a/src/cluster/dispatcher_runner.cc
+++ b/src/cluster/dispatcher_runner.cc
@@ -32,11 +32,13 @@
 
 // Adds changes to the list that they follow.
 void AddTo(WorkerListUpdate& list, const WorkerListUpdate& changes) {
-  for (const WorkerId& id : changes.removed) {
-    std::erase_if(list.changed, [&id](const WorkerRegistration& each) {
-      return each.worker == id;
-    });
+  std::set<WorkerId> replaced(changes.removed.begin(), changes.removed.end());
+  for (const WorkerRegistration& each : changes.changed) {
+    replaced.insert(each.worker);
   }
+  std::erase_if(list.changed, [&replaced](const WorkerRegistration& each) {
+    return replaced.contains(each.worker);
+  });
   list.changed.insert(list.changed.end(), changes.changed.begin(),
                       changes.changed.end());
 }
@@ -129,11 +131,19 @@
 
 void DispatcherRunner::AddJobRow(TimePoint now, const TableRow& row) {
   if (!row.value) return;
-  const JobId id = JobOfRowKey(row.key, kJobRows);
-  Result<JobRecord> record = DecodeJobRecord(id, *row.value);
+  Result<JobRecord> record =
+      DecodeJobRecord(JobOfRowKey(row.key, kJobRows), *row.value);
   if (!record) return;  // logged by JobStatusIndex
   record.value().row_version = row.version;
-  time_of_day_.OnJob(record.value());
+  if (registration_filter_.AddJobService(record.value().queue.service))
+    RegisterNamedWorkers(now);
+  AddJob(now, std::move(record.value()));
+}
+
+void DispatcherRunner::AddJob(TimePoint now, JobRecord record) {
+  const JobId id = record.id;
+  const std::uint64_t row_version = record.row_version;
+  time_of_day_.OnJob(record);
   std::optional<JobProgress> progress;
   if (const TableRow* saved = table_watcher_.cache().Find(ProgressRowKey(id))) {
     const Result<JobProgress> decoded = DecodeJobProgress(*saved->value);
@@ -146,15 +156,15 @@
                    saved->key + " why=" + decoded.error().detail);
     }
   }
-  const TimePoint accepted_at = AcceptedAt(
-      now, callbacks_.wall_clock(), table_watcher_.clock(), record.value());
+  const TimePoint accepted_at =
+      AcceptedAt(now, callbacks_.wall_clock(), table_watcher_.clock(), record);
   const bool is_certain =
-      row.version > certain_from_.version ||
-      AcceptedByTableClock(now, table_watcher_.clock(), record.value()) >=
+      row_version > certain_from_.version ||
+      AcceptedByTableClock(now, table_watcher_.clock(), record) >=
           certain_from_.accepted_at;
-  dispatcher_->AddJob(now, accepted_at, std::move(record.value()), progress,
+  dispatcher_->AddJob(now, accepted_at, std::move(record), progress,
                       !is_certain);
-  if (is_certain && row.version <= certain_from_.version &&
+  if (is_certain && row_version <= certain_from_.version &&
       dispatcher_->state().active_jobs.contains(id))
     ++jobs_certain_by_clock_;
   if (table_watcher_.cache().Find(CancelRowKey(id)) != nullptr) {
@@ -259,12 +269,13 @@
     return;
   }
   if (!dispatcher_) return;
-  ApplyWorkerUpdate(now, update);
+  const WorkerListUpdate workers = FilterRegistrations(update, is_full_list);
+  ApplyWorkerUpdate(now, workers);
   if (!is_full_list) return;
   // After a gap in the history, a worker missing from the full list has
   // unregistered.
   std::set<WorkerId> listed;
-  for (const WorkerRegistration& each : update.changed) {
+  for (const WorkerRegistration& each : workers.changed) {
     listed.insert(each.worker);
   }
   std::vector<WorkerId> unlisted;
@@ -274,6 +285,34 @@
   for (const WorkerId& id : unlisted) dispatcher_->UnregisterWorker(id);
 }
 
+WorkerListUpdate DispatcherRunner::FilterRegistrations(
+    const WorkerListUpdate& update, bool is_full_list) {
+  const auto service_of_tracked = [this](const WorkerId& id) {
+    const auto& workers = dispatcher_->state().workers;
+    const auto found = workers.find(id);
+    return found == workers.end() ? nullptr
+                                  : &found->second.registration().service;
+  };
+  return registration_filter_.Filter(update, is_full_list, service_of_tracked);
+}
+
+void DispatcherRunner::OnDesiredState(TimePoint now,
+                                      const DesiredState& state) {
+  if (state.version == desired_state_version_) return;
+  desired_state_version_ = state.version;
+  std::set<std::string> services;
+  for (const Service& each : state.services) services.insert(each.name);
+  for (const Queue& each : state.queues) services.insert(each.service);
+  registration_filter_.set_services(std::move(services));
+  if (dispatcher_) RegisterNamedWorkers(now);
+}
+
+void DispatcherRunner::RegisterNamedWorkers(TimePoint now) {
+  for (const WorkerRegistration& each : registration_filter_.TakeNamed()) {
+    dispatcher_->RegisterWorker(now, each);
+  }
+}
+
 void DispatcherRunner::ApplyWorkerUpdate(TimePoint now,
                                          const WorkerListUpdate& update) {
   for (const WorkerRegistration& each : update.changed) {
@@ -298,21 +337,12 @@
   dispatcher_ = std::make_unique<Dispatcher>(options, take_over.epoch);
   dispatcher_->set_advice_hosts(advice_hosts_);
   jobs_certain_by_clock_ = 0;
-  table_watcher_.cache().ForEach(kWorkerRowPrefix, [&](const TableRow& row) {
-    const WorkerId id(row.key.substr(kWorkerRowPrefix.size()));
-    const Result<WorkerRegistration> known = DecodeWorkerRow(id, *row.value);
-    if (known) {
-      dispatcher_->AdoptWorker(now, take_over.predecessor_ended_by,
-                               known.value());
-    } else {
-      LogError(LogPart::kWorker,
-               "worker row cannot be decoded; ignoring it key=" + row.key +
-                   " why=" + known.error().detail);
-    }
-  });
-  ApplyWorkerUpdate(now, take_over.workers);
   certain_from_ = take_over.certain_from;
-  AddKnownJobs(now);
+  registration_filter_.Reset();
+  KnownJobs known = ReadKnownJobs();
+  AdoptKnownWorkers(now, take_over, known.all_read);
+  ApplyWorkerUpdate(now, FilterRegistrations(take_over.workers, true));
+  for (JobRecord& job : known.jobs) AddJob(now, std::move(job));
   dispatcher_->EndTakeOver();
   late_rows_.Begin(take_over.certain_from.version,
                    table_watcher_.cache().revision());
@@ -360,11 +390,49 @@
   take_over_.reset();
 }
 
-// A holder takes no jobs once its lease is over, so the one before may have
-// started tasks only of jobs that were accepted earlier.
-void DispatcherRunner::AddKnownJobs(TimePoint now) {
-  table_watcher_.cache().ForEach(
-      kJobRows, [&](const TableRow& row) { AddJobRow(now, row); });
+// The jobs of the table. Their services are named from then on.
+DispatcherRunner::KnownJobs DispatcherRunner::ReadKnownJobs() {
+  KnownJobs known;
+  table_watcher_.cache().ForEach(kJobRows, [&](const TableRow& row) {
+    Result<JobRecord> record =
+        DecodeJobRecord(JobOfRowKey(row.key, kJobRows), *row.value);
+    if (!record) {  // logged by JobStatusIndex
+      known.all_read = false;
+      return;
+    }
+    record.value().row_version = row.version;
+    registration_filter_.AddJobService(record.value().queue.service);
+    known.jobs.push_back(std::move(record.value()));
+  });
+  return known;
+}
+
+// Tasks run on workers of the service of their job alone, so a worker whose
+// service no job has ever named runs none. An earlier build may have written
+// its row for an entry of another writer.
+void DispatcherRunner::AdoptKnownWorkers(TimePoint now,
+                                         const TakeOver& take_over,
+                                         bool all_jobs_read) {
+  table_watcher_.cache().ForEach(kWorkerRowPrefix, [&](const TableRow& row) {
+    const WorkerId id(row.key.substr(kWorkerRowPrefix.size()));
+    const Result<WorkerRegistration> known = DecodeWorkerRow(id, *row.value);
+    if (!known) {
+      LogError(LogPart::kWorker,
+               "worker row cannot be decoded; ignoring it key=" + row.key +
+                   " why=" + known.error().detail);
+      return;
+    }
+    if (all_jobs_read && !registration_filter_.IsNamed(known.value().service)) {
+      LogWarning(LogPart::kWorker,
+                 "removing the row of a worker whose service neither the "
+                 "desired state nor a job names worker=" +
+                     id.value() + " service=" + known.value().service);
+      dispatcher_->RemoveWorkerRow(id);
+      return;
+    }
+    dispatcher_->AdoptWorker(now, take_over.predecessor_ended_by,
+                             known.value());
+  });
 }
 
 void DispatcherRunner::AddDeferredJobs(TimePoint now) {
--- a/src/cluster/dispatcher_runner.h
+++ b/src/cluster/dispatcher_runner.h
@@ -18,6 +18,7 @@
 #include "cluster/loop_monitor.h"
 #include "cluster/platform_interface.h"
 #include "cluster/progress_writer.h"
+#include "cluster/registration_filter.h"
 #include "cluster/shared_time_of_day.h"
 #include "cluster/table_watcher.h"
 #include "dispatch/dispatcher.h"
@@ -57,6 +58,9 @@
   void OnAdvice(TimePoint now, std::uint64_t request_id,
                 const AdviceResponse& response);
   void set_advice_hosts(std::set<HostId> advice_hosts);
+  // The newest desired state that this host has read; it may be the same as
+  // before.
+  void OnDesiredState(TimePoint now, const DesiredState& state);
   void set_rank(std::size_t rank) { lease_.set_rank(rank); }
 
   // The thread that keeps the lease. It posts to the owner's thread and must be
@@ -80,6 +84,10 @@
   const Dispatcher* dispatcher() const { return dispatcher_.get(); }
   // Rows that were in the table before the lease, and came after the take-over.
   std::uint64_t late_rows() const { return late_rows_.count(); }
+  // Entries of the list of workers that are not used.
+  std::size_t registrations_held_back() const {
+    return registration_filter_.held_back();
+  }
   // The dispatcher's queues and the rest of its lease, for the log.
   std::string LoadSummary(TimePoint now) const;
 
@@ -101,6 +109,11 @@
     WorkerListUpdate workers{};
   };
 
+  struct KnownJobs {
+    std::vector<JobRecord> jobs{};
+    bool all_read = true;  // false if a row could not be decoded
+  };
+
   void TickLease(TimePoint now);
   void OnLeaseAcquired(TimePoint now, const LeaseKeeper::State& lease);
   void BeginTakeOver(TimePoint now, const LeaseKeeper::State& lease);
@@ -108,8 +121,11 @@
   void ContinueTakeOver(TimePoint now);
   void LogTakeOver(TimePoint now, const TakeOver& take_over) const;
   void AbandonTakeOver();
-  void AddKnownJobs(TimePoint now);
+  KnownJobs ReadKnownJobs();
+  void AdoptKnownWorkers(TimePoint now, const TakeOver& take_over,
+                         bool all_jobs_read);
   void AddJobRow(TimePoint now, const TableRow& row);
+  void AddJob(TimePoint now, JobRecord record);
   void AddDeferredJobs(TimePoint now);
   void DropDispatcher(TimePoint now, const std::string& why);
   // Tells the dispatcher until when no other host can be dispatching. To be
@@ -120,7 +136,11 @@
   bool IsDispatcherLease(TimePoint now, const LeaseKeeper::State& lease) const;
 
   void OnWorkers(TimePoint now, const WorkerListUpdate& update);
+  WorkerListUpdate FilterRegistrations(const WorkerListUpdate& update,
+                                       bool is_full_list);
   void ApplyWorkerUpdate(TimePoint now, const WorkerListUpdate& update);
+  // Tells the dispatcher of workers whose service has been named since.
+  void RegisterNamedWorkers(TimePoint now);
   // Returns when it must be called next.
   TimePoint SaveProgress(TimePoint now);
   void OnBatchResult(TimePoint now, std::uint64_t generation,
@@ -163,6 +183,8 @@
   // is held again, since another host may dispatch them until then.
   std::vector<TableRow> deferred_job_rows_;
 
+  RegistrationFilter registration_filter_;
+  std::uint64_t desired_state_version_ = 0;
   std::uint64_t workers_revision_ = 0;
   bool workers_read_in_flight_ = false;
   TimePoint next_workers_read_{};
--- a/src/cluster/metrics_text.cc
+++ b/src/cluster/metrics_text.cc
@@ -248,6 +248,9 @@
   AddCounter(out, "late_rows_total",
              "rows older than the lease that came after dispatching began",
              metrics.late_rows);
+  AddGauge(out, "registrations_held_back",
+           "entries whose service neither the desired state nor a job names",
+           metrics.registrations_held_back);
   if (metrics.callers != nullptr) AddCallers(out, *metrics.callers);
   if (metrics.dispatcher != nullptr) {
     AddDispatcher(out, metrics.dispatcher->state());
--- a/src/cluster/metrics_text.h
+++ b/src/cluster/metrics_text.h
@@ -24,6 +24,7 @@
   std::uint64_t peers_up = 0;
   // Of the table, after a take-over; see LateRowMonitor.
   std::uint64_t late_rows = 0;
+  std::uint64_t registrations_held_back = 0;
   const CallerRequestCounters* callers = nullptr;
   const Dispatcher* dispatcher = nullptr;  // null while another host dispatches
 };
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -70,6 +70,10 @@
   // `predecessor_ended_by` that one had lost its lease.
   void AdoptWorker(TimePoint now, TimePoint predecessor_ended_by,
                    const WorkerRegistration& registration);
+  // The row of a worker that is not tracked is of no use to anybody.
+  void RemoveWorkerRow(const WorkerId& worker) {
+    state_.removed_workers.insert(worker);
+  }
   // To be called after the last AdoptWorker: without adopted workers no job is
   // uncertain.
   void EndTakeOver();
@@ -94,6 +98,7 @@
   // completed by OnSaved, OnNotSaved or OnRefused.
   ProgressWriteBatch TakeBatch(std::size_t max_rows);
   void OnSaved(TimePoint now, const ProgressWriteBatch& batch);
+  // The batch may be written later.
   void OnNotSaved(const ProgressWriteBatch& batch);
   // The table will never take the batch as it is: it holds a row at fault.
   void OnRefused(TimePoint now, const ProgressWriteBatch& batch);
--- a/tests/cluster/cluster_host_test.cc
+++ b/tests/cluster/cluster_host_test.cc
@@ -10,7 +10,9 @@
 #include <future>
 #include <memory>
 #include <mutex>
+#include <nlohmann/json.hpp>
 #include <set>
+#include <string>
 #include <thread>
 
 #include "cluster/host_row.h"
@@ -147,6 +149,70 @@
   EXPECT_EQ(host.Call("POST", "1111111111111111", "{"), 400);
 }
 
+// An entry of another writer beside that of a worker.
+struct ForeignEntry {
+  std::string name{};
+  std::string key{};
+  std::string changes{};  // to the worker's entry; a null removes a member
+};
+
+class ForeignEntryTest : public ClusterHostTest,
+                         public testing::WithParamInterface<ForeignEntry> {
+ protected:
+  void PutEntry() {
+    const std::string own = worker_.Registration("pool");
+    nlohmann::json entry = nlohmann::json::parse(own);
+    entry.merge_patch(nlohmann::json::parse(GetParam().changes));
+    store_.Put("servers", "", GetParam().key, entry.dump());
+  }
+  // Runs a job on a host, with the entry there before its start or after.
+  void RunJobBesideTheEntry(bool entry_first) {
+    if (entry_first) PutEntry();
+    Host host("h1", store_, {ports_[0], ports_[1], ports_[2], ports_[6]});
+    ASSERT_TRUE(WaitFor([&] { return Get(host.ready_url).status == 200; }));
+    const std::string first = "5c0e7a21d94b36f8";
+    const std::string second = "6c0e7a21d94b36f8";
+    EXPECT_EQ(host.Call("POST", first, kJob), 200);
+    const auto completes = [&](const std::string& job) {
+      return WaitFor(
+          [&] { return host.StateOf(job) == R"({"state":"completed"})"; });
+    };
+    EXPECT_TRUE(completes(first));
+    if (!entry_first) PutEntry();
+    EXPECT_EQ(host.Call("POST", second, kJob), 200);
+    EXPECT_TRUE(completes(second));
+    EXPECT_EQ(worker_.starts(), 10U);
+    EXPECT_LT(store_.rejected_transactions, 20U);
+  }
+};
+
+// One entry of another writer kept all jobs from running, or from being seen to
+// have run (review case 7, LOST).
+TEST_P(ForeignEntryTest, ThatIsThereFirstKeepsNoJobFromRunning) {
+  RunJobBesideTheEntry(true);
+}
+
+TEST_P(ForeignEntryTest, ThatComesLateKeepsNoJobFromRunning) {
+  RunJobBesideTheEntry(false);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Entries, ForeignEntryTest,
+    testing::Values(
+        ForeignEntry{"LongKeyOfAnUnnamedService", std::string(200, 'x'),
+                     R"({"service":"billing","addr":"127.0.0.1:9"})"},
+        ForeignEntry{"LongKeyOfANamedService", std::string(200, 'x'),
+                     R"({"addr":"127.0.0.1:9"})"},
+        ForeignEntry{"TheWorkersAddress", "foreign",
+                     R"({"service":"billing","born":2000})"},
+        ForeignEntry{"TheWorkersAddressOfANamedService", "foreign",
+                     R"({"born":2000})"},
+        ForeignEntry{"TheWorkersAddressWithoutSlots", "foreign",
+                     R"({"slots":null,"born":2000})"},
+        ForeignEntry{"LineBreaksInTheKey", "a\r\nb/%2F\"'",
+                     R"({"addr":"127.0.0.1:9"})"}),
+    [](const auto& info) { return info.param.name; });
+
 TEST_F(ClusterHostTest, ASecondHostTakesOverAndFinishes) {
   auto first = std::make_unique<Host>(
       "h1", store_,
--- a/tests/cluster/dispatcher_runner_test.cc
+++ b/tests/cluster/dispatcher_runner_test.cc
@@ -17,6 +17,7 @@
 using std::chrono::seconds;
 
 const char* const kListed = "i-listed";
+const char* const kService = "pool";
 
 // A dispatcher runner on a table that holds back the read with which a
 // take-over catches up.
@@ -25,6 +26,10 @@
   using ChangesCallback = std::function<void(ChangesResponse)>;
 
   void SetUp() override {
+    DesiredState state;
+    state.version = 1;
+    state.services.emplace_back().name = kService;
+    runner_.OnDesiredState(BootClock::now(), state);
     watcher_.set_needs_all_rows(true);
     watcher_.Tick(BootClock::now());
     watcher_.Tick(BootClock::now());
@@ -58,7 +63,11 @@
     // One worker in the full list, none among the changes.
     out.watch_workers = [](auto after, auto /*wait*/, const auto& done) {
       WorkerListUpdate update{.ok = true, .revision = 1};
-      if (after == 0) update.changed.emplace_back().worker = WorkerId(kListed);
+      if (after == 0) {
+        WorkerRegistration& listed = update.changed.emplace_back();
+        listed.worker = WorkerId(kListed);
+        listed.service = kService;
+      }
       done(update);
     };
     return out;
@@ -105,6 +114,47 @@
       runner_.dispatcher()->state().workers.contains(WorkerId(kListed)));
 }
 
+// Rows that an earlier build had written for entries of other writers made each
+// successor wait a whole lease for what they name.
+TEST_F(TakeOverTest, RowsOfAServiceThatNobodyNamesAreNotWaitedFor) {
+  WorkerRegistration worker;
+  worker.service = kService;
+  ChangesResponse rows{.ok = true, .revision = 10};
+  rows.rows.push_back(
+      {WorkerRowKey(WorkerId("i-1")), EncodeWorkerRow(worker), 5, "w"});
+  worker.service = "billing";
+  rows.rows.push_back(
+      {WorkerRowKey(WorkerId("foreign")), EncodeWorkerRow(worker), 5, "w"});
+  worker.service = "dropped";
+  rows.rows.push_back(
+      {WorkerRowKey(WorkerId("i-2")), EncodeWorkerRow(worker), 5, "w"});
+  JobRecord record;
+  record.queue.service = "dropped";
+  record.queue.max_attempts = 1;
+  record.spec.steps.emplace_back();
+  rows.rows.push_back(
+      {JobRecordKey(JobId("old")), EncodeJobRecord(record), 6, "w"});
+  catch_up_(rows);
+  ASSERT_TRUE(runner_.dispatching());
+  const DispatchState& state = runner_.dispatcher()->state();
+  EXPECT_EQ(state.unsynced_workers,
+            (std::set<WorkerId>{WorkerId("i-1"), WorkerId("i-2")}));
+  EXPECT_EQ(state.removed_workers, std::set<WorkerId>{WorkerId("foreign")});
+}
+
+// A job row that cannot be read may have had tasks on any worker.
+TEST_F(TakeOverTest, AllRowsAreWaitedForBesideAJobThatCannotBeRead) {
+  WorkerRegistration worker;
+  worker.service = "billing";
+  ChangesResponse rows{.ok = true, .revision = 10};
+  rows.rows = {
+      {WorkerRowKey(WorkerId("foreign")), EncodeWorkerRow(worker), 5, "w"},
+      {JobRecordKey(JobId("odd")), "nonsense", 6, "w"}};
+  catch_up_(rows);
+  ASSERT_TRUE(runner_.dispatching());
+  EXPECT_EQ(runner_.dispatcher()->state().unsynced_workers.size(), 1U);
+}
+
 // Jobs accepted since the lease before was over waited, like older ones, for
 // each worker that could not be reached.
 TEST_F(TakeOverTest, OnlyJobsThatTheHolderBeforeMayKnowWaitForItsWorkers) {
@@ -112,9 +162,9 @@
   const milliseconds clock = seconds(100);
   WorkerRegistration worker;
   worker.worker = WorkerId("i-1");
-  worker.service = "pool";
+  worker.service = kService;
   JobRecord record;
-  record.queue.service = "pool";
+  record.queue.service = kService;
   record.queue.max_attempts = 1;
   record.spec.steps.emplace_back();
   ChangesResponse rows{.ok = true, .revision = 10};
@@ -144,9 +194,9 @@
 TEST_F(TakeOverTest, LogsWhatItKnowsAndWhatItCannotRead) {
   WorkerRegistration worker;
   worker.worker = WorkerId("i-1");
-  worker.service = "pool";
+  worker.service = kService;
   JobRecord record;
-  record.queue.service = "pool";
+  record.queue.service = kService;
   record.queue.max_attempts = 1;
   record.spec.steps.emplace_back();
   ChangesResponse rows{.ok = true, .revision = 10};
--- a/tests/standins/store_standin.cc
+++ b/tests/standins/store_standin.cc
@@ -80,6 +80,11 @@
   }
   HttpServerResponse reply = Reply(404, Json::object());
   if (call.path == "/rows-tx") {
+    if (IsRejected(call.body)) {
+      ++rejected_transactions;
+      server_.Respond(call.id, Reply(400, Json::object()));
+      return;
+    }
     reply = Transact(call.body);
     RespondToFeeds();
     if (lose_answers) reply.truncate_body_after = 1;
@@ -133,6 +138,24 @@
   });
 }
 
+bool StoreStandin::IsRejected(const std::string& body) const {
+  constexpr std::size_t base64_group = 4;
+  constexpr std::size_t base64_bytes = 3;
+  const Json tx = Json::parse(body);
+  for (const char* const list : {"expected", "writes", "remove"}) {
+    for (const Json& row : tx[list]) {
+      if (row["key"].get_ref<const std::string&>().size() > max_key_bytes)
+        return true;
+    }
+  }
+  return std::any_of(
+      tx["writes"].begin(), tx["writes"].end(), [this](const Json& row) {
+        const std::string& value = row["value"].get_ref<const std::string&>();
+        return value.size() / base64_group * base64_bytes >
+               max_value_bytes + base64_bytes;
+      });
+}
+
 HttpServerResponse StoreStandin::Transact(const std::string& body) {
   const Json tx = Json::parse(body);
   const std::lock_guard lock(mutex_);
--- a/tests/standins/store_standin.h
+++ b/tests/standins/store_standin.h
@@ -38,6 +38,11 @@
   std::atomic<bool> lose_answers{false};  // applies writes, truncates responses
   std::atomic<bool> history_lost{false};  // answers the next feed with 410
   std::function<void()> after_listing{};  // runs after parts were listed
+  // Most bytes of the key and of the value of a row; transactions with more are
+  // rejected.
+  std::atomic<std::size_t> max_key_bytes{200};
+  std::atomic<std::size_t> max_value_bytes{65'536};
+  std::atomic<std::size_t> rejected_transactions{0};  // since the start
 
  private:
   using Name = std::tuple<std::string, std::string, std::string>;
@@ -51,6 +56,7 @@
   void OnFeedCall(const HttpServerRequest& call);
   // Responds to the waiting feed calls for which there are changes.
   void RespondToFeeds();
+  bool IsRejected(const std::string& body) const;
   HttpServerResponse Transact(const std::string& body);
   HttpServerResponse GetRows(const HttpServerRequest& call);
   HttpServerResponse ListParts(const HttpServerRequest& call);
