A log line stays one line, whatever a text from outside holds

Cause: ids, zones and answers of the store were written as they came.

Change: control characters are written as escapes, and a sentence ends after 8,192 bytes with the number of bytes left out. Done where each line is written, so that no caller has to think of it.

--- a/src/base/log.cc
+++ b/src/base/log.cc
@@ -2,8 +2,10 @@
 
 #include <easylogging++.h>
 
+#include <algorithm>
 #include <array>
 #include <mutex>
+#include <string>
 
 #include "base/request_sampler.h"
 #include "base/time.h"
@@ -15,6 +17,7 @@
 
 constexpr int kMaxLinesPerSecond = 400;
 constexpr int kMaxRequestLinesPerSecond = 400;
+constexpr std::size_t kMaxSentenceBytes = 8192;
 constexpr std::size_t kParts = static_cast<std::size_t>(LogPart::kHttp) + 1;
 constexpr std::size_t kLevels = static_cast<std::size_t>(LogLevel::kError) + 1;
 constexpr std::array<std::string_view, kParts> kPrefixes = {
@@ -57,11 +60,36 @@
   return request_sampler.TakeDropped();
 }
 
+// Texts from outside may hold anything: control characters are written as
+// escapes, so that a sentence stays one line, and the rest of a very long one
+// is left out.
+void AppendSentence(std::string_view sentence, std::string& line) {
+  constexpr std::string_view digits = "0123456789abcdef";
+  constexpr unsigned char first_printable = 0x20;
+  constexpr unsigned char delete_character = 0x7f;
+  constexpr unsigned int half_byte = 4;
+  const std::size_t bytes = std::min(sentence.size(), kMaxSentenceBytes);
+  for (const char c : sentence.substr(0, bytes)) {
+    const auto byte = static_cast<unsigned char>(c);
+    if (byte >= first_printable && byte != delete_character) {
+      line.push_back(c);
+      continue;
+    }
+    line.append("\\x").push_back(digits[byte >> half_byte]);
+    line.push_back(digits[byte % digits.size()]);
+  }
+  if (bytes == sentence.size()) return;
+  line.append(" (")
+      .append(std::to_string(sentence.size() - bytes))
+      .append(" more bytes left out)");
+}
+
 // `dropped` lines before this one have not been written.
 void Write(LogPart part, LogLevel level, std::string_view sentence,
            int dropped) {
   std::string line(kPrefixes.at(static_cast<std::size_t>(part)));
-  line.append(": ").append(sentence);
+  line.append(": ");
+  AppendSentence(sentence, line);
   if (dropped > 0)
     line.append(" (")
         .append(std::to_string(dropped))
