--- a/src/dispatch/tracked_worker.h
+++ b/src/dispatch/tracked_worker.h
@@ -90,6 +90,9 @@
   std::uint64_t pending_poll = 0;  // 0: none
   TimePoint poll_sent{};
   std::string polled_address{};  // by the newest poll
+  // Where the present incarnation has answered under its id, to this dispatcher
+  // or to an earlier one; none if nothing but a registration tells of it.
+  std::optional<std::string> answered_address{};
   TimePoint next_poll{};
   TimePoint last_response_at{};    // to a poll or a command
   TimePoint unresponsive_since{};  // first failed poll since the last good one
@@ -102,6 +105,9 @@
   std::chrono::milliseconds incarnation_start{0};  // 0: not known
 
   bool IsUnresponsive() const { return unresponsive_since != TimePoint{}; }
+  // False while nothing but a registration tells of the worker: it may be of
+  // another writer, and proves nothing about other workers.
+  bool HasAnswered() const { return answered_address.has_value(); }
   // False if the registration is of another incarnation than the newest lists:
   // the worker may be of another size and kind than the registration says.
   bool IsRegistrationCurrent() const;
--- a/src/dispatch/worker_manager.cc
+++ b/src/dispatch/worker_manager.cc
@@ -27,18 +27,24 @@
 constexpr std::chrono::seconds kUnknownJobTimeout{3};
 // How soon a worker that has reported such ends is polled again.
 constexpr std::chrono::milliseconds kUnknownJobPollDelay{100};
+// How soon a worker is polled again that has never answered: there may be none.
+constexpr std::chrono::milliseconds kUnansweredPollDelay{500};
 // How soon a worker is polled again that has started while another host may be
 // dispatching.
 constexpr std::chrono::milliseconds kUnmetIncarnationPollDelay{300};
 
-// True if `later` is a later incarnation of the worker under another id.
-bool IsSuccessor(const TrackedWorker& worker, const WorkerRegistration& later) {
+// True if `later` is a later incarnation of the worker under another id. Its
+// registration is no proof of that, since anybody may have written it: it must
+// have answered under its id, at the address of the worker and after it.
+bool IsSuccessor(const TrackedWorker& worker, const TrackedWorker& later) {
   const WorkerRegistration& registration = worker.registration();
   const auto start =
       std::max(worker.incarnation_start, registration.incarnation_start);
-  return later.worker != registration.worker &&
-         later.address == registration.address && start.count() > 0 &&
-         start < later.incarnation_start;
+  return later.registration().worker != registration.worker &&
+         worker.HasAnswered() &&
+         later.answered_address == worker.answered_address &&
+         later.last_response_at > worker.last_response_at &&
+         start.count() > 0 && start < later.incarnation_start;
 }
 
 // Workers need not list their ends in the order of their numbers.
@@ -66,7 +72,6 @@
 void WorkerManager::Register(TimePoint now,
                              const WorkerRegistration& registration) {
   TrackedWorker* const known = state_.FindWorker(registration.worker);
-  EndPredecessors(now, registration);
   if (known == nullptr) {
     TrackedWorker& worker =
         state_.workers.emplace(registration.worker, TrackedWorker(registration))
@@ -77,7 +82,9 @@
     UpdateAttention(now, worker);
     return;
   }
-  const bool moved = known->registration().address != registration.address;
+  const WorkerRegistration& before = known->registration();
+  const bool moved = before.address != registration.address ||
+                     before.incarnation_start != registration.incarnation_start;
   known->set_registration(registration);
   known->UpdateLeaveTime(now);
   state_.UpdateWorker(*known);
@@ -86,22 +93,19 @@
   UpdateAttention(now, *known);
 }
 
-void WorkerManager::EndPredecessors(TimePoint now,
-                                    const WorkerRegistration& registration) {
+void WorkerManager::EndPredecessors(TimePoint now, const TrackedWorker& later) {
   if (!state_.IsExclusive(now)) return;
   for (auto& [id, worker] : state_.workers) {
-    if (!worker.IsUnresponsive() || !IsSuccessor(worker, registration))
-      continue;
+    if (!worker.IsUnresponsive() || !IsSuccessor(worker, later)) continue;
     OnIncarnationEnded(now, worker);
     UpdateAttention(now, worker);
   }
 }
 
 bool WorkerManager::HasSuccessor(const TrackedWorker& worker) const {
-  return std::any_of(state_.workers.begin(), state_.workers.end(),
-                     [&](const auto& entry) {
-                       return IsSuccessor(worker, entry.second.registration());
-                     });
+  return std::any_of(
+      state_.workers.begin(), state_.workers.end(),
+      [&](const auto& entry) { return IsSuccessor(worker, entry.second); });
 }
 
 void WorkerManager::Unregister(const WorkerId& id) {
@@ -122,6 +126,7 @@
     worker.next_poll = now;
   }
   worker.enrolled = true;
+  worker.answered_address = registration.address;
   // All dispatchers of a cluster grant leases of the same length, and none
   // beyond that length after its own lease.
   worker.set_foreign_lease_expiry(
@@ -268,6 +273,26 @@
   }
 }
 
+// Another worker has answered. That ends this one only where it has answered
+// itself: its registration may name the address of another worker.
+void WorkerManager::OnWrongIncarnation(TimePoint now, TrackedWorker& worker) {
+  if (worker.polled_address != worker.registration().address) {
+    worker.next_poll = now;
+    return;
+  }
+  if (worker.answered_address != worker.polled_address) {
+    OnPollFailure(now, worker,
+                  "another worker answers at the address of a registration");
+    worker.next_poll = now + kUnansweredPollDelay;
+    return;
+  }
+  if (state_.IsExclusive(now)) {
+    OnIncarnationEnded(now, worker);
+  } else {
+    OnUnmetIncarnation(now, worker);
+  }
+}
+
 void WorkerManager::OnUnmetIncarnation(TimePoint now, TrackedWorker& worker) {
   ++state_.counts.unmet_incarnations;
   OnPollFailure(now, worker,
@@ -325,6 +350,7 @@
   if (!worker.has_drained) runs_.ConfirmCrash(worker);
   EndRunsAsLost(now, id);
   worker.ResetForNewIncarnation();
+  worker.answered_address.reset();
   worker.unresponsive_since = now;
   worker.next_poll = now + state_.options.poll_retry_delay;
   state_.UpdateWorker(worker);
@@ -429,18 +455,14 @@
     return;
   }
   if (response.outcome == CommandOutcome::kWrongIncarnation) {
-    if (worker.polled_address != worker.registration().address) {
-      worker.next_poll = now;
-    } else if (state_.IsExclusive(now)) {
-      OnIncarnationEnded(now, worker);
-    } else {
-      OnUnmetIncarnation(now, worker);
-    }
+    OnWrongIncarnation(now, worker);
     return;
   }
   if (response.outcome != CommandOutcome::kDone || !response.clock) {
     OnPollFailure(now, worker, "worker did not respond to a poll");
-    worker.next_poll = now + state_.options.poll_retry_delay;
+    worker.next_poll =
+        now + (worker.HasAnswered() ? state_.options.poll_retry_delay
+                                    : kUnansweredPollDelay);
     return;
   }
   const bool incarnation_changed =
@@ -464,6 +486,9 @@
   worker.SetClock(now, *response.clock);
   worker.last_response_at = now;
   worker.unresponsive_since = TimePoint{};
+  const bool answers_anew = worker.answered_address != worker.polled_address;
+  worker.answered_address = worker.polled_address;
+  if (answers_anew) EndPredecessors(now, worker);
   ProcessEnds(now, worker, response);
   ProcessRunning(now, worker, response);
   NoteWhetherListsAreWhole(worker, response);
--- a/src/dispatch/worker_manager.h
+++ b/src/dispatch/worker_manager.h
@@ -59,6 +59,7 @@
                          const PollResponse& response);
   void ApplyCommandResponse(TimePoint now, TrackedWorker& worker,
                             const CommandResponse& response);
+  void OnWrongIncarnation(TimePoint now, TrackedWorker& worker);
   // Another host may be dispatching, and may not have met the incarnation that
   // has responded, which then executes the commands of both: it gets none from
   // here.
@@ -83,9 +84,9 @@
   std::string DescribeRunsOn(const WorkerId& id) const;
   // Of the line about the end of a worker: a warning if it takes runs with it.
   LogLevel LevelOfLoss(const WorkerId& id) const;
-  // A worker that has started at the address of a silent one shows that the
+  // A worker that has answered at the address of a silent one shows that the
   // silent one has ended.
-  void EndPredecessors(TimePoint now, const WorkerRegistration& registration);
+  void EndPredecessors(TimePoint now, const TrackedWorker& later);
   bool HasSuccessor(const TrackedWorker& worker) const;
   void EnableCopies(const WorkerId& id);
   void ForgetAdvice(const WorkerId& id);
--- a/tests/dispatch/deciding_cost_test.cc
+++ b/tests/dispatch/deciding_cost_test.cc
@@ -93,13 +93,19 @@
     add_job(id);
     dispatcher.CancelJob(JobId(id));
   }
-  DispatchEffects effects;
-  dispatcher.Decide(now, milliseconds(0), effects);
-  ASSERT_EQ(effects.size(), 1U);
-  const auto& poll = std::get<PollWorker>(effects.front());
-  PollResponse gone;
-  gone.outcome = CommandOutcome::kWrongIncarnation;
-  dispatcher.OnPollResponse(now, poll.worker, poll.poll_id, gone);
+  // The worker is there at first.
+  for (const CommandOutcome outcome :
+       {CommandOutcome::kDone, CommandOutcome::kWrongIncarnation}) {
+    EXPECT_EQ(dispatcher.state().counts.jobs_examined, 0U);
+    DispatchEffects effects;
+    dispatcher.Decide(now, milliseconds(0), effects);
+    ASSERT_EQ(effects.size(), 1U);
+    const auto& poll = std::get<PollWorker>(effects.front());
+    PollResponse response;
+    response.outcome = outcome;
+    response.clock = WorkerTimestamp(1000);
+    dispatcher.OnPollResponse(now, poll.worker, poll.poll_id, response);
+  }
   EXPECT_EQ(dispatcher.state().counts.jobs_examined, 1U);
 }
 
