A worker gets a row of the table when it has answered

Cause: the row was written as soon as an entry was read.

Change: TrackedWorker::NeedsRow asks for an answer under the worker's id. Tasks need both anyway, the row and the answer; the row is now written after the first poll instead of beside it.

--- a/src/dispatch/tracked_worker.h
+++ b/src/dispatch/tracked_worker.h
@@ -113,8 +113,11 @@
   bool IsRegistrationCurrent() const;
   // True if ends have been processed whose effects may not be in the table.
   bool HasUnpersistedEnds() const { return persisted_end != processed_end; }
-  // True if the worker may get tasks once it has a row in the table.
-  bool NeedsRow() const { return registered_ && !enrolled && !enrolling; }
+  // True if the worker may get tasks once it has a row in the table. A
+  // registration alone gets none: a successor waits for each worker with a row.
+  bool NeedsRow() const {
+    return registered_ && HasAnswered() && !enrolled && !enrolling;
+  }
 
  private:
   WorkerRegistration registration_;
