An entry whose id or address could leave its place in a call names no worker

Cause, by reading: the id of an entry stands in the header that names the worker for which a call is meant, and its address in the URL. An id with a line break adds a header of its own, which could name the worker that really has the address; its answer would be taken for one of the entry, and so for proof that the worker has ended. An address with a path or a name goes elsewhere than to an IP and a port.

Change: an id of other than printable ASCII, and an address other than IP:PORT, name no worker (PROTOCOL.md: bytes that can't be read; the platform has IPv4 by IP address and no name lookups).

Tests: BadWorkerId, and three entries more in ChangedRegistrationTest.

--- a/tests/adapter/codec_test.cc
+++ b/tests/adapter/codec_test.cc
@@ -118,6 +118,22 @@
                                          InvalidInput{"List", "[]"}),
                          [](const auto& info) { return info.param.name; });
 
+class BadWorkerId : public testing::TestWithParam<InvalidInput> {};
+
+// A line break in the id ends the header that names the worker: a second one
+// after it could name another worker, which would then answer for this entry.
+TEST_P(BadWorkerId, NamesNoWorker) {
+  EXPECT_FALSE(DecodeRegistration(WorkerId(GetParam().text), kRegistration));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Cases, BadWorkerId,
+    testing::Values(InvalidInput{"LineBreak", "i-1\r\nX-Expect-Instance: i-2"},
+                    InvalidInput{"Blank", "i 1"}, InvalidInput{"Empty", ""},
+                    InvalidInput{"NotAscii", "i-\xc3\xbc"},
+                    InvalidInput{"Delete", "i-\x7f"}),
+    [](const auto& info) { return info.param.name; });
+
 // A good registration with other members.
 struct ChangedRegistration {
   std::string name{};
@@ -143,6 +159,10 @@
         ChangedRegistration{"ServiceNumber", R"({"service":1})"},
         ChangedRegistration{"NoAddress", R"({"addr":null})"},
         ChangedRegistration{"AddressNumber", R"({"addr":80})"},
+        ChangedRegistration{"AddressWithPath",
+                            R"({"addr":"10.1.0.1:80/rows-tx?x="})"},
+        ChangedRegistration{"AddressWithUser", R"({"addr":"a@10.1.0.1:80"})"},
+        ChangedRegistration{"AddressName", R"({"addr":"desk.example:80"})"},
         ChangedRegistration{"NoZone", R"({"zone":null})"},
         ChangedRegistration{"ZoneList", R"({"zone":["z"]})"},
         ChangedRegistration{"NoVersion", R"({"version":null})"},
