The texts about lost runs leave the worker manager

What its log lines say of a restart, of runs and of ends is a matter of its own: free functions on the run table and the tracked worker, in worker_loss_text. No line of the log changes (LostRunsLogTest holds them), and no logic.

--- a/src/dispatch/worker_manager.cc
+++ b/src/dispatch/worker_manager.cc
@@ -60,13 +60,6 @@
   return out;
 }
 
-// How far the ends of the worker's present incarnation have got.
-std::string DescribeEnds(const TrackedWorker& worker) {
-  return " persisted_end=" + std::to_string(worker.persisted_end) +
-         " told_end=" + std::to_string(worker.told_end) + " ends_unsaved=" +
-         std::to_string(worker.processed_end - worker.persisted_end);
-}
-
 }  // namespace
 
 void WorkerManager::Register(TimePoint now,
@@ -343,9 +336,9 @@
 
 void WorkerManager::OnIncarnationEnded(TimePoint now, TrackedWorker& worker) {
   const WorkerId id = worker.registration().worker;
-  Log(LogPart::kWorker, LevelOfLoss(id),
+  Log(LogPart::kWorker, LevelOfLoss(state_.runs, id),
       "worker incarnation has ended; its runs count as lost worker=" +
-          id.value() + DescribeRunsOn(id) + DescribeEnds(worker));
+          id.value() + DescribeRunsOn(state_.runs, id) + DescribeEnds(worker));
   NoteLostUnseen(worker);
   if (!worker.has_drained) runs_.ConfirmCrash(worker);
   EndRunsAsLost(now, id);
@@ -364,10 +357,10 @@
 void WorkerManager::OnRestart(TimePoint now, TrackedWorker& worker,
                               const RestartSign& sign) {
   const WorkerId& id = worker.registration().worker;
-  Log(LogPart::kWorker, LevelOfLoss(id),
+  Log(LogPart::kWorker, LevelOfLoss(state_.runs, id),
       "worker has restarted; requesting new advice about it worker=" +
-          id.value() + Describe(now, worker, sign) + DescribeRunsOn(id) +
-          DescribeEnds(worker));
+          id.value() + DescribeRestart(now, worker, sign) +
+          DescribeRunsOn(state_.runs, id) + DescribeEnds(worker));
   if (!worker.has_drained) runs_.ConfirmCrash(worker);
   worker.ResetForNewIncarnation();
   state_.UpdateWorker(worker);
@@ -395,48 +388,6 @@
   ForgetAdvice(id);
 }
 
-std::string WorkerManager::Describe(TimePoint now, const TrackedWorker& worker,
-                                    const RestartSign& sign) {
-  const auto clock_age = std::chrono::duration_cast<std::chrono::milliseconds>(
-      now - worker.clock_at());
-  std::string out =
-      std::string(" told_by=") + (sign.by_start ? "start" : "clock") +
-      " start_ms=" + std::to_string(sign.incarnation_start.count()) +
-      " start_before_ms=" + std::to_string(worker.incarnation_start.count()) +
-      " clock_ms=" + std::to_string(sign.clock.count());
-  if (!worker.has_clock()) return out;
-  return out + " clock_expected_ms=" +
-         std::to_string(worker.LeastClock(now).count()) +
-         " clock_read_ms_ago=" + std::to_string(clock_age.count());
-}
-
-std::string WorkerManager::DescribeRuns(
-    const std::vector<std::uint64_t>& runs) const {
-  std::size_t acknowledged = 0;
-  std::size_t stopped = 0;
-  for (const std::uint64_t id : runs) {
-    const Run& run = state_.runs.all().at(id);
-    if (run.stop_confirmed) {
-      ++stopped;
-    } else if (run.acknowledged) {
-      ++acknowledged;
-    }
-  }
-  return " runs=" + std::to_string(runs.size()) +
-         " acknowledged=" + std::to_string(acknowledged) +
-         " stopped=" + std::to_string(stopped);
-}
-
-LogLevel WorkerManager::LevelOfLoss(const WorkerId& id) const {
-  return state_.runs.OnWorker(id).empty() ? LogLevel::kInfo
-                                          : LogLevel::kWarning;
-}
-
-std::string WorkerManager::DescribeRunsOn(const WorkerId& id) const {
-  const std::set<std::uint64_t> runs = state_.runs.OnWorker(id);
-  return DescribeRuns({runs.begin(), runs.end()});
-}
-
 void WorkerManager::OnPollResponse(TimePoint now, const WorkerId& id,
                                    std::uint64_t poll_id,
                                    const PollResponse& response) {
@@ -649,7 +600,7 @@
   state_.counts.unlisted_runs += absent.size();
   LogWarning(LogPart::kWorker,
              "worker no longer lists runs; counting them as lost worker=" +
-                 id.value() + DescribeRuns(absent) +
+                 id.value() + DescribeRuns(state_.runs, absent) +
                  " runs_listed=" + std::to_string(response.running.size()) +
                  " ends_listed=" + std::to_string(response.ended.size()) +
                  DescribeEnds(worker));
@@ -685,7 +636,8 @@
   LogWarning(LogPart::kWorker,
              "lease of an unresponsive worker has expired; its runs count as "
              "lost worker=" +
-                 id.value() + DescribeRunsOn(id) + DescribeEnds(worker));
+                 id.value() + DescribeRunsOn(state_.runs, id) +
+                 DescribeEnds(worker));
   NoteLostUnseen(worker);
   EndRunsAsLost(now, id);
   worker.synced = false;
--- a/src/dispatch/worker_manager.h
+++ b/src/dispatch/worker_manager.h
@@ -5,12 +5,11 @@
 #include <set>
 #include <string>
 #include <utility>
-#include <vector>
 
-#include "base/log.h"
 #include "dispatch/dispatch_effect.h"
 #include "dispatch/dispatch_state.h"
 #include "dispatch/run_manager.h"
+#include "dispatch/worker_loss_text.h"
 
 namespace chivewing {
 
@@ -68,22 +67,7 @@
   void OnPollFailure(TimePoint now, TrackedWorker& worker,
                      const std::string& why);
   void OnIncarnationEnded(TimePoint now, TrackedWorker& worker);
-  // What told that the worker has restarted; its former readings are those of
-  // the tracked worker.
-  struct RestartSign {
-    bool by_start = false;  // by the start of its life, otherwise by its clock
-    std::chrono::milliseconds incarnation_start{0};  // 0: not reported
-    WorkerTimestamp clock{0};
-  };
   void OnRestart(TimePoint now, TrackedWorker& worker, const RestartSign& sign);
-  static std::string Describe(TimePoint now, const TrackedWorker& worker,
-                              const RestartSign& sign);
-  // How many runs these are, how many of them have a confirmed stop, and how
-  // many others the worker has acknowledged; for the log.
-  std::string DescribeRuns(const std::vector<std::uint64_t>& runs) const;
-  std::string DescribeRunsOn(const WorkerId& id) const;
-  // Of the line about the end of a worker: a warning if it takes runs with it.
-  LogLevel LevelOfLoss(const WorkerId& id) const;
   // A worker that has answered at the address of a silent one shows that the
   // silent one has ended.
   void EndPredecessors(TimePoint now, const TrackedWorker& later);
