Tests of the order of writes answer polls in one place

AnswerPolls and EndRuns wrote the same answer out twice since workers answer a poll before they get a row. EndRuns passes its ends on now.

--- a/tests/dispatch/write_order_test.cc
+++ b/tests/dispatch/write_order_test.cc
@@ -26,13 +26,13 @@
     WorkerRegistration worker;
     worker.worker = WorkerId("w");
     dispatcher_.RegisterWorker(now_, worker);
+    // A worker that has never answered gets no row.
     AnswerPolls();
     dispatcher_.OnSaved(now_, dispatcher_.TakeBatch(1));
   }
 
-  // Each worker that is polled answers without runs and ends: it gets no row
-  // before.
-  void AnswerPolls() {
+  // Each worker that is polled answers, with these ends.
+  void AnswerPolls(const std::vector<EndedRunReport>& ended = {}) {
     DispatchEffects effects;
     dispatcher_.Decide(now_, milliseconds(0), effects);
     for (const DispatchEffect& effect : effects) {
@@ -41,6 +41,8 @@
       PollResponse response;
       response.outcome = CommandOutcome::kDone;
       response.clock = WorkerTimestamp(now_.time_since_epoch().count() / 1000);
+      response.incarnation_start = incarnation_start_;
+      response.ended = ended;
       dispatcher_.OnPollResponse(now_, poll->worker, poll->poll_id, response);
     }
   }
@@ -66,24 +68,14 @@
   // The same for several jobs, with numbers from `first_end` on.
   void EndRuns(const std::vector<std::string>& ids, std::uint64_t first_end) {
     now_ += seconds(1);
-    DispatchEffects effects;
-    dispatcher_.Decide(now_, milliseconds(0), effects);
-    for (const DispatchEffect& effect : effects) {
-      const auto* const poll = std::get_if<PollWorker>(&effect);
-      if (poll == nullptr) continue;
-      PollResponse response;
-      response.outcome = CommandOutcome::kDone;
-      response.clock = WorkerTimestamp(now_.time_since_epoch().count() / 1000);
-      response.incarnation_start = incarnation_start_;
-      for (std::size_t i = 0; i < ids.size(); ++i) {
-        EndedRunReport report;
-        report.number = first_end + i;
-        report.run = {{JobId(ids[i]), 0, 0, 0}, 1};
-        report.how = RunEndReason::kDone;
-        response.ended.push_back(report);
-      }
-      dispatcher_.OnPollResponse(now_, poll->worker, poll->poll_id, response);
+    std::vector<EndedRunReport> ended;
+    for (std::size_t i = 0; i < ids.size(); ++i) {
+      EndedRunReport& report = ended.emplace_back();
+      report.number = first_end + i;
+      report.run = {{JobId(ids[i]), 0, 0, 0}, 1};
+      report.how = RunEndReason::kDone;
     }
+    AnswerPolls(ended);
   }
 
   // For two seconds the worker is registered no more and answers no poll.
