The soak of the record ends where more minions start again than there are

The script was ended by its id after 12 minutes; its hosts and minions went on all the while.

Change: each minion starts again once.

--- a/tests/soak/record.sh
+++ b/tests/soak/record.sh
@@ -54,8 +54,8 @@
                 END { sub(/.*host-/, "", file); sub(/\.log/, "", file); print file + 0 }' "$run"/host-*.log)
 }
 add_fault() { "$standin" client call --method POST --url "http://$faults/faults/$1" >/dev/null; }
-start_minions_again() { # HOW MANY: consecutive ones, from a random one on
-  local first=$((RANDOM % minion_count)) m n=$1
+start_minions_again() { # HOW MANY: consecutive ones, from a random one on, each once
+  local first=$((RANDOM % minion_count)) m n=$(($1 < minion_count ? $1 : minion_count))
   for ((m = first; m < first + n; m++)); do kill -KILL "${pid_of[i-$((1000 + m % minion_count))]}"; done
   for ((m = first; m < first + n; m++)); do
     await_end "${pid_of[i-$((1000 + m % minion_count))]}"
